--- /dev/null
+++ b/guavawalk/__init__.py
@@ -0,0 +1,7 @@
+"""guavawalk: a request scheduler for unlike model engines and plain services."""
+
+from guavawalk import codes, exception
+from guavawalk.codes import *
+from guavawalk.exception import *
+
+__all__ = [*codes.__all__, *exception.__all__]
--- /dev/null
+++ b/guavawalk/events.py
@@ -0,0 +1,58 @@
+"""Numbered log events; docs/EVENTS.md is their catalogue."""
+
+import logging
+from typing import NamedTuple
+
+__all__ = ["EVENTS", "Event"]
+
+
+class Event(NamedTuple):
+    """A kind of log event.
+
+    Attributes
+    ----------
+    number : int
+        Never used again for another kind. 1000 process, 2000 request, 3000 connection,
+        4000 version, 5000 membership, 6000 orders, 7000 administration.
+    level : int
+        Level of the `logging` module.
+    """
+
+    number: int
+    name: str
+    level: int
+    message: str
+
+
+EVENTS: dict[str, Event] = {}
+
+
+def _event(number: int, name: str, level: int, message: str) -> Event:
+    event = Event(number, name, level, message)
+    EVENTS[name] = event
+    return event
+
+
+PROCESS_STARTED = _event(1001, "process_started", logging.INFO, "the process has started")
+PROCESS_READY = _event(1002, "process_ready", logging.INFO, "the process takes work")
+SHUTDOWN_BEGUN = _event(1003, "shutdown_begun", logging.INFO, "no more work is taken")
+SHUTDOWN_DONE = _event(1004, "shutdown_done", logging.INFO, "all work has ended")
+SHUTDOWN_FORCED = _event(1005, "shutdown_forced", logging.WARNING, "work was cut off")
+TASK_FAILED = _event(1006, "task_failed", logging.ERROR, "a task ended by an unexpected error")
+
+REQUEST_ENDED = _event(2001, "request_ended", logging.INFO, "a request has ended")
+REQUEST_INVALID = _event(2002, "request_invalid", logging.WARNING, "a request was refused")
+ATTEMPT_ENDED = _event(2003, "attempt_ended", logging.INFO, "an attempt has ended")
+ATTEMPT_REFUSED = _event(2004, "attempt_refused", logging.INFO, "an attempt was refused")
+
+LINK_REJECTED = _event(3001, "link_rejected", logging.WARNING, "a link was rejected")
+LINK_BROKEN = _event(3002, "link_broken", logging.INFO, "a link broke")
+
+VERSION_IN_FORCE = _event(4001, "version_in_force", logging.INFO, "a version is in force")
+VERSION_CONFLICT = _event(
+    4002, "version_conflict", logging.ERROR, "one version number has two digests"
+)
+VERSION_INVALID = _event(4003, "version_invalid", logging.ERROR, "a version can't be taken")
+PLATFORM_UNAVAILABLE = _event(
+    4004, "platform_unavailable", logging.WARNING, "the platform's service gave no answer"
+)
--- /dev/null
+++ b/guavawalk/exception.py
@@ -0,0 +1,113 @@
+"""The exception tree."""
+
+from guavawalk.codes import CodeClass, ResultCode, code_class, describe_code
+
+__all__ = [
+    "ConfigurationError",
+    "GuavawalkError",
+    "LinkBroken",
+    "LinkError",
+    "LinkRefused",
+    "PlatformUnavailable",
+    "RequestError",
+    "SettingsError",
+    "TargetConnectError",
+    "TargetError",
+    "TargetLost",
+]
+
+
+class GuavawalkError(Exception):
+    """Root of every error that guavawalk raises on purpose."""
+
+
+class SettingsError(GuavawalkError):
+    """A settings file that can't be obeyed.
+
+    Parameters
+    ----------
+    source : str
+        File that was read.
+    path : str
+        Path of the field, `$` for the document itself.
+    problem : str
+        What was found and what is allowed.
+    """
+
+    def __init__(self, source: str, path: str, problem: str) -> None:
+        super().__init__(f"{source}: {path}: {problem}")
+        self.source = source
+        self.path = path
+        self.problem = problem
+
+
+class ConfigurationError(GuavawalkError):
+    """A published configuration that can't be taken.
+
+    Parameters
+    ----------
+    path : str
+        Place in the document set.
+    problem : str
+        What was found and what is allowed.
+    """
+
+    def __init__(self, path: str, problem: str) -> None:
+        super().__init__(f"{path}: {problem}")
+        self.path = path
+        self.problem = problem
+
+
+class PlatformUnavailable(GuavawalkError):
+    """The platform's service did not answer, or not with something usable."""
+
+
+class RequestError(GuavawalkError):
+    """A request that ends with a numbered code.
+
+    Parameters
+    ----------
+    code : ResultCode
+        Outcome to tell the caller.
+    detail : str, optional
+        What was wrong, in words for the caller.
+    retry_after_ms : int, optional
+        When a retry may succeed.
+    """
+
+    def __init__(
+        self, code: ResultCode, detail: str = "", retry_after_ms: int | None = None
+    ) -> None:
+        super().__init__(detail or describe_code(code).message)
+        self.code = code
+        self.detail = detail
+        self.retry_after_ms = retry_after_ms
+
+    @property
+    def code_class(self) -> CodeClass:
+        """Class of the code."""
+        return code_class(self.code)
+
+
+class LinkError(GuavawalkError):
+    """A failure of a connection between two processes of the system."""
+
+
+class LinkRefused(LinkError):
+    """No connection was made, so nothing was sent."""
+
+
+class LinkBroken(LinkError):
+    """An open connection ended, or carried something unreadable."""
+
+
+class TargetError(GuavawalkError):
+    """A failure of the target behind a sidecar."""
+
+
+class TargetConnectError(TargetError):
+    """The target took no connection, so it saw nothing of the request."""
+
+
+class TargetLost(TargetError):
+    """The target's connection ended before its answer did."""
--- /dev/null
+++ b/guavawalk/request/placement.py
@@ -0,0 +1,164 @@
+"""Choosing the order in which targets are asked to run a request."""
+
+import random
+from collections.abc import Mapping, Sequence
+from itertools import count
+from typing import NamedTuple, Protocol
+
+from guavawalk.request.types import LoadReport, Work
+from guavawalk.version.types import Configuration, Target
+
+__all__ = [
+    "Candidate",
+    "Placement",
+    "TargetView",
+    "capable_targets",
+    "create_least_reported_load",
+    "create_random_of_two",
+    "create_round_robin",
+]
+
+
+class TargetView(NamedTuple):
+    """What an entry believes of one target.
+
+    Attributes
+    ----------
+    load : LoadReport
+        The last report.
+    report_age_s : float
+        How old it is.
+    own_running : int
+        Attempts that this entry has there now.
+    own_prompt_tokens, own_output_tokens : int
+        Tokens of this entry's attempts offered since the report.
+    cached_tokens : int
+        Longest prefix of this request believed cached there.
+    usable : bool
+        False while it leaves, is quarantined or can't be reached.
+    """
+
+    load: LoadReport = LoadReport()
+    report_age_s: float = 0.0
+    own_running: int = 0
+    own_prompt_tokens: int = 0
+    own_output_tokens: int = 0
+    cached_tokens: int = 0
+    usable: bool = True
+
+
+class Candidate(NamedTuple):
+    """A target with its expected cost; lower is better."""
+
+    target: Target
+    cost_ms: float
+
+
+class Placement(Protocol):
+    """A policy that orders capable targets."""
+
+    def rank(
+        self, work: Work, here: str, targets: Sequence[Target], views: Mapping[str, TargetView]
+    ) -> list[Candidate]:
+        """Order targets, best first.
+
+        Parameters
+        ----------
+        work : Work
+            The request.
+        here : str
+            Data centre of the entry.
+        targets : sequence of Target
+            Those that may serve the request.
+        views : mapping of str to TargetView
+            What is believed of each, by name.
+        """
+        ...
+
+
+def capable_targets(work: Work, configuration: Configuration) -> list[Target]:
+    """Return the targets whose configuration and the workspace's rules let them serve a request.
+
+    Notes
+    -----
+    Targets that the configuration marks as leaving are left out.
+    """
+    if work.model:
+        names = configuration.targets_of_model.get(work.model, ())
+    else:
+        names = configuration.targets_of_service.get(work.service_path, ())
+    targets = (configuration.targets[name] for name in names)
+    return [target for target in targets if _may_serve(target, work)]
+
+
+def _may_serve(target: Target, work: Work) -> bool:
+    if target.leaving:
+        return False
+    if work.adapter and work.adapter not in target.desired.adapters:
+        return False
+    if work.model and target.desired.role == "prefill":
+        return False
+    allowed = work.workspace.data_centres
+    return not allowed or target.data_centre in allowed
+
+
+class RoundRobin:
+    """Take the targets in turn; a baseline."""
+
+    def __init__(self) -> None:
+        self._turns = count()
+
+    def rank(self, work, here, targets, views):
+        """Order targets, the next one in turn first."""
+        usable = _usable(targets, views)
+        if not usable:
+            return []
+        start = next(self._turns) % len(usable)
+        return [Candidate(target, 0.0) for target in usable[start:] + usable[:start]]
+
+
+class LeastReportedLoad:
+    """Take the target that reported the least load; a baseline."""
+
+    def rank(self, work, here, targets, views):
+        """Order targets by reported queue and running attempts."""
+        ranked = [Candidate(t, reported_load(views[t.name].load)) for t in _usable(targets, views)]
+        return sorted(ranked, key=lambda candidate: candidate.cost_ms)
+
+
+class RandomOfTwo:
+    """Take the less loaded of two random targets; a baseline."""
+
+    def __init__(self, rng: random.Random) -> None:
+        self._rng = rng
+
+    def rank(self, work, here, targets, views):
+        """Order targets at random, the better of the first two first."""
+        usable = _usable(targets, views)
+        self._rng.shuffle(usable)
+        head = sorted(usable[:2], key=lambda target: reported_load(views[target.name].load))
+        return [Candidate(target, 0.0) for target in head + usable[2:]]
+
+
+def reported_load(load: LoadReport) -> int:
+    """Return the attempts running and waiting in a report."""
+    return load.running + sum(load.queued_by_rank)
+
+
+def _usable(targets: Sequence[Target], views: Mapping[str, TargetView]) -> list[Target]:
+    return [target for target in targets if views[target.name].usable]
+
+
+def create_round_robin() -> Placement:
+    """Create the round robin baseline."""
+    return RoundRobin()
+
+
+def create_least_reported_load() -> Placement:
+    """Create the least reported load baseline."""
+    return LeastReportedLoad()
+
+
+def create_random_of_two(seed: int | None = None) -> Placement:
+    """Create the random of two baseline."""
+    return RandomOfTwo(random.Random(seed))
--- /dev/null
+++ b/guavawalk/request/prompt.py
@@ -0,0 +1,52 @@
+"""Reading the size and the prefix of a prompt."""
+
+import xxhash
+
+__all__ = ["BLOCK_CHARS", "CHARS_PER_TOKEN", "estimate_tokens", "fingerprint", "prefix_hashes"]
+
+CHARS_PER_TOKEN = 4
+BLOCK_CHARS = 256
+MAX_BLOCKS = 64
+_SIGN_BIT = 1 << 63
+
+
+def estimate_tokens(text: str) -> int:
+    """Estimate the tokens of a text from its length.
+
+    Examples
+    --------
+    >>> estimate_tokens("lantern glaze")
+    4
+    """
+    return -(-len(text) // CHARS_PER_TOKEN)
+
+
+def fingerprint(workspace: str, body: bytes) -> int:
+    """Return the signed 64-bit hash of a workspace's request body."""
+    return _signed(xxhash.xxh3_64_intdigest(workspace.encode() + b"\0" + body))
+
+
+def prefix_hashes(model: str, text: str) -> tuple[int, ...]:
+    """Hash each block-aligned prefix of a prompt, shortest first.
+
+    Returns
+    -------
+    tuple of int
+        Signed 64-bit hashes, one for each whole block of `BLOCK_CHARS`, at most `MAX_BLOCKS`.
+
+    Examples
+    --------
+    >>> first, second = prefix_hashes("m", "a" * 512 + "b")
+    >>> (first,) == prefix_hashes("m", "a" * 300)
+    True
+    """
+    digest = xxhash.xxh3_64(model.encode() + b"\0")
+    hashes = []
+    for start in range(0, min(len(text), MAX_BLOCKS * BLOCK_CHARS) - BLOCK_CHARS + 1, BLOCK_CHARS):
+        digest.update(text[start : start + BLOCK_CHARS].encode())
+        hashes.append(_signed(digest.intdigest()))
+    return tuple(hashes)
+
+
+def _signed(value: int) -> int:
+    return value - (1 << 64) if value & _SIGN_BIT else value
--- /dev/null
+++ b/guavawalk/version/documents.py
@@ -0,0 +1,134 @@
+"""The document set in which a version is published, and its digests.
+
+A root document names the version and the shards by digest. A shard lies under a key that
+contains its digest, so a reader can't mix the shards of two versions.
+"""
+
+import hashlib
+from typing import NamedTuple, NotRequired, TypedDict
+
+import msgspec
+
+from guavawalk.exception import ConfigurationError
+from guavawalk.version.types import (
+    Crossing,
+    DataCentre,
+    Generation,
+    Model,
+    Service,
+    Target,
+    Tier,
+    VersionStamp,
+    Workspace,
+)
+
+__all__ = [
+    "FORMAT",
+    "MAX_VALUE_BYTES",
+    "ROOT_KEY",
+    "RootDocument",
+    "ShardDocument",
+    "ShardReference",
+    "VersionDocuments",
+    "digest_bytes",
+    "read_root",
+    "read_shard",
+    "shard_key",
+]
+
+FORMAT = 1
+ROOT_KEY = "guavawalk/root"
+MAX_VALUE_BYTES = 1_000_000
+DIGEST_BYTES = 32
+
+
+class ShardReference(TypedDict):
+    """One shard, as its root names it."""
+
+    digest: str
+    size_bytes: int
+
+
+class RootDocument(TypedDict):
+    """The value under `ROOT_KEY`."""
+
+    format: int
+    version: int
+    shards: list[ShardReference]
+
+
+class ShardDocument(TypedDict):
+    """A part of the configuration; a version is the union of its shards."""
+
+    tiers: NotRequired[list[Tier]]
+    data_centres: NotRequired[list[DataCentre]]
+    crossings: NotRequired[list[Crossing]]
+    generations: NotRequired[list[Generation]]
+    models: NotRequired[list[Model]]
+    services: NotRequired[list[Service]]
+    targets: NotRequired[list[Target]]
+    workspaces: NotRequired[list[Workspace]]
+
+
+class VersionDocuments(NamedTuple):
+    """The bytes of one version: its root, and its shards in the root's order."""
+
+    stamp: VersionStamp
+    root: bytes
+    shards: tuple[bytes, ...]
+
+
+def digest_bytes(value: bytes) -> str:
+    """Return the hex BLAKE2b-256 digest of a value.
+
+    Examples
+    --------
+    >>> digest_bytes(b"")[:16]
+    '0e5751c026e543b2'
+    """
+    return hashlib.blake2b(value, digest_size=DIGEST_BYTES).hexdigest()
+
+
+def shard_key(digest: str) -> str:
+    """Return the key under which a shard is published."""
+    return f"guavawalk/shard/{digest}"
+
+
+def read_root(value: bytes) -> RootDocument:
+    """Read a root document.
+
+    Raises
+    ------
+    ConfigurationError
+        If it is not a root document of this format with a positive version.
+    """
+    root = _read(value, RootDocument, "root")
+    if root["format"] != FORMAT:
+        raise ConfigurationError("root.format", f"found {root['format']}, allowed is {FORMAT}")
+    if root["version"] < 1:
+        raise ConfigurationError("root.version", f"found {root['version']}, allowed is 1 or more")
+    return root
+
+
+def read_shard(value: bytes, reference: ShardReference) -> ShardDocument:
+    """Read a shard and hold it against its root's reference.
+
+    Raises
+    ------
+    ConfigurationError
+        If the bytes do not match the digest, or are not a shard document.
+    """
+    name = f"shard {reference['digest'][:12]}"
+    found = digest_bytes(value)
+    if found != reference["digest"]:
+        raise ConfigurationError(name, f"the bytes have digest {found[:12]}")
+    return _read(value, ShardDocument, name)
+
+
+def _read(value: bytes, kind: type, name: str):
+    if len(value) > MAX_VALUE_BYTES:
+        raise ConfigurationError(name, f"{len(value)} bytes, allowed are {MAX_VALUE_BYTES}")
+    try:
+        return msgspec.json.decode(value, type=kind)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raise ConfigurationError(name, str(error)) from error
--- /dev/null
+++ b/guavawalk/version/publish.py
@@ -0,0 +1,74 @@
+"""Turning a configuration's parts into the documents that are published."""
+
+import json
+from collections.abc import Iterable, Mapping
+from typing import Any
+
+from guavawalk.exception import ConfigurationError
+from guavawalk.version.build import stamp_of_root
+from guavawalk.version.documents import (
+    FORMAT,
+    MAX_VALUE_BYTES,
+    ROOT_KEY,
+    VersionDocuments,
+    digest_bytes,
+    shard_key,
+)
+
+__all__ = ["published_values", "render_documents"]
+
+SHARD_TARGET_BYTES = 400_000
+
+
+def render_documents(version: int, parts: Mapping[str, Iterable[Any]]) -> VersionDocuments:
+    """Render parts into a root and shards; the same input gives the same bytes.
+
+    Parameters
+    ----------
+    version : int
+        Number of the version, 1 or more.
+    parts : mapping of str to iterable
+        Items by field of `ShardDocument`.
+
+    Returns
+    -------
+    VersionDocuments
+        Shards of at most `MAX_VALUE_BYTES`, and the root that names them.
+
+    Raises
+    ------
+    ConfigurationError
+        If one item alone is over a shard's size.
+    """
+    shards = [shard for field, items in parts.items() for shard in _shards(field, items)]
+    references = [{"digest": digest_bytes(s), "size_bytes": len(s)} for s in shards]
+    root = _render({"format": FORMAT, "version": version, "shards": references})
+    return VersionDocuments(stamp_of_root(root), root, tuple(shards))
+
+
+def published_values(documents: VersionDocuments) -> dict[str, bytes]:
+    """Return the values to publish by key, the root last."""
+    values = {shard_key(digest_bytes(shard)): shard for shard in documents.shards}
+    values[ROOT_KEY] = documents.root
+    return values
+
+
+def _shards(field: str, items: Iterable[Any]) -> Iterable[bytes]:
+    held: list[Any] = []
+    size = 0
+    for item in items:
+        item_bytes = len(_render(item)) + 1
+        if item_bytes > MAX_VALUE_BYTES - 1_000:
+            raise ConfigurationError(field, f"one item has {item_bytes} bytes")
+        if held and size + item_bytes > SHARD_TARGET_BYTES:
+            yield _render({field: held})
+            held, size = [], 0
+        held.append(item)
+        size += item_bytes
+    if held:
+        yield _render({field: held})
+
+
+def _render(value: Any) -> bytes:
+    # A NamedTuple is published as an array, which is what the readers' typed decoder takes.
+    return json.dumps(value, separators=(",", ":"), ensure_ascii=False).encode()
