--- /dev/null
+++ b/guavawalk/__main__.py
@@ -0,0 +1,8 @@
+"""`python -m guavawalk`."""
+
+from guavawalk.process.commands import main
+
+__all__: list[str] = []
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/guavawalk/connection/codec.py
@@ -0,0 +1,103 @@
+"""Encoding of link messages as thrift binary.
+
+The library's limits hold while it decodes, so a short frame can't claim a long list.
+"""
+
+from thrift.protocol.TBinaryProtocol import TBinaryProtocolAcceleratedFactory
+from thrift.protocol.TProtocol import TProtocolException
+from thrift.transport.TTransport import TTransportException
+from thrift.TSerialization import deserialize, serialize
+
+from guavawalk.connection import messages
+from guavawalk.connection.generated import wire_ttypes
+from guavawalk.connection.messages import LoadReport, Message
+from guavawalk.exception import LinkBroken
+
+__all__ = ["MAX_FRAME_BYTES", "MAX_LIST_ITEMS", "decode_message", "encode_message"]
+
+MAX_FRAME_BYTES = 16 * 1024 * 1024
+MAX_LIST_ITEMS = 65_536
+
+_FACTORY = TBinaryProtocolAcceleratedFactory(
+    string_length_limit=MAX_FRAME_BYTES, container_length_limit=MAX_LIST_ITEMS
+)
+_UNREADABLE = (
+    TProtocolException,
+    TTransportException,
+    TypeError,
+    ValueError,
+    OverflowError,
+    EOFError,
+)
+
+
+def _envelope_fields() -> dict[type, str]:
+    fields = {}
+    for row in wire_ttypes.Envelope.thrift_spec:
+        if row is None or row[3] is None:
+            continue
+        fields[getattr(messages, row[3][0].__name__)] = row[2]
+    return fields
+
+
+_FIELD_OF_TYPE = _envelope_fields()
+_TYPE_OF_FIELD = {field: kind for kind, field in _FIELD_OF_TYPE.items()}
+_WIRE_OF_TYPE = {kind: getattr(wire_ttypes, kind.__name__) for kind in _FIELD_OF_TYPE}
+
+
+def encode_message(message: Message, version: int = 0) -> bytes:
+    """Encode a message with the sender's configuration version.
+
+    Parameters
+    ----------
+    message : Message
+        One of the types of `guavawalk.connection.messages`.
+    version : int
+        Version in force at the sender.
+
+    Examples
+    --------
+    >>> from guavawalk.connection.messages import Chunk
+    >>> decode_message(encode_message(Chunk("a", 3, b"xyz"), 7))
+    (Chunk(attempt_id='a', offset=3, data=b'xyz'), 7)
+    """
+    envelope = wire_ttypes.Envelope(version=version)
+    setattr(envelope, _FIELD_OF_TYPE[type(message)], _to_wire(message))
+    return serialize(envelope, _FACTORY)
+
+
+def decode_message(frame: bytes) -> tuple[Message, int]:
+    """Decode a frame into its message and the sender's configuration version.
+
+    Raises
+    ------
+    LinkBroken
+        If the frame can't be read or holds no message known here.
+    """
+    try:
+        envelope = deserialize(wire_ttypes.Envelope(), frame, _FACTORY)
+    except _UNREADABLE as error:
+        raise LinkBroken(f"unreadable frame: {type(error).__name__}") from error
+    for field, value in vars(envelope).items():
+        if value is not None and field in _TYPE_OF_FIELD:
+            return _from_wire(_TYPE_OF_FIELD[field], value), envelope.version or 0
+    raise LinkBroken("frame without a known message")
+
+
+def _to_wire(message: Message):
+    fields = message._asdict()
+    if "load" in fields:
+        fields["load"] = _to_wire(fields["load"])
+    return _WIRE_OF_TYPE[type(message)](**fields)
+
+
+def _from_wire(kind: type, wire) -> Message:
+    fields = {}
+    for name, value in vars(wire).items():
+        if value is None:
+            continue
+        if name == "load":
+            fields[name] = _from_wire(LoadReport, value)
+        else:
+            fields[name] = tuple(value) if isinstance(value, list) else value
+    return kind(**fields)
--- /dev/null
+++ b/guavawalk/connection/http_request.py
@@ -0,0 +1,265 @@
+"""Reading a caller's HTTP request into checked work."""
+
+import json
+import secrets
+from typing import NamedTuple
+
+from guavawalk.codes import ResultCode
+from guavawalk.exception import RequestError
+from guavawalk.request.prompt import estimate_tokens, fingerprint, prefix_hashes
+from guavawalk.request.types import Work
+from guavawalk.version.documents import digest_bytes
+from guavawalk.version.types import Configuration, Model, Service, Tier, Workspace
+
+__all__ = ["CallerHeaders", "RawRequest", "find_workspace", "read_headers", "read_work"]
+
+MODEL_PATHS = ("/v1/chat/completions", "/v1/completions")
+MAX_TRACE_CHARS = 64
+FORWARDED_HEADERS = ("content-type", "accept", "accept-language", "user-agent")
+
+
+class RawRequest(NamedTuple):
+    """A request as it came, whole.
+
+    Attributes
+    ----------
+    path : str
+        With the query.
+    headers : dict of str to str
+        By lower-case name; the last of each.
+    """
+
+    method: str
+    path: str
+    headers: dict[str, str]
+    body: bytes
+
+
+class CallerHeaders(NamedTuple):
+    """The request headers that guavawalk reads."""
+
+    api_key: str
+    tier: str
+    deadline_ms: int | None
+    trace_id: str
+    idempotency_key: str
+
+
+def read_headers(headers: dict[str, str]) -> CallerHeaders:
+    """Read the headers of a request.
+
+    Raises
+    ------
+    RequestError
+        `UNAUTHENTICATED` without a bearer key, `BAD_DEADLINE`, `BAD_REQUEST` for a bad trace id.
+    """
+    scheme, _, key = headers.get("authorization", "").partition(" ")
+    if scheme.lower() != "bearer" or not key.strip():
+        raise RequestError(ResultCode.UNAUTHENTICATED, "send Authorization: Bearer KEY")
+    return CallerHeaders(
+        api_key=key.strip(),
+        tier=headers.get("x-guavawalk-tier", ""),
+        deadline_ms=_read_deadline(headers.get("x-guavawalk-deadline-ms")),
+        trace_id=_read_trace(headers.get("x-request-id", "")),
+        idempotency_key=headers.get("idempotency-key", ""),
+    )
+
+
+def _read_deadline(text: str | None) -> int | None:
+    if text is None:
+        return None
+    if not (text.isascii() and text.isdigit()) or int(text) < 1:
+        raise RequestError(ResultCode.BAD_DEADLINE, f"found {text[:40]!r}, allowed is 1 or more")
+    return int(text)
+
+
+def _read_trace(text: str) -> str:
+    if not text:
+        return secrets.token_hex(8)
+    if len(text) > MAX_TRACE_CHARS or not text.isascii() or not text.isprintable():
+        detail = f"x-request-id must be printable ASCII of at most {MAX_TRACE_CHARS} characters"
+        raise RequestError(ResultCode.BAD_REQUEST, detail)
+    return text
+
+
+def find_workspace(configuration: Configuration, api_key: str) -> Workspace:
+    """Return the workspace of an API key; `UNAUTHENTICATED` if there is none."""
+    name = configuration.workspace_of_key.get(digest_bytes(api_key.encode()))
+    if name is None:
+        raise RequestError(ResultCode.UNAUTHENTICATED)
+    return configuration.workspaces[name]
+
+
+def read_work(
+    raw: RawRequest, configuration: Configuration, now_s: float, max_deadline_ms: int
+) -> Work:
+    """Read a request into work for a model or a plain service.
+
+    Parameters
+    ----------
+    now_s : float
+        Arrival on the monotonic clock; the deadline counts from it.
+    max_deadline_ms : int
+        Longest deadline allowed.
+
+    Raises
+    ------
+    RequestError
+        With an `INVALID` code that says what is wrong.
+    """
+    headers = read_headers(raw.headers)
+    workspace = find_workspace(configuration, headers.api_key)
+    tier = _find_tier(configuration, workspace, headers.tier)
+    path = raw.path.partition("?")[0]
+    if path in MODEL_PATHS:
+        work = _read_model_work(raw, path, configuration, workspace, tier)
+        default_ms = tier.deadline_ms
+    else:
+        service = _find_service(configuration, workspace, path)
+        work = _read_service_work(raw, service, configuration, workspace, tier)
+        default_ms = service.deadline_ms
+    deadline_ms = headers.deadline_ms or default_ms
+    if deadline_ms > max_deadline_ms:
+        detail = f"found {deadline_ms}, allowed is up to {max_deadline_ms}"
+        raise RequestError(ResultCode.BAD_DEADLINE, detail)
+    return work._replace(
+        trace_id=headers.trace_id,
+        deadline_s=now_s + deadline_ms / 1000,
+        idempotency_key=headers.idempotency_key,
+        fingerprint=fingerprint(workspace.name, raw.body),
+    )
+
+
+def _find_tier(configuration: Configuration, workspace: Workspace, name: str) -> Tier:
+    name = name or workspace.default_tier
+    if name not in configuration.tiers:
+        raise RequestError(ResultCode.UNKNOWN_TIER, f"found {name[:40]!r}")
+    if name not in workspace.tiers:
+        raise RequestError(ResultCode.NOT_ALLOWED, f"tier {name!r}")
+    return configuration.tiers[name]
+
+
+def _find_service(configuration: Configuration, workspace: Workspace, path: str) -> Service:
+    name = path.lstrip("/").partition("/")[0]
+    if name not in configuration.services:
+        raise RequestError(ResultCode.UNKNOWN_SERVICE, f"found {name[:40]!r}")
+    if name not in workspace.services:
+        raise RequestError(ResultCode.NOT_ALLOWED, f"service {name!r}")
+    return configuration.services[name]
+
+
+def _read_service_work(
+    raw: RawRequest,
+    service: Service,
+    configuration: Configuration,
+    workspace: Workspace,
+    tier: Tier,
+) -> Work:
+    rest = raw.path.lstrip("/")[len(service.path) :] or "/"
+    return Work(
+        trace_id="",
+        configuration=configuration,
+        workspace=workspace,
+        tier=tier,
+        deadline_s=0.0,
+        service_path=service.path,
+        method=raw.method,
+        path=rest if rest.startswith("/") else f"/{rest}",
+        headers=_forwarded(raw.headers),
+        body=raw.body,
+        idempotent=raw.method in service.idempotent_methods,
+    )
+
+
+def _read_model_work(
+    raw: RawRequest, path: str, configuration: Configuration, workspace: Workspace, tier: Tier
+) -> Work:
+    if raw.method != "POST":
+        raise RequestError(ResultCode.BAD_REQUEST, f"{path} takes POST only")
+    document = _read_json(raw.body)
+    model = _find_model(configuration, workspace, document.get("model"))
+    text = _prompt_text(document, path)
+    prompt_tokens = estimate_tokens(text)
+    if prompt_tokens > model.context_tokens:
+        detail = f"prompt of about {prompt_tokens} tokens, {model.context_tokens} allowed"
+        raise RequestError(ResultCode.BAD_REQUEST, detail)
+    stream = document.get("stream", False)
+    if not isinstance(stream, bool):
+        raise RequestError(ResultCode.BAD_REQUEST, "stream: allowed is true or false")
+    adapter = document.pop("adapter", "")
+    if not isinstance(adapter, str):
+        raise RequestError(ResultCode.BAD_REQUEST, "adapter: allowed is a string")
+    upstream = {**document, "stream": True, "stream_options": {"include_usage": True}}
+    return Work(
+        trace_id="",
+        configuration=configuration,
+        workspace=workspace,
+        tier=tier,
+        deadline_s=0.0,
+        model=model.name,
+        adapter=adapter,
+        path=path,
+        headers=("content-type", "application/json"),
+        body=json.dumps(upstream).encode(),
+        stream=stream,
+        prompt_tokens=prompt_tokens,
+        expected_output_tokens=_expected_output(document, model),
+        prefix_hashes=prefix_hashes(model.name, text),
+    )
+
+
+def _read_json(body: bytes) -> dict:
+    try:
+        document = json.loads(body)
+    except (ValueError, RecursionError) as error:
+        raise RequestError(ResultCode.BAD_REQUEST, f"the body is not JSON: {error}") from error
+    if not isinstance(document, dict):
+        raise RequestError(ResultCode.BAD_REQUEST, "the body must be a JSON object")
+    return document
+
+
+def _find_model(configuration: Configuration, workspace: Workspace, name: object) -> Model:
+    if not isinstance(name, str) or name not in configuration.models:
+        raise RequestError(ResultCode.UNKNOWN_MODEL, f"found {str(name)[:40]!r}")
+    if name not in workspace.models:
+        raise RequestError(ResultCode.NOT_ALLOWED, f"model {name!r}")
+    return configuration.models[name]
+
+
+def _prompt_text(document: dict, path: str) -> str:
+    if path == "/v1/completions":
+        prompt = document.get("prompt")
+        if not isinstance(prompt, str):
+            raise RequestError(ResultCode.BAD_REQUEST, "prompt: allowed is a string")
+        return prompt
+    messages = document.get("messages")
+    if not isinstance(messages, list) or not messages:
+        raise RequestError(ResultCode.BAD_REQUEST, "messages: allowed is a list that isn't empty")
+    return "\n".join(_message_text(index, message) for index, message in enumerate(messages))
+
+
+def _message_text(index: int, message: object) -> str:
+    if not isinstance(message, dict):
+        raise RequestError(ResultCode.BAD_REQUEST, f"messages[{index}]: allowed is an object")
+    role, content = message.get("role"), message.get("content")
+    if not isinstance(role, str) or not isinstance(content, str):
+        detail = f"messages[{index}]: role and content must be strings"
+        raise RequestError(ResultCode.BAD_REQUEST, detail)
+    return f"{role}: {content}"
+
+
+def _expected_output(document: dict, model: Model) -> int:
+    limit = document.get("max_tokens", document.get("max_completion_tokens"))
+    if limit is None:
+        return model.expected_output_tokens
+    if not isinstance(limit, int) or isinstance(limit, bool) or limit < 1:
+        raise RequestError(ResultCode.BAD_REQUEST, "max_tokens: allowed is 1 or more")
+    return limit
+
+
+def _forwarded(headers: dict[str, str]) -> tuple[str, ...]:
+    flat: list[str] = []
+    for name in FORWARDED_HEADERS:
+        if name in headers:
+            flat += (name, headers[name])
+    return tuple(flat)
--- /dev/null
+++ b/guavawalk/connection/tasks/dispatch.py
@@ -0,0 +1,117 @@
+"""The task of one connection to the target: it runs one attempt."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import anyio
+
+from guavawalk import events
+from guavawalk.codes import ResultCode
+from guavawalk.connection.target import TargetAnswer
+from guavawalk.exception import RequestError, TargetConnectError, TargetLost
+from guavawalk.process.sidecar.admission import dispatch_ready
+from guavawalk.process.sidecar.state import end_attempt
+from guavawalk.request.attempt import Attempt, AttemptState
+
+if TYPE_CHECKING:
+    from guavawalk.process.sidecar.state import Sidecar
+
+__all__ = ["run_attempt"]
+
+CANCEL_TIMEOUT_S = 5.0
+SERVER_ERROR_STATUS = 500
+
+
+async def run_attempt(sidecar: Sidecar, attempt: Attempt) -> None:
+    """Wait for an attempt's turn, run it at the target and hold its answer.
+
+    Parameters
+    ----------
+    sidecar : Sidecar
+        The process.
+    attempt : Attempt
+        A queued attempt; it has ended when this returns.
+    """
+    await _wait_turn(sidecar, attempt)
+    if attempt.state is not AttemptState.DISPATCHED:
+        return
+    try:
+        with anyio.CancelScope() as scope:
+            attempt.cancel_scope = scope
+            await _run(sidecar, attempt)
+        if attempt.cancel_requested:
+            await _cancel(sidecar, attempt)
+    finally:
+        sidecar.attempts.running -= 1
+        end_attempt(sidecar, attempt, ResultCode.CUT_OFF)
+        _note_end(sidecar, attempt)
+        dispatch_ready(sidecar)
+
+
+async def _wait_turn(sidecar: Sidecar, attempt: Attempt) -> None:
+    remaining_s = attempt.deadline_s - sidecar.clock.now_s()
+    with anyio.move_on_after(remaining_s):
+        await attempt.turn.wait()
+    if attempt.state is AttemptState.QUEUED and sidecar.queue.remove(attempt):
+        end_attempt(sidecar, attempt, ResultCode.DEADLINE_PASSED)
+
+
+async def _run(sidecar: Sidecar, attempt: Attempt) -> None:
+    try:
+        async with sidecar.target.run(attempt.offer) as answer:
+            await _hold_answer(sidecar, attempt, answer)
+    except TargetConnectError as error:
+        attempt.undo_dispatch()
+        end_attempt(sidecar, attempt, ResultCode.TARGET_UNREACHABLE, str(error))
+    except TargetLost as error:
+        end_attempt(sidecar, attempt, _lost_code(attempt), str(error))
+    except RequestError as error:
+        await sidecar.target.cancel(attempt.offer.attempt_id)
+        end_attempt(sidecar, attempt, error.code, error.detail)
+
+
+def _lost_code(attempt: Attempt) -> ResultCode:
+    if attempt.offer.model or attempt.answer.started:
+        return ResultCode.TARGET_CRASHED
+    return ResultCode.TARGET_LOST
+
+
+async def _hold_answer(sidecar: Sidecar, attempt: Attempt, answer: TargetAnswer) -> None:
+    attempt.answer.start(answer.status, answer.headers)
+    last_s = attempt.dispatched_s
+    async for part in answer.parts:
+        now_s = sidecar.clock.now_s()
+        elapsed_ms = (now_s - last_s) * 1000
+        if not attempt.first_token_s:
+            attempt.stream(now_s)
+            sidecar.window.observe_first_token(attempt, elapsed_ms)
+        elif part.output_tokens:
+            sidecar.window.observe_tokens(attempt, part.output_tokens, elapsed_ms)
+        last_s = now_s
+        if part.usage is not None:
+            attempt.usage = part.usage
+        attempt.answer.append(part.data)
+    failed = answer.status >= SERVER_ERROR_STATUS
+    code = ResultCode.TARGET_ERROR if failed else ResultCode.COMPLETED
+    end_attempt(sidecar, attempt, code)
+
+
+async def _cancel(sidecar: Sidecar, attempt: Attempt) -> None:
+    end_attempt(sidecar, attempt, ResultCode.CANCELLED)
+    with anyio.move_on_after(CANCEL_TIMEOUT_S, shield=True):
+        await sidecar.target.cancel(attempt.offer.attempt_id)
+
+
+def _note_end(sidecar: Sidecar, attempt: Attempt) -> None:
+    offer = attempt.offer
+    sidecar.log.emit(
+        events.ATTEMPT_ENDED,
+        trace_id=offer.trace_id,
+        attempt_id=offer.attempt_id,
+        workspace=offer.workspace,
+        tier_rank=offer.tier_rank,
+        code=int(attempt.code),
+        queue_ms=round((attempt.dispatched_s - attempt.offered_s) * 1000, 1),
+        run_ms=round((attempt.ended_s - attempt.dispatched_s) * 1000, 1),
+    )
--- /dev/null
+++ b/guavawalk/connection/tasks/front.py
@@ -0,0 +1,127 @@
+"""The HTTP front end: the task of one caller's connection."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import anyio
+from starlette.applications import Starlette
+from starlette.requests import ClientDisconnect, Request
+from starlette.responses import JSONResponse, Response
+from starlette.routing import Route
+from starlette.types import Receive, Scope, Send
+
+from guavawalk import events
+from guavawalk.codes import ResultCode, describe_code
+from guavawalk.connection.http_answer import create_http_caller, error_body
+from guavawalk.connection.http_request import (
+    MODEL_PATHS,
+    RawRequest,
+    find_workspace,
+    read_headers,
+    read_work,
+)
+from guavawalk.connection.tasks.carry import carry_request
+from guavawalk.connection.tasks.ticket import fetch_ticket
+from guavawalk.exception import RequestError
+from guavawalk.request.types import Outcome
+
+if TYPE_CHECKING:
+    from guavawalk.process.entry.state import Entry
+
+__all__ = ["create_front"]
+
+
+def create_front(entry: Entry) -> Starlette:
+    """Create the ASGI application of an entry."""
+
+    async def healthz(request: Request) -> Response:
+        return JSONResponse({"status": "ok"})
+
+    async def readyz(request: Request) -> Response:
+        ready = entry.held.configuration is not None and not entry.gauge.draining
+        return JSONResponse({"ready": ready}, 200 if ready else 503)
+
+    routes = [
+        Route("/healthz", healthz),
+        Route("/readyz", readyz),
+        Route("/v1/tickets", _ticket_endpoint(entry), methods=["POST"]),
+        Route("/{path:path}", _WorkEndpoint(entry)),
+    ]
+    return Starlette(routes=routes)
+
+
+class _WorkEndpoint:
+    def __init__(self, entry: Entry) -> None:
+        self._entry = entry
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        entry = self._entry
+        arrived_s = entry.clock.now_s()
+        request = Request(scope, receive)
+        try:
+            raw = await _read_raw(entry, request)
+            configuration = entry.held.configuration
+            if configuration is None:
+                raise RequestError(ResultCode.NO_CONFIGURATION, retry_after_ms=1000)
+            work = read_work(raw, configuration, arrived_s, entry.limits.max_deadline_ms)
+        except ClientDisconnect:
+            return
+        except RequestError as error:
+            await _invalid(entry, request, error)(scope, receive, send)
+            return
+        whole = bool(work.model) and not work.stream
+        chat = work.path == MODEL_PATHS[0]
+        caller = create_http_caller(receive, send, work.trace_id, whole, chat)
+        try:
+            await carry_request(entry, work, caller)
+        except Exception as error:
+            entry.log.emit(events.TASK_FAILED, trace_id=work.trace_id, reason=repr(error))
+            raise
+
+
+async def _read_raw(entry: Entry, request: Request) -> RawRequest:
+    size = sum(len(name) + len(value) for name, value in request.scope["headers"])
+    if size > entry.limits.header_bytes:
+        raise RequestError(ResultCode.HEADERS_TOO_LARGE)
+    body = bytearray()
+    try:
+        with anyio.fail_after(entry.limits.body_timeout_s):
+            async for part in request.stream():
+                body += part
+                if len(body) > entry.limits.body_bytes:
+                    detail = f"allowed are {entry.limits.body_bytes} bytes"
+                    raise RequestError(ResultCode.BODY_TOO_LARGE, detail)
+    except TimeoutError as error:
+        raise RequestError(ResultCode.REQUEST_TIMEOUT) from error
+    path = request.url.path
+    if request.url.query:
+        path = f"{path}?{request.url.query}"
+    return RawRequest(request.method, path, dict(request.headers), bytes(body))
+
+
+def _invalid(entry: Entry, request: Request, error: RequestError) -> Response:
+    entry.log.emit(
+        events.REQUEST_INVALID, code=int(error.code), path=request.url.path, reason=str(error)
+    )
+    outcome = Outcome(error.code, error.detail, error.retry_after_ms or 0)
+    headers = {"x-guavawalk-code": str(int(error.code))}
+    return JSONResponse(error_body(outcome), describe_code(error.code).http_status, headers)
+
+
+def _ticket_endpoint(entry: Entry):
+    async def tickets(request: Request) -> Response:
+        try:
+            raw = await _read_raw(entry, request)
+            headers = read_headers(raw.headers)
+            configuration = entry.held.configuration
+            if configuration is None:
+                raise RequestError(ResultCode.NO_CONFIGURATION, retry_after_ms=1000)
+            workspace = find_workspace(configuration, headers.api_key)
+            ticket = await fetch_ticket(entry, configuration, workspace, raw.body)
+        except RequestError as error:
+            return _invalid(entry, request, error)
+        document = {"ticket": ticket.ticket, "expires_in_ms": ticket.expires_in_ms}
+        return JSONResponse(document, 201)
+
+    return tickets
--- /dev/null
+++ b/guavawalk/connection/tasks/ticket.py
@@ -0,0 +1,97 @@
+"""Fetching an idempotency ticket from the sidecar that will keep its record."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from guavawalk.codes import ResultCode
+from guavawalk.connection.messages import Failure, Ticket, TicketRequest
+from guavawalk.exception import LinkBroken, LinkRefused, RequestError
+from guavawalk.request.placement import capable_targets
+from guavawalk.request.types import Work
+from guavawalk.version.types import Configuration, Target, Workspace
+
+if TYPE_CHECKING:
+    from guavawalk.process.entry.state import Entry
+
+__all__ = ["TicketBody", "fetch_ticket"]
+
+
+class TicketBody(msgspec.Struct, forbid_unknown_fields=True):
+    """Body of `POST /v1/tickets`: one of the two is given."""
+
+    service: str = ""
+    model: str = ""
+
+
+async def fetch_ticket(
+    entry: Entry, configuration: Configuration, workspace: Workspace, body: bytes
+) -> Ticket:
+    """Ask the target that would be chosen now for a ticket.
+
+    Raises
+    ------
+    RequestError
+        If the body is bad, the workspace may not use what it names, or no target answers.
+    """
+    wanted = _read_body(body)
+    work = _work_of(wanted, configuration, workspace)
+    targets = capable_targets(work, configuration)
+    views = {target.name: entry.view.of(target.name, work) for target in targets}
+    for candidate in entry.placement.rank(work, entry.data_centre, targets, views):
+        request = TicketRequest(workspace.name, wanted.service, wanted.model)
+        ticket = await _ask(entry, candidate.target, request)
+        if ticket is not None:
+            return ticket
+    raise RequestError(ResultCode.NO_TARGET, retry_after_ms=1000)
+
+
+def _read_body(body: bytes) -> TicketBody:
+    try:
+        wanted = msgspec.json.decode(body, type=TicketBody)
+    except msgspec.DecodeError as error:
+        raise RequestError(ResultCode.BAD_REQUEST, str(error)) from error
+    if bool(wanted.service) == bool(wanted.model):
+        raise RequestError(ResultCode.BAD_REQUEST, "give either service or model")
+    return wanted
+
+
+def _work_of(wanted: TicketBody, configuration: Configuration, workspace: Workspace) -> Work:
+    if wanted.service and wanted.service not in configuration.services:
+        raise RequestError(ResultCode.UNKNOWN_SERVICE, f"found {wanted.service[:40]!r}")
+    if wanted.model and wanted.model not in configuration.models:
+        raise RequestError(ResultCode.UNKNOWN_MODEL, f"found {wanted.model[:40]!r}")
+    if wanted.service not in ("", *workspace.services):
+        raise RequestError(ResultCode.NOT_ALLOWED, f"service {wanted.service!r}")
+    if wanted.model not in ("", *workspace.models):
+        raise RequestError(ResultCode.NOT_ALLOWED, f"model {wanted.model!r}")
+    tier = configuration.tiers[workspace.default_tier]
+    return Work(
+        trace_id="",
+        configuration=configuration,
+        workspace=workspace,
+        tier=tier,
+        deadline_s=0.0,
+        model=wanted.model,
+        service_path=wanted.service,
+    )
+
+
+async def _ask(entry: Entry, target: Target, request: TicketRequest) -> Ticket | None:
+    try:
+        link = await entry.links.take(target.sidecar)
+    except LinkRefused:
+        entry.view.note_unreachable(target.name)
+        return None
+    try:
+        await link.send(request)
+        reply = await link.receive()
+    except LinkBroken:
+        await link.aclose()
+        return None
+    await entry.links.give_back(target.sidecar, link)
+    if isinstance(reply, Failure):
+        return None
+    return reply
--- /dev/null
+++ b/guavawalk/connection/tcp.py
@@ -0,0 +1,147 @@
+"""Links over TCP: frames of a 4-byte length and a thrift message."""
+
+import ssl
+import struct
+from collections.abc import Callable
+
+import anyio
+from anyio.abc import ByteStream, TaskStatus
+from anyio.streams.buffered import BufferedByteReceiveStream
+from anyio.streams.tls import TLSListener, TLSStream
+
+from guavawalk.connection.codec import MAX_FRAME_BYTES, decode_message, encode_message
+from guavawalk.connection.link import Link, LinkHandler, Network
+from guavawalk.connection.messages import Hello, Message
+from guavawalk.exception import LinkBroken, LinkRefused
+
+__all__ = ["create_tcp_network", "format_address", "split_address"]
+
+CONNECT_TIMEOUT_S = 2.0
+SEND_TIMEOUT_S = 30.0
+_LENGTH = struct.Struct(">I")
+_BROKEN = (anyio.BrokenResourceError, anyio.ClosedResourceError, anyio.EndOfStream, OSError)
+_BROKEN_FRAME = (*_BROKEN, anyio.IncompleteRead, anyio.DelimiterNotFound)
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Split `IP:port`.
+
+    Examples
+    --------
+    >>> split_address("127.0.0.1:80")
+    ('127.0.0.1', 80)
+    >>> split_address("[::1]:80")
+    ('::1', 80)
+    """
+    host, _, port = address.rpartition(":")
+    return host.strip("[]"), int(port)
+
+
+def format_address(host: str, port: int) -> str:
+    """Join an IP number and a port."""
+    return f"[{host}]:{port}" if ":" in host else f"{host}:{port}"
+
+
+class TcpLink:
+    """A link over one byte stream."""
+
+    def __init__(self, stream: ByteStream, version: Callable[[], int]) -> None:
+        self.peer = Hello()
+        self.peer_version = 0
+        self._stream = stream
+        self._reader = BufferedByteReceiveStream(stream)
+        self._version = version
+
+    async def send(self, message: Message) -> None:
+        """Send one frame."""
+        frame = encode_message(message, self._version())
+        if len(frame) > MAX_FRAME_BYTES:
+            raise LinkBroken(f"frame of {len(frame)} bytes is over the limit")
+        try:
+            with anyio.fail_after(SEND_TIMEOUT_S):
+                await self._stream.send(_LENGTH.pack(len(frame)) + frame)
+        except (*_BROKEN, TimeoutError) as error:
+            raise LinkBroken(f"send failed: {type(error).__name__}") from error
+
+    async def receive(self) -> Message:
+        """Receive one frame."""
+        try:
+            header = await self._reader.receive_exactly(_LENGTH.size)
+            (length,) = _LENGTH.unpack(header)
+            if length > MAX_FRAME_BYTES:
+                raise LinkBroken(f"frame of {length} bytes is over the limit")
+            frame = await self._reader.receive_exactly(length)
+        except _BROKEN_FRAME as error:
+            raise LinkBroken(f"receive failed: {type(error).__name__}") from error
+        message, self.peer_version = decode_message(frame)
+        return message
+
+    async def aclose(self) -> None:
+        """Close the stream."""
+        with anyio.move_on_after(1, shield=True):
+            await anyio.aclose_forcefully(self._stream)
+
+
+class TcpNetwork:
+    """Links over TCP, with TLS where contexts are given."""
+
+    def __init__(
+        self,
+        version: Callable[[], int],
+        server_tls: ssl.SSLContext | None,
+        client_tls: ssl.SSLContext | None,
+    ) -> None:
+        self._version = version
+        self._server_tls = server_tls
+        self._client_tls = client_tls
+
+    async def connect(self, address: str) -> Link:
+        """Open a link."""
+        host, port = split_address(address)
+        try:
+            with anyio.fail_after(CONNECT_TIMEOUT_S):
+                stream: ByteStream = await anyio.connect_tcp(host, port)
+                if self._client_tls is not None:
+                    stream = await TLSStream.wrap(
+                        stream, hostname=host, ssl_context=self._client_tls
+                    )
+        except (OSError, TimeoutError, ssl.SSLError, anyio.EndOfStream) as error:
+            raise LinkRefused(f"{address}: {type(error).__name__}") from error
+        return TcpLink(stream, self._version)
+
+    async def serve(
+        self, address: str, handler: LinkHandler, *, task_status: TaskStatus[str]
+    ) -> None:
+        """Listen and run a task for each link."""
+        host, port = split_address(address)
+        listener = await anyio.create_tcp_listener(local_host=host, local_port=port)
+        bound_port = listener.extra(anyio.abc.SocketAttribute.local_port)
+        served = TLSListener(listener, self._server_tls) if self._server_tls else listener
+
+        async def serve_stream(stream: ByteStream) -> None:
+            link = TcpLink(stream, self._version)
+            try:
+                await handler(link)
+            finally:
+                await link.aclose()
+
+        async with listener:
+            task_status.started(format_address(host, bound_port))
+            await served.serve(serve_stream)
+
+
+def create_tcp_network(
+    version: Callable[[], int],
+    server_tls: ssl.SSLContext | None = None,
+    client_tls: ssl.SSLContext | None = None,
+) -> Network:
+    """Create a network of TCP links.
+
+    Parameters
+    ----------
+    version : callable
+        Returns the configuration version to put on each message.
+    server_tls, client_tls : ssl.SSLContext, optional
+        TLS for the links that are taken and that are made.
+    """
+    return TcpNetwork(version, server_tls, client_tls)
--- /dev/null
+++ b/guavawalk/process/commands/app.py
@@ -0,0 +1,69 @@
+"""The `guavawalk` command and its daemons."""
+
+import sys
+from functools import partial
+from pathlib import Path
+from typing import Annotated
+
+import anyio
+from cyclopts import App, Parameter
+from rich.console import Console
+
+from guavawalk.exception import GuavawalkError
+
+__all__ = ["app", "main"]
+
+ERROR_EXIT = 2
+
+app = App(name="guavawalk", help="A request scheduler for unlike model engines and plain services.")
+settings_app = App(name="settings", help="Work with settings files.")
+app.command(settings_app)
+
+SettingsFile = Annotated[Path, Parameter(name="--settings", help="JSON with comments.")]
+
+
+@app.command
+def entry(settings: SettingsFile) -> int:
+    """Run an entry instance."""
+    from guavawalk.process.entry_daemon import run_entry
+    from guavawalk.process.settings import EntrySettings, read_settings
+
+    return anyio.run(partial(run_entry, read_settings(settings, EntrySettings)))
+
+
+@app.command
+def sidecar(settings: SettingsFile) -> int:
+    """Run the sidecar of one target."""
+    from guavawalk.process.settings import SidecarSettings, read_settings
+    from guavawalk.process.sidecar_daemon import run_sidecar
+
+    return anyio.run(partial(run_sidecar, read_settings(settings, SidecarSettings)))
+
+
+@settings_app.command
+def check(file: Path) -> int:
+    """Check a settings file and say what is wrong with it."""
+    from guavawalk.process.settings import EntrySettings, SidecarSettings, read_role, read_settings
+
+    kinds = {"entry": EntrySettings, "sidecar": SidecarSettings}
+    role = read_role(file)
+    read_settings(file, kinds[role])
+    print(f"{file}: fine for guavawalk {role}")
+    return 0
+
+
+@app.command
+def demo() -> int:
+    """Run an embedded deployment on loopback, send it mixed work, and print what happened."""
+    from guavawalk.process.demo import run_demo
+
+    return anyio.run(partial(run_demo, Console()))
+
+
+def main() -> None:
+    """Run the command line; a known error is one line and exit code 2."""
+    try:
+        sys.exit(app())
+    except GuavawalkError as error:
+        print(f"guavawalk: {error}", file=sys.stderr)
+        sys.exit(ERROR_EXIT)
--- /dev/null
+++ b/guavawalk/process/entry/__init__.py
@@ -0,0 +1,3 @@
+"""What lives as long as an entry process."""
+
+__all__: list[str] = []
--- /dev/null
+++ b/guavawalk/process/entry/links.py
@@ -0,0 +1,79 @@
+"""Links of an entry to sidecars, kept while they are of use."""
+
+from collections import deque
+from typing import NamedTuple
+
+from guavawalk.connection.handshake import Identity, greet
+from guavawalk.connection.link import Link, Network
+from guavawalk.exception import LinkBroken, LinkRefused, RequestError
+from guavawalk.process.clock import Clock
+
+__all__ = ["LinkPool", "create_link_pool"]
+
+IDLE_LIMIT_S = 20.0
+IDLE_LINKS_EACH = 64
+
+
+class IdleLink(NamedTuple):
+    """A link without an exchange."""
+
+    link: Link
+    since_s: float
+
+
+class LinkPool:
+    """Idle links by address; each link carries one exchange at a time."""
+
+    def __init__(self, network: Network, identity: Identity, clock: Clock) -> None:
+        self._network = network
+        self._identity = identity
+        self._clock = clock
+        self._idle: dict[str, deque[IdleLink]] = {}
+
+    async def take(self, address: str) -> Link:
+        """Return an idle link or a new one, greeted.
+
+        Raises
+        ------
+        LinkRefused
+            If no link can be had; nothing was sent on one.
+        """
+        idle = self._idle.get(address)
+        while idle:
+            link, since_s = idle.pop()
+            if self._clock.now_s() - since_s < IDLE_LIMIT_S:
+                return link
+            await link.aclose()
+        return await self.open(address)
+
+    async def open(self, address: str) -> Link:
+        """Return a new link, greeted; `LinkRefused` if there is none to be had."""
+        link = await self._network.connect(address)
+        try:
+            await greet(link, self._identity)
+        except (LinkBroken, RequestError) as error:
+            await link.aclose()
+            raise LinkRefused(f"{address}: {error}") from error
+        return link
+
+    async def give_back(self, address: str, link: Link) -> None:
+        """Keep a link whose exchange has ended."""
+        idle = self._idle.setdefault(address, deque())
+        if len(idle) >= IDLE_LINKS_EACH:
+            await link.aclose()
+            return
+        idle.append(IdleLink(link, self._clock.now_s()))
+
+    async def close_idle(self, older_than_s: float = IDLE_LIMIT_S) -> None:
+        """Close the links that nobody has used for a while."""
+        now_s = self._clock.now_s()
+        for address, idle in list(self._idle.items()):
+            while idle and now_s - idle[0].since_s >= older_than_s:
+                await idle.popleft().link.aclose()
+            if not idle:
+                self._idle.pop(address, None)
+
+
+def create_link_pool(network: Network, identity: Identity, clock: Clock) -> LinkPool:
+    """Create a pool without links."""
+    return LinkPool(network, identity, clock)
--- /dev/null
+++ b/guavawalk/process/entry/state.py
@@ -0,0 +1,62 @@
+"""What one entry process holds."""
+
+from typing import NamedTuple
+
+from guavawalk.connection.handshake import Identity
+from guavawalk.process.clock import Clock
+from guavawalk.process.entry.limits import Limiter
+from guavawalk.process.entry.links import LinkPool
+from guavawalk.process.entry.retry import RetryBudget
+from guavawalk.process.entry.view import FleetView
+from guavawalk.process.observe.log import EventLog
+from guavawalk.process.observe.metrics import Metrics
+from guavawalk.request.placement import Placement
+from guavawalk.version.held import HeldVersion
+
+__all__ = ["Entry", "EntryLimits", "RequestGauge", "create_request_gauge"]
+
+
+class EntryLimits(NamedTuple):
+    """Bounds on what a caller may send."""
+
+    body_bytes: int = 8 * 1024 * 1024
+    header_bytes: int = 64 * 1024
+    body_timeout_s: float = 30.0
+    max_deadline_ms: int = 3_600_000
+
+
+class RequestGauge:
+    """Requests under way, and whether new ones are taken."""
+
+    def __init__(self) -> None:
+        self.running = 0
+        self.draining = False
+
+
+class Entry(NamedTuple):
+    """The parts of an entry process.
+
+    Attributes
+    ----------
+    data_centre : str
+        Where this instance stands.
+    """
+
+    identity: Identity
+    data_centre: str
+    clock: Clock
+    held: HeldVersion
+    links: LinkPool
+    view: FleetView
+    placement: Placement
+    limiter: Limiter
+    retries: RetryBudget
+    gauge: RequestGauge
+    limits: EntryLimits
+    log: EventLog
+    metrics: Metrics
+
+
+def create_request_gauge() -> RequestGauge:
+    """Create a gauge at zero."""
+    return RequestGauge()
--- /dev/null
+++ b/guavawalk/process/entry_daemon.py
@@ -0,0 +1,131 @@
+"""The entry process: assembly, serving and shutdown."""
+
+from functools import partial
+
+import anyio
+from anyio.abc import TaskStatus
+
+from guavawalk import events
+from guavawalk.connection.handshake import Identity
+from guavawalk.connection.link import Network
+from guavawalk.connection.platform import Platform, create_http_platform
+from guavawalk.connection.tasks.follow_platform import follow_platform
+from guavawalk.connection.tasks.front import create_front
+from guavawalk.connection.tcp import create_tcp_network
+from guavawalk.process.clock import Clock, create_clock
+from guavawalk.process.entry.limits import create_no_limiter
+from guavawalk.process.entry.links import create_link_pool
+from guavawalk.process.entry.retry import create_attempt_cap
+from guavawalk.process.entry.state import Entry, EntryLimits, create_request_gauge
+from guavawalk.process.entry.view import create_fleet_view
+from guavawalk.process.http_server import serve_asgi
+from guavawalk.process.observe.log import EventLog, create_event_log
+from guavawalk.process.settings import EntrySettings, client_tls_context, server_tls_context
+from guavawalk.process.shutdown import watch_signals
+from guavawalk.process.sidecar_daemon import create_incarnation, create_metrics
+from guavawalk.request.placement import Placement, create_least_reported_load
+from guavawalk.version.held import HeldVersion, create_held_version
+
+__all__ = ["create_entry", "drain_entry", "run_entry", "serve_entry"]
+
+DRAIN_CHECK_S = 0.05
+IDLE_SWEEP_S = 5.0
+
+
+def create_entry(
+    settings: EntrySettings,
+    network: Network,
+    held: HeldVersion,
+    clock: Clock,
+    log: EventLog,
+    placement: Placement | None = None,
+) -> Entry:
+    """Assemble an entry from its settings and the things it meets."""
+    secret = settings.fleet_secret.encode()
+    identity = Identity(
+        "entry", settings.instance, create_incarnation(), secret, lambda: held.stamp
+    )
+    return Entry(
+        identity=identity,
+        data_centre=settings.data_centre,
+        clock=clock,
+        held=held,
+        links=create_link_pool(network, identity, clock),
+        view=create_fleet_view(clock),
+        placement=placement or create_least_reported_load(),
+        limiter=create_no_limiter(),
+        retries=create_attempt_cap(),
+        gauge=create_request_gauge(),
+        limits=EntryLimits(
+            body_bytes=settings.body_limit_bytes,
+            header_bytes=settings.header_limit_bytes,
+            body_timeout_s=settings.body_timeout_ms / 1000,
+        ),
+        log=log,
+        metrics=create_metrics(settings.statsd),
+    )
+
+
+async def serve_entry(
+    entry: Entry,
+    platform: Platform,
+    address: str,
+    *,
+    task_status: TaskStatus[str] = anyio.TASK_STATUS_IGNORED,
+) -> None:
+    """Serve callers and follow the platform until cancelled."""
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(follow_platform, platform, entry.held, entry.log)
+        tasks.start_soon(_sweep_idle_links, entry)
+        bound = await tasks.start(
+            serve_asgi, create_front(entry), address, entry.limits.header_bytes
+        )
+        await entry.held.wait_newer(0)
+        entry.log.emit(events.PROCESS_READY, address=bound)
+        task_status.started(bound)
+
+
+async def _sweep_idle_links(entry: Entry) -> None:
+    while True:
+        await anyio.sleep(IDLE_SWEEP_S)
+        await entry.links.close_idle()
+
+
+async def drain_entry(entry: Entry) -> None:
+    """Take no more requests and wait until those under way have ended."""
+    entry.gauge.draining = True
+    entry.log.emit(events.SHUTDOWN_BEGUN, running=entry.gauge.running)
+    while entry.gauge.running:
+        await anyio.sleep(DRAIN_CHECK_S)
+    await entry.links.close_idle(0.0)
+    entry.log.emit(events.SHUTDOWN_DONE)
+
+
+async def run_entry(settings: EntrySettings) -> int:
+    """Run the entry daemon until it is told to stop; return its exit code."""
+    log = create_event_log("entry", settings.instance, settings.log_level)
+    held = create_held_version()
+    network = create_tcp_network(
+        lambda: held.stamp.version,
+        server_tls_context(settings.tls),
+        client_tls_context(settings.tls),
+    )
+    entry = create_entry(settings, network, held, create_clock(), log)
+    log.emit(events.PROCESS_STARTED, incarnation=entry.identity.incarnation)
+    platform = create_http_platform(settings.platform_url)
+    drained = anyio.Event()
+    async with anyio.create_task_group() as tasks:
+
+        async def drain() -> None:
+            await drain_entry(entry)
+            drained.set()
+
+        def force() -> None:
+            log.emit(events.SHUTDOWN_FORCED, cut_off=entry.gauge.running)
+            drained.set()
+
+        await tasks.start(watch_signals, partial(tasks.start_soon, drain), force)
+        tasks.start_soon(serve_entry, entry, platform, settings.listen)
+        await drained.wait()
+        tasks.cancel_scope.cancel()
+    return 1 if entry.gauge.running else 0
--- /dev/null
+++ b/guavawalk/process/settings.py
@@ -0,0 +1,203 @@
+"""Settings of the daemons: JSON with comments, every field checked."""
+
+import ssl
+from pathlib import Path
+from typing import NamedTuple, TypeVar
+
+import json5
+import msgspec
+
+from guavawalk.exception import SettingsError
+
+__all__ = [
+    "EntrySettings",
+    "SidecarSettings",
+    "StatsdSettings",
+    "TlsSettings",
+    "client_tls_context",
+    "read_role",
+    "read_settings",
+    "server_tls_context",
+]
+
+S = TypeVar("S")
+SETTINGS_ROLES = ("entry", "sidecar")
+
+
+class StatsdSettings(NamedTuple):
+    """Where metrics go; an empty host means nowhere."""
+
+    host: str = ""
+    port: int = 8125
+    prefix: str = "guavawalk"
+
+
+class TlsSettings(NamedTuple):
+    """Files for TLS between the processes; empty for none."""
+
+    certificate_file: str = ""
+    key_file: str = ""
+    authority_file: str = ""
+
+
+class EntrySettings(NamedTuple):
+    """Settings of `guavawalk entry`.
+
+    Attributes
+    ----------
+    listen : str
+        Address for callers, `IP:port`.
+    fleet_secret : str
+        Shared by all processes of the fleet.
+    allow_open : bool
+        Whether to run without a secret and without TLS.
+    """
+
+    instance: str
+    data_centre: str
+    listen: str
+    platform_url: str
+    role: str = "entry"
+    fleet_secret: str = ""
+    allow_open: bool = False
+    body_limit_bytes: int = 8 * 1024 * 1024
+    header_limit_bytes: int = 64 * 1024
+    body_timeout_ms: int = 30_000
+    log_level: str = "INFO"
+    statsd: StatsdSettings = StatsdSettings()
+    tls: TlsSettings = TlsSettings()
+
+
+class SidecarSettings(NamedTuple):
+    """Settings of `guavawalk sidecar`.
+
+    Attributes
+    ----------
+    listen : str
+        Address for entries, `IP:port`.
+    target : str
+        Name of the target in the configuration.
+    target_kind : str
+        `model` or `service`.
+    target_url : str
+        Base URL of the target.
+    """
+
+    instance: str
+    data_centre: str
+    listen: str
+    platform_url: str
+    target: str
+    target_kind: str
+    target_url: str
+    role: str = "sidecar"
+    fleet_secret: str = ""
+    allow_open: bool = False
+    window_slots: int = 16
+    queue_slots: int = 1_000
+    answer_limit_bytes: int = 4 * 1024 * 1024
+    record_slots: int = 100_000
+    log_level: str = "INFO"
+    statsd: StatsdSettings = StatsdSettings()
+    tls: TlsSettings = TlsSettings()
+
+
+def read_settings(path: Path, kind: type[S]) -> S:
+    """Read and check a settings file.
+
+    Parameters
+    ----------
+    path : Path
+        File of JSON with comments.
+    kind : type
+        `EntrySettings` or `SidecarSettings`.
+
+    Raises
+    ------
+    SettingsError
+        Names the file, the field's path, what was found and what is allowed.
+    """
+    source = str(path)
+    document = _read_document(path)
+    _refuse_unknown(source, "$", document, kind)
+    try:
+        settings = msgspec.convert(document, kind)
+    except msgspec.ValidationError as error:
+        problem, _, place = str(error).partition(" - at `")
+        raise SettingsError(source, place.rstrip("`") or "$", problem) from error
+    _check_values(source, settings)
+    return settings
+
+
+def read_role(path: Path) -> str:
+    """Return the role that a settings file names, `entry` or `sidecar`."""
+    role = _read_document(path).get("role")
+    if role not in SETTINGS_ROLES:
+        raise SettingsError(str(path), "$.role", f"found {role!r}, allowed is entry or sidecar")
+    return role
+
+
+def _read_document(path: Path) -> dict:
+    source = str(path)
+    try:
+        document = json5.loads(path.read_text(encoding="utf-8"))
+    except (OSError, UnicodeDecodeError) as error:
+        raise SettingsError(source, "$", str(error)) from error
+    except (ValueError, RecursionError) as error:
+        raise SettingsError(source, "$", f"not JSON with comments: {error}") from error
+    if not isinstance(document, dict):
+        raise SettingsError(source, "$", f"found {type(document).__name__}, allowed is an object")
+    return document
+
+
+def _refuse_unknown(source: str, path: str, document: dict, kind: type) -> None:
+    allowed = kind._fields
+    for name, value in document.items():
+        if name not in allowed:
+            listed = ", ".join(allowed)
+            raise SettingsError(source, f"{path}.{name}", f"unknown field; allowed are {listed}")
+        part = kind.__annotations__[name]
+        if isinstance(value, dict) and hasattr(part, "_fields"):
+            _refuse_unknown(source, f"{path}.{name}", value, part)
+
+
+def _check_values(source: str, settings) -> None:
+    for name, value in settings._asdict().items():
+        path = f"$.{name}"
+        if isinstance(value, int) and not isinstance(value, bool) and value < 1:
+            raise SettingsError(source, path, f"found {value}, allowed is 1 or more")
+    _check_address(source, "$.listen", settings.listen)
+    if settings.log_level not in ("DEBUG", "INFO", "WARNING", "ERROR"):
+        allowed = "DEBUG, INFO, WARNING or ERROR"
+        raise SettingsError(source, "$.log_level", f"found {settings.log_level!r}, {allowed}")
+    if getattr(settings, "target_kind", "model") not in ("model", "service"):
+        problem = f"found {settings.target_kind!r}, allowed is model or service"
+        raise SettingsError(source, "$.target_kind", problem)
+    if not (settings.fleet_secret or settings.tls.authority_file or settings.allow_open):
+        problem = "neither fleet_secret nor tls is set; set allow_open to run open to anyone"
+        raise SettingsError(source, "$.fleet_secret", problem)
+
+
+def _check_address(source: str, path: str, address: str) -> None:
+    host, _, port = address.rpartition(":")
+    if not host or not port.isdigit() or int(port) > 65_535:
+        raise SettingsError(source, path, f"found {address!r}, allowed is IP:port")
+
+
+def server_tls_context(settings: TlsSettings) -> ssl.SSLContext | None:
+    """Return the context for links that are taken; clients must hold a certificate too."""
+    if not settings.certificate_file:
+        return None
+    context = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH, cafile=settings.authority_file)
+    context.verify_mode = ssl.CERT_REQUIRED
+    context.load_cert_chain(settings.certificate_file, settings.key_file)
+    return context
+
+
+def client_tls_context(settings: TlsSettings) -> ssl.SSLContext | None:
+    """Return the context for links that are made."""
+    if not settings.certificate_file:
+        return None
+    context = ssl.create_default_context(ssl.Purpose.SERVER_AUTH, cafile=settings.authority_file)
+    context.load_cert_chain(settings.certificate_file, settings.key_file)
+    return context
--- /dev/null
+++ b/guavawalk/process/sidecar/__init__.py
@@ -0,0 +1,3 @@
+"""What lives as long as a sidecar process."""
+
+__all__: list[str] = []
--- /dev/null
+++ b/guavawalk/process/sidecar/admission.py
@@ -0,0 +1,110 @@
+"""Whether a sidecar takes an offer, and when a waiting attempt goes out."""
+
+from guavawalk.codes import ResultCode
+from guavawalk.exception import RequestError
+from guavawalk.process.sidecar.state import Sidecar, end_attempt
+from guavawalk.request.attempt import Attempt, AttemptState, create_attempt
+from guavawalk.request.types import Offer
+
+__all__ = ["admit_offer", "dispatch_ready", "start_leaving", "withdraw_attempt"]
+
+
+def admit_offer(sidecar: Sidecar, offer: Offer) -> tuple[Attempt, bool]:
+    """Take an offer into the queue.
+
+    Returns
+    -------
+    attempt : Attempt
+        The attempt of this offer, or the earlier one of the same ticket or id.
+    is_new : bool
+        Whether it has to be run.
+
+    Raises
+    ------
+    RequestError
+        If it is refused; nothing of it is held then.
+    """
+    now_s = sidecar.clock.now_s()
+    table = sidecar.attempts
+    if offer.incarnation and offer.incarnation != sidecar.identity.incarnation:
+        raise RequestError(ResultCode.WRONG_INCARNATION)
+    known = table.find(offer.attempt_id)
+    if known is not None:
+        return known, False
+    if offer.attempt_id in table.withdrawn:
+        raise RequestError(ResultCode.WITHDRAWN)
+    if offer.idempotency_key:
+        known = sidecar.records.find(offer, now_s)
+        if known is not None:
+            return known, False
+    if table.leaving:
+        raise RequestError(ResultCode.TARGET_LEAVING)
+    if offer.deadline_ms <= 0:
+        raise RequestError(ResultCode.DEADLINE_PASSED)
+    attempt = create_attempt(offer, now_s, table.limits.answer_bytes)
+    if offer.idempotency_key:
+        sidecar.records.add(attempt, now_s)
+    table.live[offer.attempt_id] = attempt
+    attempt.queue()
+    _push(sidecar, attempt)
+    return attempt, True
+
+
+def _push(sidecar: Sidecar, attempt: Attempt) -> None:
+    for shed in sidecar.queue.push(attempt):
+        end_attempt(sidecar, shed, ResultCode.SHED)
+    dispatch_ready(sidecar)
+
+
+def dispatch_ready(sidecar: Sidecar) -> None:
+    """Dispatch what the window lets out, in the queue's order."""
+    table = sidecar.attempts
+    while True:
+        attempt = sidecar.queue.peek()
+        if attempt is None or not sidecar.window.admits(attempt, table.running):
+            return
+        sidecar.queue.pop()
+        now_s = sidecar.clock.now_s()
+        if attempt.deadline_s <= now_s:
+            end_attempt(sidecar, attempt, ResultCode.DEADLINE_PASSED)
+            continue
+        table.running += 1
+        attempt.dispatch(now_s)
+
+
+def withdraw_attempt(
+    sidecar: Sidecar, attempt_id: str, cancel: bool
+) -> tuple[AttemptState, ResultCode]:
+    """Take an attempt back if it was not dispatched.
+
+    Parameters
+    ----------
+    cancel : bool
+        Whether to stop it at the target when it runs.
+
+    Returns
+    -------
+    state : AttemptState
+        `DONE`, or where the attempt stands when it goes on.
+    code : ResultCode
+        `WITHDRAWN` if it will never run, its code if it had ended, else `OUTCOME_UNKNOWN`.
+    """
+    attempt = sidecar.attempts.find(attempt_id)
+    if attempt is None:
+        noted = sidecar.attempts.withdraw_unseen(attempt_id, sidecar.clock.now_s())
+        code = ResultCode.WITHDRAWN if noted else ResultCode.OUTCOME_UNKNOWN
+        return AttemptState.DONE, code
+    if sidecar.queue.remove(attempt):
+        end_attempt(sidecar, attempt, ResultCode.WITHDRAWN)
+        return AttemptState.DONE, ResultCode.WITHDRAWN
+    if cancel and attempt.state is not AttemptState.DONE and attempt.cancel_scope is not None:
+        attempt.cancel_requested = True
+        attempt.cancel_scope.cancel()
+    return attempt.state, attempt.code
+
+
+def start_leaving(sidecar: Sidecar) -> None:
+    """Refuse new work and hand back what waits; what runs goes on."""
+    sidecar.attempts.leaving = True
+    for attempt in sidecar.queue.drain():
+        end_attempt(sidecar, attempt, ResultCode.TARGET_LEAVING)
--- /dev/null
+++ b/guavawalk/process/sidecar/records.py
@@ -0,0 +1,123 @@
+"""Idempotency tickets and the records of the calls made with them."""
+
+import hashlib
+import hmac
+import secrets
+from typing import NamedTuple
+
+from guavawalk.codes import ResultCode
+from guavawalk.exception import RequestError
+from guavawalk.request.attempt import Attempt
+from guavawalk.request.ticket import TICKET_PREFIX, read_ticket
+from guavawalk.request.types import Offer
+
+__all__ = ["TICKET_TTL_S", "Records", "create_records", "ticket_scope"]
+
+TICKET_TTL_S = 24 * 3600.0
+MAC_CHARS = 32
+
+
+class Record(NamedTuple):
+    """The one call made with a ticket."""
+
+    body_digest: str
+    attempt: Attempt
+    issued_s: float
+
+
+class Records:
+    """Records of one sidecar incarnation.
+
+    Notes
+    -----
+    A ticket can be checked by the incarnation that issued it and by no other, since the MAC key
+    is made at start and never leaves the process. A record is dropped only once its ticket has
+    expired; from then on the ticket is refused.
+    """
+
+    def __init__(self, target: str, incarnation: int, capacity: int) -> None:
+        self._target = target
+        self._incarnation = incarnation
+        self._capacity = capacity
+        self._key = secrets.token_bytes(32)
+        self._records: dict[str, Record] = {}
+
+    def issue(self, scope: str, now_s: float) -> str:
+        """Issue a ticket for one call in a scope (workspace and service or model)."""
+        nonce = secrets.token_hex(8)
+        issued_ms = int(now_s * 1000)
+        mac = self._mac(scope, issued_ms, nonce)
+        fields = (TICKET_PREFIX, self._target, f"{self._incarnation:x}", str(issued_ms), nonce, mac)
+        return "~".join(fields)
+
+    def find(self, offer: Offer, now_s: float) -> Attempt | None:
+        """Return the attempt already made with the offer's ticket.
+
+        Raises
+        ------
+        RequestError
+            `INCARNATION_GONE`, `TICKET_INVALID`, `TICKET_EXPIRED` or `KEY_REUSED`.
+        """
+        fields = read_ticket(offer.idempotency_key)
+        if fields.target != self._target or fields.incarnation != self._incarnation:
+            raise RequestError(ResultCode.INCARNATION_GONE)
+        expected = self._mac(ticket_scope(offer), fields.issued_ms, fields.nonce)
+        if not hmac.compare_digest(expected, fields.mac):
+            raise RequestError(ResultCode.TICKET_INVALID)
+        if now_s - fields.issued_ms / 1000 > TICKET_TTL_S:
+            raise RequestError(ResultCode.TICKET_EXPIRED)
+        record = self._records.get(offer.idempotency_key)
+        if record is None:
+            return None
+        if record.body_digest != _body_digest(offer):
+            raise RequestError(ResultCode.KEY_REUSED)
+        return record.attempt
+
+    def add(self, attempt: Attempt, now_s: float) -> None:
+        """Record the attempt of a ticket.
+
+        Raises
+        ------
+        RequestError
+            `RECORDS_FULL` if every record is live.
+        """
+        self._drop_expired(now_s)
+        if len(self._records) >= self._capacity:
+            raise RequestError(ResultCode.RECORDS_FULL)
+        fields = read_ticket(attempt.offer.idempotency_key)
+        record = Record(_body_digest(attempt.offer), attempt, fields.issued_ms / 1000)
+        self._records[attempt.offer.idempotency_key] = record
+
+    def forget(self, attempt: Attempt) -> None:
+        """Drop the record of an attempt that was not run, so that its ticket may be used again."""
+        record = self._records.get(attempt.offer.idempotency_key)
+        if record is not None and record.attempt is attempt:
+            del self._records[attempt.offer.idempotency_key]
+
+    def __len__(self) -> int:
+        """Count the records."""
+        return len(self._records)
+
+    def _drop_expired(self, now_s: float) -> None:
+        for key, record in list(self._records.items()):
+            if now_s - record.issued_s > TICKET_TTL_S:
+                del self._records[key]
+
+    def _mac(self, scope: str, issued_ms: int, nonce: str) -> str:
+        text = f"{scope}\0{issued_ms}\0{nonce}".encode()
+        return hmac.new(self._key, text, hashlib.sha256).hexdigest()[:MAC_CHARS]
+
+
+def ticket_scope(offer: Offer) -> str:
+    """Return what a ticket is bound to: the workspace, and the service or model."""
+    return f"{offer.workspace}\0{offer.service_path}\0{offer.model}"
+
+
+def _body_digest(offer: Offer) -> str:
+    text = f"{offer.method}\0{offer.path}\0".encode() + offer.body
+    return hashlib.blake2b(text, digest_size=16).hexdigest()
+
+
+def create_records(target: str, incarnation: int, capacity: int) -> Records:
+    """Create the empty records of a sidecar incarnation."""
+    return Records(target, incarnation, capacity)
--- /dev/null
+++ b/guavawalk/process/sidecar/window.py
@@ -0,0 +1,64 @@
+"""How many attempts a sidecar has dispatched at once."""
+
+from typing import Protocol
+
+from guavawalk.request.attempt import Attempt
+
+__all__ = ["DispatchWindow", "create_fixed_window"]
+
+
+class DispatchWindow(Protocol):
+    """The bound on attempts at the target.
+
+    Attributes
+    ----------
+    size : int
+        Attempts that may run at once.
+    first_token_ms : float
+        Recent time from dispatch to first token.
+    decode_tokens_per_s : float
+        Recent rate of one stream.
+    """
+
+    size: int
+    first_token_ms: float
+    decode_tokens_per_s: float
+
+    def admits(self, attempt: Attempt, running: int) -> bool:
+        """Say whether an attempt may go out while `running` others run."""
+        ...
+
+    def observe_first_token(self, attempt: Attempt, elapsed_ms: float) -> None:
+        """Note the time from dispatch to first token."""
+        ...
+
+    def observe_tokens(self, attempt: Attempt, tokens: int, elapsed_ms: float) -> None:
+        """Note tokens that came `elapsed_ms` after the ones before."""
+        ...
+
+
+class FixedWindow:
+    """A window of one size."""
+
+    def __init__(self, size: int) -> None:
+        self.size = size
+        self.first_token_ms = 0.0
+        self.decode_tokens_per_s = 0.0
+
+    def admits(self, attempt: Attempt, running: int) -> bool:
+        """Admit below the size."""
+        return running < self.size
+
+    def observe_first_token(self, attempt: Attempt, elapsed_ms: float) -> None:
+        """Keep the last value."""
+        self.first_token_ms = elapsed_ms
+
+    def observe_tokens(self, attempt: Attempt, tokens: int, elapsed_ms: float) -> None:
+        """Keep the last rate."""
+        if elapsed_ms > 0:
+            self.decode_tokens_per_s = tokens * 1000 / elapsed_ms
+
+
+def create_fixed_window(size: int) -> DispatchWindow:
+    """Create a window that never changes."""
+    return FixedWindow(size)
--- /dev/null
+++ b/guavawalk/process/sidecar_daemon.py
@@ -0,0 +1,158 @@
+"""The sidecar process: assembly, serving and shutdown."""
+
+import secrets
+from functools import partial
+
+import anyio
+from anyio.abc import TaskGroup, TaskStatus
+
+from guavawalk import events
+from guavawalk.connection.handshake import Identity
+from guavawalk.connection.http_target import create_http_engine, create_http_service
+from guavawalk.connection.link import Network
+from guavawalk.connection.platform import Platform, create_http_platform
+from guavawalk.connection.target import TargetClient
+from guavawalk.connection.tasks.entry_link import serve_entry_link
+from guavawalk.connection.tasks.follow_platform import follow_platform
+from guavawalk.connection.tcp import create_tcp_network
+from guavawalk.process.clock import Clock, create_clock
+from guavawalk.process.observe.log import EventLog, create_event_log
+from guavawalk.process.observe.metrics import (
+    Metrics,
+    create_null_metrics,
+    create_statsd_metrics,
+)
+from guavawalk.process.settings import (
+    SidecarSettings,
+    StatsdSettings,
+    client_tls_context,
+    server_tls_context,
+)
+from guavawalk.process.shutdown import watch_signals
+from guavawalk.process.sidecar.admission import start_leaving
+from guavawalk.process.sidecar.queue import create_tier_queue
+from guavawalk.process.sidecar.records import create_records
+from guavawalk.process.sidecar.state import Sidecar, SidecarLimits, create_attempt_table
+from guavawalk.process.sidecar.window import create_fixed_window
+from guavawalk.version.held import HeldVersion, create_held_version
+
+__all__ = [
+    "create_incarnation",
+    "create_metrics",
+    "create_sidecar",
+    "drain_sidecar",
+    "run_sidecar",
+    "serve_sidecar",
+]
+
+DRAIN_CHECK_S = 0.05
+INCARNATION_BITS = 63
+
+
+def create_incarnation() -> int:
+    """Return a random incarnation number; never 0."""
+    return secrets.randbits(INCARNATION_BITS) | 1
+
+
+def create_metrics(settings: StatsdSettings) -> Metrics:
+    """Create the metrics that the settings name."""
+    if not settings.host:
+        return create_null_metrics()
+    return create_statsd_metrics(settings.host, settings.port, settings.prefix)
+
+
+def create_sidecar(
+    settings: SidecarSettings,
+    target: TargetClient,
+    held: HeldVersion,
+    clock: Clock,
+    log: EventLog,
+    tasks: TaskGroup,
+) -> Sidecar:
+    """Assemble a sidecar from its settings and the things it meets."""
+    incarnation = create_incarnation()
+    identity = Identity(
+        "sidecar",
+        settings.instance,
+        incarnation,
+        settings.fleet_secret.encode(),
+        lambda: held.stamp,
+    )
+    return Sidecar(
+        identity=identity,
+        target_name=settings.target,
+        clock=clock,
+        held=held,
+        target=target,
+        queue=create_tier_queue(settings.queue_slots),
+        window=create_fixed_window(settings.window_slots),
+        records=create_records(settings.target, incarnation, settings.record_slots),
+        attempts=create_attempt_table(SidecarLimits(answer_bytes=settings.answer_limit_bytes)),
+        log=log,
+        metrics=create_metrics(settings.statsd),
+        tasks=tasks,
+    )
+
+
+async def serve_sidecar(
+    sidecar: Sidecar,
+    network: Network,
+    platform: Platform,
+    address: str,
+    *,
+    task_status: TaskStatus[str] = anyio.TASK_STATUS_IGNORED,
+) -> None:
+    """Serve links and follow the platform until cancelled."""
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(follow_platform, platform, sidecar.held, sidecar.log)
+        handler = partial(serve_entry_link, sidecar)
+        bound = await tasks.start(network.serve, address, handler)
+        sidecar.log.emit(events.PROCESS_READY, address=bound)
+        task_status.started(bound)
+
+
+async def drain_sidecar(sidecar: Sidecar) -> None:
+    """Take no more work and wait until what runs has ended."""
+    sidecar.log.emit(events.SHUTDOWN_BEGUN, running=sidecar.attempts.running)
+    start_leaving(sidecar)
+    while sidecar.attempts.live:
+        await anyio.sleep(DRAIN_CHECK_S)
+    sidecar.log.emit(events.SHUTDOWN_DONE)
+
+
+async def run_sidecar(settings: SidecarSettings) -> int:
+    """Run the sidecar daemon until it is told to stop; return its exit code."""
+    log = create_event_log("sidecar", settings.instance, settings.log_level)
+    held = create_held_version()
+    network = create_tcp_network(
+        lambda: held.stamp.version,
+        server_tls_context(settings.tls),
+        client_tls_context(settings.tls),
+    )
+    create_target = create_http_engine if settings.target_kind == "model" else create_http_service
+    async with anyio.create_task_group() as tasks:
+        sidecar = create_sidecar(
+            settings, create_target(settings.target_url), held, create_clock(), log, tasks
+        )
+        log.emit(events.PROCESS_STARTED, incarnation=sidecar.identity.incarnation)
+        drained = anyio.Event()
+        forced = partial(_force, sidecar, drained)
+        await tasks.start(watch_signals, partial(_begin_drain, sidecar, drained), forced)
+        platform = create_http_platform(settings.platform_url)
+        await tasks.start(serve_sidecar, sidecar, network, platform, settings.listen)
+        await drained.wait()
+        tasks.cancel_scope.cancel()
+    return 1 if sidecar.attempts.live else 0
+
+
+def _begin_drain(sidecar: Sidecar, drained: anyio.Event) -> None:
+    async def drain() -> None:
+        await drain_sidecar(sidecar)
+        drained.set()
+
+    sidecar.tasks.start_soon(drain)
+
+
+def _force(sidecar: Sidecar, drained: anyio.Event) -> None:
+    sidecar.log.emit(events.SHUTDOWN_FORCED, cut_off=len(sidecar.attempts.live))
+    drained.set()
