--- a/guavawalk/process/commands/app.py
+++ b/guavawalk/process/commands/app.py
@@ -10,6 +10,7 @@
 from rich.console import Console
 
 from guavawalk.exception import GuavawalkError
+from guavawalk.process.commands.bench import bench_app
 
 __all__ = ["app", "main"]
 
@@ -18,6 +19,7 @@
 app = App(name="guavawalk", help="A request scheduler for unlike model engines and plain services.")
 settings_app = App(name="settings", help="Work with settings files.")
 app.command(settings_app)
+app.command(bench_app)
 
 SettingsFile = Annotated[Path, Parameter(name="--settings", help="JSON with comments.")]
 
