--- a/guavawalk/connection/http_request.py
+++ b/guavawalk/connection/http_request.py
@@ -203,7 +203,8 @@
         body=json.dumps(upstream).encode(),
         stream=stream,
         prompt_tokens=prompt_tokens,
-        expected_output_tokens=_expected_output(document, model),
+        expected_output_tokens=_max_output(document) or model.expected_output_tokens,
+        max_output_tokens=_max_output(document),
         prefix_hashes=prefix_hashes(model.name, text),
     )
 
@@ -248,10 +249,10 @@
     return f"{role}: {content}"
 
 
-def _expected_output(document: dict, model: Model) -> int:
+def _max_output(document: dict) -> int:
     limit = document.get("max_tokens", document.get("max_completion_tokens"))
     if limit is None:
-        return model.expected_output_tokens
+        return 0
     if not isinstance(limit, int) or isinstance(limit, bool) or limit < 1:
         raise RequestError(ResultCode.BAD_REQUEST, "max_tokens: allowed is 1 or more")
     return limit
--- /dev/null
+++ b/guavawalk/process/bench/arrivals.py
@@ -0,0 +1,162 @@
+"""Open-loop arrivals for the policy benchmark: bursts, mixed lengths and shared prefixes."""
+
+import random
+from collections.abc import Iterator
+from typing import NamedTuple
+
+from guavawalk.process.plan import Plan
+from guavawalk.request.prompt import CHARS_PER_TOKEN
+from guavawalk.version.types import Generation
+
+__all__ = ["Arrival", "WorkKind", "capacity_requests_per_s", "draw_arrivals", "work_kinds"]
+
+BURST_EVERY_S = 10.0
+BURST_LENGTH_S = 1.0
+BURST_FACTOR = 3.0
+REPORTS_EACH = 6
+REPORT_TOKENS = 3_400
+SYSTEM_TOKENS = 512
+WORDS = ("lantern", "glaze", "copper", "verdigris", "pane", "bracket", "basket", "school")
+
+
+class WorkKind(NamedTuple):
+    """One kind of request in the mix.
+
+    Attributes
+    ----------
+    share : float
+        Part of all requests.
+    shared_tokens : int
+        Length of the prefix that it shares with others of its workspace.
+    """
+
+    tier: str
+    share: float
+    shared_tokens: int
+    own_tokens: int
+    output_tokens: int
+    uses_report: bool = False
+
+    @property
+    def prompt_tokens(self) -> int:
+        """Length of the whole prompt."""
+        report = REPORT_TOKENS if self.uses_report else 0
+        return self.shared_tokens + report + self.own_tokens
+
+
+class Arrival(NamedTuple):
+    """One request, and when and where it comes."""
+
+    at_s: float
+    entry: str
+    workspace: str
+    tier: str
+    text: str
+    output_tokens: int
+    max_tokens: int
+
+
+def work_kinds(plan: Plan) -> tuple[WorkKind, ...]:
+    """Return the mix of a plan, by the rank of its tiers: quick, long and bulk.
+
+    Notes
+    -----
+    The long requests have 100 times the prompt and the output of the bulk ones.
+    """
+    quick, long, bulk = (tier.name for tier in plan.tiers)
+    return (
+        WorkKind(quick, 0.50, SYSTEM_TOKENS, 60, 24),
+        WorkKind(long, 0.05, SYSTEM_TOKENS, 88, 400, uses_report=True),
+        WorkKind(bulk, 0.45, 0, 40, 4),
+    )
+
+
+def capacity_requests_per_s(plan: Plan) -> float:
+    """Return the rate of the mix at which every slot of every engine is always held.
+
+    Notes
+    -----
+    A request holds a slot for its whole prefill, nothing cached, and its decoding at the speed of
+    a full batch; an engine prefills one prompt at a time.
+    """
+    generations = {generation.name: generation for generation in plan.generations}
+    kinds = work_kinds(plan)
+    engines = [target for target in plan.targets if target.generation]
+    return sum(_engine_rate(generations[engine.generation], kinds) for engine in engines)
+
+
+def _engine_rate(generation: Generation, kinds: tuple[WorkKind, ...]) -> float:
+    prompt_tokens = sum(kind.share * kind.prompt_tokens for kind in kinds)
+    output_tokens = sum(kind.share * kind.output_tokens for kind in kinds)
+    prefill_s = prompt_tokens / generation.prefill_tokens_per_s
+    decode_s = output_tokens / generation.decode_tokens_per_s
+    return min(generation.batch_slots / (prefill_s + decode_s), 1 / prefill_s)
+
+
+def draw_arrivals(plan: Plan, load: float, duration_s: float, seed: int) -> list[Arrival]:
+    """Draw the arrivals of one run; the same arguments give the same list.
+
+    Parameters
+    ----------
+    load : float
+        Mean rate, in multiples of the plan's capacity.
+    """
+    rng = random.Random(seed)
+    rate = load * capacity_requests_per_s(plan)
+    texts = _SharedTexts(plan, rng)
+    return [_draw(plan, texts, at_s, rng) for at_s in _times(rate, duration_s, rng)]
+
+
+def _times(rate: float, duration_s: float, rng: random.Random) -> Iterator[float]:
+    share = BURST_LENGTH_S / BURST_EVERY_S
+    base = rate / (1 + (BURST_FACTOR - 1) * share)
+    now_s = 0.0
+    while True:
+        in_burst = now_s % BURST_EVERY_S >= BURST_EVERY_S - BURST_LENGTH_S
+        now_s += rng.expovariate(base * (BURST_FACTOR if in_burst else 1.0))
+        if now_s >= duration_s:
+            return
+        yield now_s
+
+
+class _SharedTexts:
+    def __init__(self, plan: Plan, rng: random.Random) -> None:
+        names = [workspace.name for workspace in plan.workspaces]
+        self.systems = {name: _text(SYSTEM_TOKENS, rng) for name in names}
+        self.reports = {
+            name: [_text(REPORT_TOKENS, rng) for _ in range(REPORTS_EACH)] for name in names
+        }
+        self.weights = [1 / (index + 1) for index in range(len(names))]
+        self.names = names
+
+
+def _draw(plan: Plan, texts: _SharedTexts, at_s: float, rng: random.Random) -> Arrival:
+    kinds = work_kinds(plan)
+    kind = rng.choices(kinds, [kind.share for kind in kinds])[0]
+    workspace = rng.choices(texts.names, texts.weights)[0]
+    output_tokens = max(1, round(kind.output_tokens * rng.uniform(0.5, 1.5)))
+    parts = []
+    if kind.shared_tokens:
+        parts.append(texts.systems[workspace])
+    if kind.uses_report:
+        parts.append(rng.choice(texts.reports[workspace]))
+    parts.append(_text(kind.own_tokens, rng))
+    return Arrival(
+        at_s=at_s,
+        entry=rng.choice(plan.entries),
+        workspace=workspace,
+        tier=kind.tier,
+        text="".join(parts),
+        output_tokens=output_tokens,
+        max_tokens=2 * kind.output_tokens,
+    )
+
+
+def _text(tokens: int, rng: random.Random) -> str:
+    chars = tokens * CHARS_PER_TOKEN
+    words: list[str] = []
+    length = 0
+    while length < chars:
+        words.append(f"{rng.choice(WORDS)}{rng.randrange(10_000)} ")
+        length += len(words[-1])
+    return "".join(words)[:chars]
--- a/guavawalk/process/commands/bench.py
+++ b/guavawalk/process/commands/bench.py
@@ -1,7 +1,48 @@
 """`guavawalk bench`: measurements on this machine."""
 
+from pathlib import Path
+from typing import Literal
+
 from cyclopts import App
 
 __all__ = ["bench_app"]
 
 bench_app = App(name="bench", help="Measure on this machine; figures go in docs/RESULTS.md.")
+
+DEFAULT_LOADS = (0.7, 1.0, 1.5, 2.5)
+
+
+@bench_app.command
+def policy(
+    shape: Literal["kestrel", "asante"] = "kestrel",
+    loads: tuple[float, ...] = DEFAULT_LOADS,
+    policies: tuple[str, ...] = (),
+    duration_s: float = 40.0,
+    seed: int = 1,
+    json_file: Path | None = None,
+) -> int:
+    """Measure placement policies in virtual time, each against the same arrivals.
+
+    Parameters
+    ----------
+    loads
+        In multiples of the deployment's capacity.
+    policies
+        Names of policies; all by default.
+    duration_s
+        Virtual time for which requests arrive.
+    json_file
+        Where a JSON line for each run is added.
+    """
+    from guavawalk.process.bench.policy import run_policy
+    from guavawalk.process.bench.policy_report import print_results, write_line
+    from guavawalk.request.placement import PLACEMENTS
+
+    results = []
+    for load in loads:
+        for name in policies or tuple(PLACEMENTS):
+            results.append(run_policy(shape, name, load, duration_s, seed))
+            if json_file is not None:
+                write_line(json_file, results[-1])
+    print_results(results)
+    return 0
--- a/guavawalk/process/entry_daemon.py
+++ b/guavawalk/process/entry_daemon.py
@@ -23,7 +23,7 @@
 from guavawalk.process.settings import EntrySettings, client_tls_context, server_tls_context
 from guavawalk.process.shutdown import watch_signals
 from guavawalk.process.sidecar_daemon import create_incarnation, create_metrics
-from guavawalk.request.placement import Placement, create_least_reported_load
+from guavawalk.request.placement import Placement, create_placement
 from guavawalk.version.held import HeldVersion, create_held_version
 
 __all__ = ["create_entry", "drain_entry", "run_entry", "serve_entry"]
@@ -52,7 +52,7 @@
         held=held,
         links=create_link_pool(network, identity, clock),
         view=create_fleet_view(clock),
-        placement=placement or create_least_reported_load(),
+        placement=placement or create_placement(settings.placement),
         limiter=create_no_limiter(),
         retries=create_attempt_cap(),
         gauge=create_request_gauge(),
--- a/guavawalk/process/fleet.py
+++ b/guavawalk/process/fleet.py
@@ -30,7 +30,7 @@
 )
 from guavawalk.process.standins.platform import PlatformBooks
 from guavawalk.process.standins.service import ServiceBooks
-from guavawalk.request.placement import Placement
+from guavawalk.request.placement import DEFAULT_PLACEMENT, Placement
 from guavawalk.request.prompt import estimate_tokens, fingerprint, prefix_hashes
 from guavawalk.request.types import Work
 from guavawalk.version.held import create_held_version
@@ -58,7 +58,9 @@
         By node name: `sidecar-TARGET` and `entry-DATACENTRE`.
     """
 
-    def __init__(self, plan: Plan, fabric: Fabric, tasks: TaskGroup, placement) -> None:
+    def __init__(
+        self, plan: Plan, fabric: Fabric, tasks: TaskGroup, placement, placement_name
+    ) -> None:
         self.plan = plan
         self.fabric = fabric
         self.books = PlatformBooks()
@@ -69,6 +71,7 @@
         self.version = 0
         self._tasks = tasks
         self._placement = placement
+        self._placement_name = placement_name
 
     def publish(self, parts: dict | None = None) -> int:
         """Publish the plan's configuration, or other parts, as the next version."""
@@ -191,7 +194,12 @@
     async def _run_entry(self, centre: str, *, task_status) -> None:
         node = f"entry-{centre}"
         settings = EntrySettings(
-            instance=node, data_centre=centre, listen="", platform_url="", allow_open=True
+            instance=node,
+            data_centre=centre,
+            listen="",
+            platform_url="",
+            allow_open=True,
+            placement=self._placement_name,
         )
         held = create_held_version()
         network = self.fabric.network(node, lambda: held.stamp.version)
@@ -207,11 +215,24 @@
 
 
 @asynccontextmanager
-async def run_fleet(plan: Plan, placement: Placement | None = None, delay_s: float = 0.0005):
-    """Run a deployment in memory for as long as the block lasts; yield a `Fleet`."""
+async def run_fleet(
+    plan: Plan,
+    placement: Placement | None = None,
+    delay_s: float = 0.0005,
+    placement_name: str = DEFAULT_PLACEMENT,
+):
+    """Run a deployment in memory for as long as the block lasts; yield a `Fleet`.
+
+    Parameters
+    ----------
+    placement : Placement, optional
+        One policy for all entries; without it each has its own, by `placement_name`.
+    delay_s : float
+        One-way delay between any two nodes.
+    """
     async with anyio.create_task_group() as tasks:
         fabric = create_fabric(lambda a, b: delay_s)
-        fleet = Fleet(plan, fabric, tasks, placement)
+        fleet = Fleet(plan, fabric, tasks, placement, placement_name)
         fleet.publish()
         for target in plan.targets:
             await fleet.start_sidecar(target)
--- a/guavawalk/process/plan.py
+++ b/guavawalk/process/plan.py
@@ -15,7 +15,7 @@
     Workspace,
 )
 
-__all__ = ["Plan", "PlannedTarget", "kestrel_lane_plan", "plan_parts"]
+__all__ = ["Plan", "PlannedTarget", "asante_plan", "kestrel_lane_plan", "plan_parts"]
 
 
 class PlannedTarget(NamedTuple):
@@ -88,6 +88,51 @@
     )
 
 
+def asante_plan() -> Plan:
+    """Return a deployment shaped like the Asante Trust: four data centres, ten and four targets."""
+    centres = ("kumasi", "obuasi", "ejisu", "mampong")
+    generations = ("gen-a", "gen-b", "gen-c")
+    engines = tuple(
+        PlannedTarget(f"engine-{i}", centres[i % 4], generations[i % 3], models=("weaver",))
+        for i in range(10)
+    )
+    ledgers = tuple(PlannedTarget(f"ledger-{i}", centres[i], service="ledger") for i in range(4))
+    names = ("sponsors", "weavers", "reports", "schools", "ledger")
+    keys = {name: f"key-{name}" for name in names}
+    tiers = ("quick", "report", "summary")
+    workspaces = tuple(
+        Workspace(
+            name,
+            (digest_bytes(keys[name].encode()),),
+            tiers,
+            "quick",
+            models=("weaver",),
+            services=("ledger",),
+        )
+        for name in names
+    )
+    return Plan(
+        data_centres=centres,
+        entries=centres,
+        targets=engines + ledgers,
+        generations=(
+            Generation("gen-a", 4_000.0, 120.0, 8, 64_000),
+            Generation("gen-b", 12_000.0, 240.0, 16, 128_000),
+            Generation("gen-c", 6_000.0, 160.0, 12, 96_000),
+        ),
+        tiers=(
+            Tier("quick", 0, 10_000, 1_000, 0.2),
+            Tier("report", 1, 120_000, 10_000),
+            Tier("summary", 2, 30_000, 10_000),
+        ),
+        models=(Model("weaver"),),
+        services=(Service("ledger"),),
+        workspaces=workspaces,
+        crossing_ms=4.0,
+        api_keys=keys,
+    )
+
+
 def plan_parts(plan: Plan, addresses: dict[str, str]) -> dict:
     """Return the configuration of a plan, by field of `ShardDocument`.
 
--- a/guavawalk/process/settings.py
+++ b/guavawalk/process/settings.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from guavawalk.exception import SettingsError
+from guavawalk.request.placement import DEFAULT_PLACEMENT, PLACEMENTS
 
 __all__ = [
     "EntrySettings",
@@ -51,6 +52,8 @@
         Shared by all processes of the fleet.
     allow_open : bool
         Whether to run without a secret and without TLS.
+    placement : str
+        Name of the policy that chooses targets, one of `PLACEMENTS`.
     """
 
     instance: str
@@ -63,6 +66,7 @@
     body_limit_bytes: int = 8 * 1024 * 1024
     header_limit_bytes: int = 64 * 1024
     body_timeout_ms: int = 30_000
+    placement: str = DEFAULT_PLACEMENT
     log_level: str = "INFO"
     statsd: StatsdSettings = StatsdSettings()
     tls: TlsSettings = TlsSettings()
@@ -170,6 +174,10 @@
     if settings.log_level not in ("DEBUG", "INFO", "WARNING", "ERROR"):
         allowed = "DEBUG, INFO, WARNING or ERROR"
         raise SettingsError(source, "$.log_level", f"found {settings.log_level!r}, {allowed}")
+    placement = getattr(settings, "placement", DEFAULT_PLACEMENT)
+    if placement not in PLACEMENTS:
+        problem = f"found {placement!r}, allowed is {', '.join(PLACEMENTS)}"
+        raise SettingsError(source, "$.placement", problem)
     if getattr(settings, "target_kind", "model") not in ("model", "service"):
         problem = f"found {settings.target_kind!r}, allowed is model or service"
         raise SettingsError(source, "$.target_kind", problem)
--- a/guavawalk/process/standins/memory_targets.py
+++ b/guavawalk/process/standins/memory_targets.py
@@ -20,17 +20,36 @@
 from guavawalk.process.standins.service import ServiceBooks
 from guavawalk.request.types import Offer, Outcome, Usage
 
-__all__ = ["MemoryCaller", "MemoryEngine", "MemoryPlatform", "MemoryService"]
+__all__ = ["MemoryCaller", "MemoryEngine", "MemoryPlatform", "MemoryService", "mark_output"]
+
+OUTPUT_MARK = "\n#output_tokens="
 
 Gate = Callable[[], Awaitable[None]]
 
 
+def mark_output(text: str, output_tokens: int) -> str:
+    """Return a prompt that a `MemoryEngine` answers with so many tokens, whatever the offer says.
+
+    Examples
+    --------
+    >>> _marked_output(mark_output("which glaze?", 12))
+    12
+    """
+    return f"{text}{OUTPUT_MARK}{output_tokens}"
+
+
+def _marked_output(prompt: str) -> int:
+    _, mark, number = prompt.rpartition(OUTPUT_MARK)
+    return int(number) if mark else 0
+
+
 class MemoryEngine:
     """An engine model as a sidecar's target.
 
     Notes
     -----
-    The prompt is the offer's body as text; the answer has `expected_output_tokens` tokens.
+    The prompt is the offer's body as text; the answer has as many tokens as `mark_output` wrote
+    into the prompt, or else `expected_output_tokens`.
     """
 
     def __init__(self, model: EngineModel, models: tuple[str, ...], gate: Gate) -> None:
@@ -58,7 +77,8 @@
 
     async def _parts(self, offer: Offer) -> AsyncIterator[AnswerPart]:
         prompt = offer.body.decode()
-        tokens = self.model.generate(offer.attempt_id, prompt, offer.expected_output_tokens)
+        output_tokens = _marked_output(prompt) or offer.expected_output_tokens
+        tokens = self.model.generate(offer.attempt_id, prompt, output_tokens)
         usage = Usage()
         async for token in tokens:
             await self._gate()
--- a/guavawalk/request/placement.py
+++ b/guavawalk/request/placement.py
@@ -1,7 +1,7 @@
 """Choosing the order in which targets are asked to run a request."""
 
 import random
-from collections.abc import Mapping, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from itertools import count
 from typing import NamedTuple, Protocol
 
@@ -9,11 +9,14 @@
 from guavawalk.version.types import Configuration, Target
 
 __all__ = [
+    "DEFAULT_PLACEMENT",
+    "PLACEMENTS",
     "Candidate",
     "Placement",
     "TargetView",
     "capable_targets",
     "create_least_reported_load",
+    "create_placement",
     "create_random_of_two",
     "create_round_robin",
 ]
@@ -162,3 +165,16 @@
 def create_random_of_two(seed: int | None = None) -> Placement:
     """Create the random of two baseline."""
     return RandomOfTwo(random.Random(seed))
+
+
+PLACEMENTS: dict[str, Callable[[int | None], Placement]] = {
+    "round_robin": lambda seed: create_round_robin(),
+    "least_reported_load": lambda seed: create_least_reported_load(),
+    "random_of_two": create_random_of_two,
+}
+DEFAULT_PLACEMENT = "least_reported_load"
+
+
+def create_placement(name: str, seed: int | None = None) -> Placement:
+    """Create a policy by its name in `PLACEMENTS`."""
+    return PLACEMENTS[name](seed)
--- a/guavawalk/request/types.py
+++ b/guavawalk/request/types.py
@@ -23,6 +23,8 @@
         64-bit hash of each block prefix of the prompt, shortest first.
     configuration : Configuration
         The version under which the request began; it keeps it.
+    max_output_tokens : int
+        The caller's own bound on the answer; 0 if it gave none.
     """
 
     trace_id: str
@@ -44,6 +46,7 @@
     expected_output_tokens: int = 0
     fingerprint: int = 0
     prefix_hashes: tuple[int, ...] = ()
+    max_output_tokens: int = 0
 
 
 class Usage(NamedTuple):
