Answer bad input with its number, at every layer that can meet it

Cause: trials with raw sockets. A deadline of 5,000 digits gave an unnumbered 500; max_tokens of 10^9 held a slot for hours; a lone surrogate over one block would have failed in hashing; dot segments left a service's path; garbage, an over-long head and half a head gave uvicorn's unnumbered 400 or hung for good. Change: checks in the reader; a listener protocol that numbers what is no request and times out heads; a caller that stops reading for 30 s counts as gone; an error before an offer is 220, NOT_RUN.

--- a/guavawalk/codes.py
+++ b/guavawalk/codes.py
@@ -59,6 +59,7 @@
     NO_CONFIGURATION = 217
     WRONG_INCARNATION = 218
     MODEL_NOT_LOADED = 219
+    INTERNAL_ERROR = 220
 
     OUTCOME_UNKNOWN = 301
     LINK_LOST = 302
@@ -146,6 +147,7 @@
     ResultCodeInfo(ResultCode.NO_CONFIGURATION, 503, "no configuration has been received yet"),
     ResultCodeInfo(ResultCode.WRONG_INCARNATION, 503, "the process was replaced by another"),
     ResultCodeInfo(ResultCode.MODEL_NOT_LOADED, 503, "the target has not loaded this model"),
+    ResultCodeInfo(ResultCode.INTERNAL_ERROR, 500, "an error before it was offered"),
     ResultCodeInfo(ResultCode.OUTCOME_UNKNOWN, 502, "it can't be known whether this ran"),
     ResultCodeInfo(ResultCode.LINK_LOST, 504, "the target's sidecar can't be asked any more"),
     ResultCodeInfo(ResultCode.INCARNATION_GONE, 502, "the process that knew was replaced"),
--- a/guavawalk/connection/http_answer.py
+++ b/guavawalk/connection/http_answer.py
@@ -4,11 +4,15 @@
 from collections.abc import Awaitable, Callable
 from typing import Any, TypedDict
 
+import anyio
+
 from guavawalk.codes import CodeClass, code_class, describe_code
 from guavawalk.request.types import Outcome
 
 __all__ = ["ErrorBody", "ErrorDocument", "assemble_completion", "create_http_caller", "error_body"]
 
+STALL_LIMIT_S = 30.0
+
 Send = Callable[[dict[str, Any]], Awaitable[None]]
 Receive = Callable[[], Awaitable[dict[str, Any]]]
 
@@ -97,7 +101,13 @@
     """
 
     def __init__(
-        self, receive: Receive, send: Send, trace_id: str, whole: bool, chat: bool
+        self,
+        receive: Receive,
+        send: Send,
+        trace_id: str,
+        whole: bool,
+        chat: bool,
+        stall_limit_s: float,
     ) -> None:
         self._receive = receive
         self._send = send
@@ -108,6 +118,8 @@
         self._status = 200
         self._streaming = False
         self._is_sse = False
+        self._stall_limit_s = stall_limit_s
+        self._stalled = anyio.Event()
 
     async def start(self, status: int, headers: tuple[str, ...]) -> None:
         """Send the head, unless the answer is wanted whole."""
@@ -137,20 +149,29 @@
             await self._send_whole(body, describe_code(outcome.code).http_status, outcome)
 
     async def wait_gone(self) -> None:
-        """Wait for the disconnect."""
+        """Wait for the disconnect, or for a caller that no longer reads."""
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._wait_disconnect, tasks.cancel_scope)
+            await self._stalled.wait()
+            tasks.cancel_scope.cancel()
+
+    async def _wait_disconnect(self, scope: anyio.CancelScope) -> None:
         while (await self._receive())["type"] != "http.disconnect":
             pass
+        scope.cancel()
 
     async def _finish_stream(self, outcome: Outcome, completed: bool) -> None:
+        if self._stalled.is_set():
+            return
+        tail = ""
         if self._is_sse:
             tail = f": guavawalk code={int(outcome.code)} target={outcome.target}\n\n"
             if not completed:
                 tail = f"data: {json.dumps(error_body(outcome))}\n\n" + tail
-            await self._body(tail.encode(), True)
         elif not completed and self._status < 500:
             # Ending without the last chunk tells the caller that the answer is not whole.
             raise ConnectionResetError(outcome.code.name)
-        await self._body(b"", False)
+        await self._body(tail.encode(), False)
 
     async def _send_whole(self, body: bytes, status: int, outcome: Outcome) -> None:
         headers = ["content-type", "application/json", "x-guavawalk-code", str(int(outcome.code))]
@@ -169,11 +190,31 @@
         await self._send({"type": "http.response.start", "status": status, "headers": raw})
 
     async def _body(self, data: bytes, more: bool) -> None:
-        await self._send({"type": "http.response.body", "body": data, "more_body": more})
+        with anyio.move_on_after(self._stall_limit_s) as scope:
+            await self._send({"type": "http.response.body", "body": data, "more_body": more})
+        if scope.cancelled_caught and more:
+            # Whoever watches the caller cancels this task; a further byte must not follow.
+            self._stalled.set()
+            await anyio.sleep_forever()
 
 
 def create_http_caller(
-    receive: Receive, send: Send, trace_id: str, whole: bool = False, chat: bool = True
+    receive: Receive,
+    send: Send,
+    trace_id: str,
+    whole: bool = False,
+    chat: bool = True,
+    stall_limit_s: float = STALL_LIMIT_S,
 ) -> HttpCaller:
-    """Create the caller of one ASGI request."""
-    return HttpCaller(receive, send, trace_id, whole, chat)
+    """Create the caller of one ASGI request.
+
+    Parameters
+    ----------
+    whole : bool
+        Whether a model's answer is wanted in one piece.
+    chat : bool
+        Whether that answer is a chat completion.
+    stall_limit_s : float
+        How long the caller may leave an answer unread before it counts as gone.
+    """
+    return HttpCaller(receive, send, trace_id, whole, chat, stall_limit_s)
--- a/guavawalk/connection/http_request.py
+++ b/guavawalk/connection/http_request.py
@@ -3,6 +3,7 @@
 import json
 import secrets
 from typing import NamedTuple
+from urllib.parse import unquote
 
 from guavawalk.codes import ResultCode
 from guavawalk.exception import RequestError
@@ -13,8 +14,10 @@
 
 __all__ = ["CallerHeaders", "RawRequest", "find_workspace", "read_headers", "read_work"]
 
+OWN_PREFIX = "v1"
 MODEL_PATHS = ("/v1/chat/completions", "/v1/completions")
 MAX_TRACE_CHARS = 64
+MAX_DEADLINE_DIGITS = 12
 FORWARDED_HEADERS = ("content-type", "accept", "accept-language", "user-agent")
 
 
@@ -68,7 +71,9 @@
 def _read_deadline(text: str | None) -> int | None:
     if text is None:
         return None
-    if not (text.isascii() and text.isdigit()) or int(text) < 1:
+    if not (text.isascii() and text.isdigit() and len(text) <= MAX_DEADLINE_DIGITS):
+        raise RequestError(ResultCode.BAD_DEADLINE, f"found {text[:40]!r}, allowed is 1 or more")
+    if int(text) < 1:
         raise RequestError(ResultCode.BAD_DEADLINE, f"found {text[:40]!r}, allowed is 1 or more")
     return int(text)
 
@@ -111,6 +116,7 @@
     workspace = find_workspace(configuration, headers.api_key)
     tier = _find_tier(configuration, workspace, headers.tier)
     path = raw.path.partition("?")[0]
+    _refuse_dot_segments(path)
     if path in MODEL_PATHS:
         work = _read_model_work(raw, path, configuration, workspace, tier)
         default_ms = tier.deadline_ms
@@ -130,6 +136,11 @@
     )
 
 
+def _refuse_dot_segments(path: str) -> None:
+    if any(unquote(segment) in (".", "..") for segment in path.split("/")):
+        raise RequestError(ResultCode.BAD_REQUEST, "the path has dot segments")
+
+
 def _find_tier(configuration: Configuration, workspace: Workspace, name: str) -> Tier:
     name = name or workspace.default_tier
     if name not in configuration.tiers:
@@ -141,6 +152,8 @@
 
 def _find_service(configuration: Configuration, workspace: Workspace, path: str) -> Service:
     name = path.lstrip("/").partition("/")[0]
+    if name == OWN_PREFIX:
+        raise RequestError(ResultCode.NOT_FOUND, f"found {path[:80]!r}")
     if name not in configuration.services:
         raise RequestError(ResultCode.UNKNOWN_SERVICE, f"found {name[:40]!r}")
     if name not in workspace.services:
@@ -189,6 +202,8 @@
     adapter = document.pop("adapter", "")
     if not isinstance(adapter, str):
         raise RequestError(ResultCode.BAD_REQUEST, "adapter: allowed is a string")
+    room_tokens = model.context_tokens - prompt_tokens
+    max_output_tokens = _max_output(document, room_tokens)
     upstream = {**document, "stream": True, "stream_options": {"include_usage": True}}
     return Work(
         trace_id="",
@@ -203,8 +218,8 @@
         body=json.dumps(upstream).encode(),
         stream=stream,
         prompt_tokens=prompt_tokens,
-        expected_output_tokens=_max_output(document) or model.expected_output_tokens,
-        max_output_tokens=_max_output(document),
+        expected_output_tokens=max_output_tokens or min(model.expected_output_tokens, room_tokens),
+        max_output_tokens=max_output_tokens,
         prefix_hashes=prefix_hashes(model.name, text),
     )
 
@@ -249,12 +264,15 @@
     return f"{role}: {content}"
 
 
-def _max_output(document: dict) -> int:
+def _max_output(document: dict, room_tokens: int) -> int:
     limit = document.get("max_tokens", document.get("max_completion_tokens"))
     if limit is None:
         return 0
     if not isinstance(limit, int) or isinstance(limit, bool) or limit < 1:
         raise RequestError(ResultCode.BAD_REQUEST, "max_tokens: allowed is 1 or more")
+    if limit > room_tokens:
+        detail = f"max_tokens: found {limit}, the model's context leaves {room_tokens}"
+        raise RequestError(ResultCode.BAD_REQUEST, detail)
     return limit
 
 
--- a/guavawalk/connection/tasks/front.py
+++ b/guavawalk/connection/tasks/front.py
@@ -31,6 +31,8 @@
 
 __all__ = ["create_front"]
 
+ANY_METHOD = ("GET", "POST", "PUT", "PATCH", "DELETE")
+
 
 def create_front(entry: Entry) -> Starlette:
     """Create the ASGI application of an entry."""
@@ -45,7 +47,7 @@
     routes = [
         Route("/healthz", healthz),
         Route("/readyz", readyz),
-        Route("/v1/tickets", _ticket_endpoint(entry), methods=["POST"]),
+        Route("/v1/tickets", _ticket_endpoint(entry), methods=list(ANY_METHOD)),
         Route("/{path:path}", _WorkEndpoint(entry)),
     ]
     return Starlette(routes=routes)
@@ -70,6 +72,11 @@
         except RequestError as error:
             await _invalid(entry, request, error)(scope, receive, send)
             return
+        except Exception as error:
+            entry.log.emit(events.TASK_FAILED, path=request.url.path, reason=repr(error))
+            internal = RequestError(ResultCode.INTERNAL_ERROR)
+            await _invalid(entry, request, internal)(scope, receive, send)
+            return
         whole = bool(work.model) and not work.stream
         chat = work.path == MODEL_PATHS[0]
         caller = create_http_caller(receive, send, work.trace_id, whole, chat)
@@ -94,9 +101,10 @@
                     raise RequestError(ResultCode.BODY_TOO_LARGE, detail)
     except TimeoutError as error:
         raise RequestError(ResultCode.REQUEST_TIMEOUT) from error
-    path = request.url.path
-    if request.url.query:
-        path = f"{path}?{request.url.query}"
+    path = request.scope["raw_path"].decode("ascii")
+    query = request.scope["query_string"].decode("latin-1")
+    if query:
+        path = f"{path}?{query}"
     return RawRequest(request.method, path, dict(request.headers), bytes(body))
 
 
@@ -112,6 +120,8 @@
 def _ticket_endpoint(entry: Entry):
     async def tickets(request: Request) -> Response:
         try:
+            if request.method != "POST":
+                raise RequestError(ResultCode.BAD_REQUEST, "/v1/tickets takes POST only")
             raw = await _read_raw(entry, request)
             headers = read_headers(raw.headers)
             configuration = entry.held.configuration
--- a/guavawalk/process/embedded.py
+++ b/guavawalk/process/embedded.py
@@ -28,6 +28,7 @@
 __all__ = ["Embedded", "run_embedded"]
 
 FREE_ADDRESS = "127.0.0.1:0"
+REQUEST_TIMEOUT_MS = 30_000
 
 
 class Embedded(NamedTuple):
@@ -38,27 +39,30 @@
     entries: dict[str, Entry]
     entry_addresses: dict[str, str]
     sidecars: dict[str, Sidecar]
+    sidecar_addresses: dict[str, str]
     engines: dict[str, EngineModel]
     services: dict[str, ServiceBooks]
 
 
 @asynccontextmanager
-async def run_embedded(plan: Plan, log: EventLog | None = None):
+async def run_embedded(
+    plan: Plan, log: EventLog | None = None, request_timeout_ms: int = REQUEST_TIMEOUT_MS
+):
     """Run a deployment for as long as the block lasts; yield an `Embedded`."""
     log = log or create_null_log()
     async with anyio.create_task_group() as tasks:
         books = PlatformBooks()
         platform_address = await tasks.start(serve_asgi, create_platform_app(books), FREE_ADDRESS)
-        deployment = Embedded(plan, books, {}, {}, {}, {}, {})
+        deployment = Embedded(plan, books, {}, {}, {}, {}, {}, {})
         platform_url = f"http://{platform_address}"
-        addresses = {}
+        addresses = deployment.sidecar_addresses
         for target in plan.targets:
             addresses[target.name] = await _start_target(
                 tasks, deployment, target, platform_url, log
             )
         books.publish(published_values(render_documents(1, plan_parts(plan, addresses))))
         for centre in plan.entries:
-            await _start_entry(tasks, deployment, centre, platform_url, log)
+            await _start_entry(tasks, deployment, centre, platform_url, log, request_timeout_ms)
         yield deployment
         tasks.cancel_scope.cancel()
 
@@ -95,7 +99,12 @@
 
 
 async def _start_entry(
-    tasks: TaskGroup, deployment: Embedded, centre: str, platform_url: str, log: EventLog
+    tasks: TaskGroup,
+    deployment: Embedded,
+    centre: str,
+    platform_url: str,
+    log: EventLog,
+    request_timeout_ms: int,
 ) -> None:
     settings = EntrySettings(
         instance=f"entry-{centre}",
@@ -103,6 +112,8 @@
         listen=FREE_ADDRESS,
         platform_url=platform_url,
         allow_open=True,
+        head_timeout_ms=request_timeout_ms,
+        body_timeout_ms=request_timeout_ms,
     )
     held = create_held_version()
     network = create_tcp_network(lambda: held.stamp.version)
--- a/guavawalk/process/entry/state.py
+++ b/guavawalk/process/entry/state.py
@@ -21,6 +21,7 @@
 
     body_bytes: int = 8 * 1024 * 1024
     header_bytes: int = 64 * 1024
+    head_timeout_s: float = 10.0
     body_timeout_s: float = 30.0
     max_deadline_ms: int = 3_600_000
 
--- a/guavawalk/process/entry_daemon.py
+++ b/guavawalk/process/entry_daemon.py
@@ -6,6 +6,7 @@
 from anyio.abc import TaskStatus
 
 from guavawalk import events
+from guavawalk.codes import ResultCode
 from guavawalk.connection.handshake import Identity
 from guavawalk.connection.link import Network
 from guavawalk.connection.platform import Platform, create_http_platform
@@ -30,6 +31,8 @@
 
 DRAIN_CHECK_S = 0.05
 IDLE_SWEEP_S = 5.0
+# The front answers a head over the limit with its number; the listener only bounds memory.
+HEAD_SLACK = 2
 
 
 def create_entry(
@@ -59,6 +62,7 @@
         limits=EntryLimits(
             body_bytes=settings.body_limit_bytes,
             header_bytes=settings.header_limit_bytes,
+            head_timeout_s=settings.head_timeout_ms / 1000,
             body_timeout_s=settings.body_timeout_ms / 1000,
         ),
         log=log,
@@ -78,13 +82,22 @@
         tasks.start_soon(follow_platform, platform, entry.held, entry.log)
         tasks.start_soon(_sweep_idle_links, entry)
         bound = await tasks.start(
-            serve_asgi, create_front(entry), address, entry.limits.header_bytes
+            serve_asgi,
+            create_front(entry),
+            address,
+            entry.limits.header_bytes * HEAD_SLACK,
+            entry.limits.head_timeout_s,
+            partial(_note_rejected, entry),
         )
         await entry.held.wait_newer(0)
         entry.log.emit(events.PROCESS_READY, address=bound)
         task_status.started(bound)
 
 
+def _note_rejected(entry: Entry, code: ResultCode) -> None:
+    entry.log.emit(events.REQUEST_INVALID, code=int(code), reason="no readable request")
+
+
 async def _sweep_idle_links(entry: Entry) -> None:
     while True:
         await anyio.sleep(IDLE_SWEEP_S)
--- a/guavawalk/process/http_server.py
+++ b/guavawalk/process/http_server.py
@@ -1,12 +1,15 @@
 """Serving an ASGI application inside a process that handles its own signals."""
 
 import logging
+from collections.abc import Callable
 from contextlib import contextmanager
 
 import anyio
 import uvicorn
 from anyio.abc import TaskStatus
 
+from guavawalk.codes import ResultCode
+from guavawalk.connection.http_listener import HEAD_TIMEOUT_S, create_h11_protocol
 from guavawalk.connection.tcp import format_address, split_address
 
 __all__ = ["serve_asgi"]
@@ -26,10 +29,16 @@
         yield
 
 
+def _ignore(code: ResultCode) -> None:
+    pass
+
+
 async def serve_asgi(
     app,
     address: str,
     header_limit_bytes: int = HEADER_LIMIT_BYTES,
+    head_timeout_s: float = HEAD_TIMEOUT_S,
+    on_rejected: Callable[[ResultCode], None] = _ignore,
     *,
     task_status: TaskStatus[str] = anyio.TASK_STATUS_IGNORED,
 ) -> None:
@@ -42,13 +51,18 @@
         `IP:port`; port 0 takes a free one.
     header_limit_bytes : int
         Longest request head taken.
+    head_timeout_s : float
+        How long a connection may take to send a whole request head.
+    on_rejected : callable
+        Called with the code of each connection that brought no readable request.
     """
     host, port = split_address(address)
     config = uvicorn.Config(
         app,
         host=host,
         port=port,
-        http="h11",
+        http=create_h11_protocol(on_rejected, head_timeout_s),
+        ws="none",
         lifespan="off",
         log_config=None,
         access_log=False,
--- a/guavawalk/process/settings.py
+++ b/guavawalk/process/settings.py
@@ -65,6 +65,7 @@
     allow_open: bool = False
     body_limit_bytes: int = 8 * 1024 * 1024
     header_limit_bytes: int = 64 * 1024
+    head_timeout_ms: int = 10_000
     body_timeout_ms: int = 30_000
     placement: str = DEFAULT_PLACEMENT
     log_level: str = "INFO"
--- a/guavawalk/request/prompt.py
+++ b/guavawalk/request/prompt.py
@@ -43,7 +43,7 @@
     digest = xxhash.xxh3_64(model.encode() + b"\0")
     hashes = []
     for start in range(0, min(len(text), MAX_BLOCKS * BLOCK_CHARS) - BLOCK_CHARS + 1, BLOCK_CHARS):
-        digest.update(text[start : start + BLOCK_CHARS].encode())
+        digest.update(text[start : start + BLOCK_CHARS].encode("utf-8", "surrogatepass"))
         hashes.append(_signed(digest.intdigest()))
     return tuple(hashes)
 
