Build a version from the one before it

Change: shards end at boundaries that hang on an item's name, parsed shards are kept by digest and joined again, only new shards are checked unless what they refer to changed, and a build runs in steps. A process keeps the kinds that it reads. A root that can't be built is remembered.

--- a/guavawalk/exception.py
+++ b/guavawalk/exception.py
@@ -4,6 +4,7 @@
 
 __all__ = [
     "ConfigurationError",
+    "DamagedValue",
     "GuavawalkError",
     "LinkBroken",
     "LinkError",
@@ -58,6 +59,10 @@
         self.problem = problem
 
 
+class DamagedValue(ConfigurationError):
+    """A value that is not the one that its digest names; another source may have it whole."""
+
+
 class PlatformUnavailable(GuavawalkError):
     """The platform's service did not answer, or not with something usable."""
 
--- a/guavawalk/version/__init__.py
+++ b/guavawalk/version/__init__.py
@@ -1,10 +1,11 @@
 """What lives as long as one version of the configuration."""
 
-from guavawalk.version import build, documents, held, publish, types
+from guavawalk.version import build, documents, held, publish, shards, types
 from guavawalk.version.build import *
 from guavawalk.version.documents import *
 from guavawalk.version.held import *
 from guavawalk.version.publish import *
+from guavawalk.version.shards import *
 from guavawalk.version.types import *
 
 __all__ = [
@@ -12,5 +13,6 @@
     *documents.__all__,
     *held.__all__,
     *publish.__all__,
+    *shards.__all__,
     *types.__all__,
 ]
--- a/guavawalk/version/build.py
+++ b/guavawalk/version/build.py
@@ -1,27 +1,48 @@
-"""Building a configuration from its documents, whole or not at all."""
+"""Building a configuration from its documents, whole or not at all.
 
-from collections.abc import Iterable, Sequence
+A version mostly differs from the one before by one shard. What other shards say was parsed and
+checked before, so it is joined again without a look at each item.
+"""
+
+from collections.abc import Generator, Iterable, Mapping, Sequence
 from itertools import chain
+from typing import Any, NamedTuple
 
 from guavawalk.exception import ConfigurationError
-from guavawalk.version.documents import (
-    ShardDocument,
-    VersionDocuments,
-    digest_bytes,
-    read_root,
-    read_shard,
+from guavawalk.version.checks import (
+    REFERENCE_KINDS,
+    check_targets,
+    check_tiers,
+    check_workspaces,
 )
-from guavawalk.version.types import (
-    Configuration,
-    Target,
-    Tier,
-    VersionStamp,
-    Workspace,
+from guavawalk.version.documents import VersionDocuments, digest_bytes, read_root
+from guavawalk.version.shards import (
+    ALL_KINDS,
+    NAMED_KINDS,
+    ParsedShard,
+    index_items,
+    parse_shard,
 )
+from guavawalk.version.types import Configuration, Target, VersionStamp
+
+__all__ = [
+    "BuiltVersion",
+    "build_configuration",
+    "build_in_steps",
+    "build_version",
+    "stamp_of_root",
+]
+
+
+class BuiltVersion(NamedTuple):
+    """A version with the parsed shards that it consists of, by digest in the root's order."""
 
-__all__ = ["build_configuration", "configuration_from_shards", "stamp_of_root"]
+    configuration: Configuration
+    shards: Mapping[str, ParsedShard]
 
-TARGET_KINDS = ("model", "service")
+    def sources(self, kind: str) -> tuple[str, ...]:
+        """Return the digests of the shards that have items of a kind."""
+        return tuple(shard.digest for shard in self.shards.values() if kind in shard.kinds)
 
 
 def stamp_of_root(root: bytes) -> VersionStamp:
@@ -47,73 +68,167 @@
     ConfigurationError
         If any document is unreadable, does not match its digest, or names what isn't there.
     """
-    root = read_root(documents.root)
-    references = root["shards"]
-    if len(references) != len(documents.shards):
-        raise ConfigurationError("root.shards", "a shard is missing")
-    shards = [read_shard(value, ref) for value, ref in zip(documents.shards, references)]
-    stamp = VersionStamp(root["version"], digest_bytes(documents.root))
-    return configuration_from_shards(stamp, shards)
+    return build_version(documents).configuration
+
+
+def build_version(
+    documents: VersionDocuments,
+    previous: BuiltVersion | None = None,
+    kinds: frozenset[str] = ALL_KINDS,
+) -> BuiltVersion:
+    """Build a version in one go; see `build_in_steps`."""
+    steps = build_in_steps(documents, previous, kinds)
+    while True:
+        try:
+            next(steps)
+        except StopIteration as done:
+            return done.value
+
+
+def build_in_steps(
+    documents: VersionDocuments,
+    previous: BuiltVersion | None = None,
+    kinds: frozenset[str] = ALL_KINDS,
+) -> Generator[None, None, BuiltVersion]:
+    """Build a version in short steps, so that other tasks can run between them.
+
+    Parameters
+    ----------
+    documents : VersionDocuments
+        Root and shards, in the root's order.
+    previous : BuiltVersion, optional
+        A version built before; its parsed shards are used where the digests are equal.
+    kinds : frozenset of str
+        Kinds of items to keep. All are checked.
 
+    Yields
+    ------
+    None
+        After each step.
 
-def configuration_from_shards(
-    stamp: VersionStamp, shards: Sequence[ShardDocument]
-) -> Configuration:
-    """Join shards into a checked configuration.
+    Returns
+    -------
+    BuiltVersion
+        The whole version.
 
     Raises
     ------
     ConfigurationError
-        If a name stands twice, or refers to what isn't there.
+        If any document is unreadable, does not match its digest, or names what isn't there.
     """
-    tiers = _by_name("tiers", _joined(shards, "tiers"))
-    targets = _by_name("targets", _joined(shards, "targets"))
-    workspaces = _by_name("workspaces", _joined(shards, "workspaces"))
-    crossings = tuple(_joined(shards, "crossings"))
-    services = _joined(shards, "services")
-    configuration = Configuration(
+    references = read_root(documents.root)["shards"]
+    if len(references) != len(documents.shards):
+        raise ConfigurationError("root.shards", "a shard is missing")
+    known = previous.shards if previous else {}
+    shards: dict[str, ParsedShard] = {}
+    fresh: list[ParsedShard] = []
+    for value, reference in zip(documents.shards, references):
+        digest = reference["digest"]
+        if digest in shards:
+            raise ConfigurationError("root.shards", f"{digest[:12]} stands twice")
+        if digest in known:
+            shards[digest] = known[digest]
+            continue
+        shard = parse_shard(value, reference)
+        fresh.append(shard)
+        shards[digest] = shard.keeping(kinds)
+        yield
+    built = BuiltVersion(_join(documents.stamp, shards, previous), shards)
+    yield
+    if previous is None or _references_changed(built, previous):
+        pairs = zip(documents.shards, references)
+        yield from _check_all(built.configuration, shards, pairs, kinds)
+    else:
+        yield from _check_each(built.configuration, fresh)
+    return built
+
+
+def _references_changed(built: BuiltVersion, previous: BuiltVersion) -> bool:
+    return any(built.sources(kind) != previous.sources(kind) for kind in REFERENCE_KINDS)
+
+
+def _check_all(
+    configuration: Configuration, shards: Mapping[str, ParsedShard], pairs, kinds: frozenset[str]
+) -> Generator[None, None, None]:
+    check_tiers(configuration.tiers.values())
+    for value, reference in pairs:
+        shard = shards[reference["digest"]]
+        whole = shard if kinds.issuperset(shard.kinds) else parse_shard(value, reference)
+        yield from _check_each(configuration, (whole,))
+
+
+def _check_each(
+    configuration: Configuration, shards: Iterable[ParsedShard]
+) -> Generator[None, None, None]:
+    for shard in shards:
+        check_targets(shard.by_name.get("targets", {}).values(), configuration)
+        check_workspaces(shard.by_name.get("workspaces", {}).values(), configuration)
+        yield
+
+
+def _join(
+    stamp: VersionStamp, shards: Mapping[str, ParsedShard], previous: BuiltVersion | None
+) -> Configuration:
+    parts = tuple(shards.values())
+    same = _kinds_unchanged(parts, previous)
+    old = previous.configuration._asdict() if previous else {}
+    named = {kind: old[kind] if kind in same else _join_kind(kind, parts) for kind in NAMED_KINDS}
+    keys = old["workspace_of_key"] if "workspaces" in same else _join_keys(parts)
+    if "targets" in same:
+        by_model, by_service = old["targets_of_model"], old["targets_of_service"]
+    else:
+        by_model = _targets_of_model(named["targets"].values())
+        by_service = _targets_of_service(named["targets"].values())
+    return Configuration(
         stamp=stamp,
-        tiers=tiers,
-        data_centres=_by_name("data_centres", _joined(shards, "data_centres")),
-        generations=_by_name("generations", _joined(shards, "generations")),
-        models=_by_name("models", _joined(shards, "models")),
-        services=_by_name("services", services, "path"),
-        targets=targets,
-        workspaces=workspaces,
-        workspace_of_key=_workspace_of_key(workspaces.values()),
-        crossings={pair: c for c in crossings for pair in ((c.a, c.b), (c.b, c.a))},
-        targets_of_model=_targets_of_model(targets.values()),
-        targets_of_service=_targets_of_service(targets.values()),
+        workspace_of_key=keys,
+        crossings=_crossings(parts),
+        targets_of_model=by_model,
+        targets_of_service=by_service,
+        **named,
     )
-    _check_tiers(tiers.values())
-    _check_targets(configuration)
-    _check_workspaces(configuration)
-    return configuration
 
 
-def _joined(shards: Sequence[ShardDocument], field: str) -> Iterable:
-    return chain.from_iterable(shard.get(field, ()) for shard in shards)
+def _kinds_unchanged(parts: Sequence[ParsedShard], previous: BuiltVersion | None) -> set[str]:
+    if previous is None:
+        return set()
+    sources = {
+        kind: tuple(shard.digest for shard in parts if kind in shard.kinds) for kind in NAMED_KINDS
+    }
+    return {kind for kind, digests in sources.items() if digests == previous.sources(kind)}
+
+
+def _join_kind(kind: str, parts: Sequence[ParsedShard]) -> dict[str, Any]:
+    return _joined([shard.by_name[kind] for shard in parts if kind in shard.by_name], kind)
+
+
+def _join_keys(parts: Sequence[ParsedShard]) -> dict[str, str]:
+    return _joined([shard.workspace_of_key for shard in parts], "key_digests")
 
 
-def _by_name(kind: str, items: Iterable, field: str = "name") -> dict:
-    found: dict = {}
-    for item in items:
-        name = getattr(item, field)
-        if name in found:
-            raise ConfigurationError(f"{kind}.{name}", "the name stands twice")
-        found[name] = item
+def _joined(mappings: Sequence[Mapping[str, Any]], kind: str) -> dict[str, Any]:
+    found: dict[str, Any] = {}
+    for mapping in mappings:
+        found.update(mapping)
+    if len(found) != sum(map(len, mappings)):
+        _refuse_duplicate(mappings, kind)
     return found
 
 
-def _workspace_of_key(workspaces: Iterable[Workspace]) -> dict[str, str]:
+def _refuse_duplicate(mappings: Sequence[Mapping[str, Any]], kind: str) -> None:
+    if kind != "key_digests":
+        index_items(kind, chain.from_iterable(mapping.values() for mapping in mappings))
     owners: dict[str, str] = {}
-    for workspace in workspaces:
-        for digest in workspace.key_digests:
-            if digest in owners:
-                place = f"workspaces.{workspace.name}.key_digests"
-                raise ConfigurationError(place, f"the key is also one of {owners[digest]}")
-            owners[digest] = workspace.name
-    return owners
+    for digest, name in chain.from_iterable(mapping.items() for mapping in mappings):
+        if digest in owners:
+            place = f"workspaces.{name}.key_digests"
+            raise ConfigurationError(place, f"the key is also one of {owners[digest]}")
+        owners[digest] = name
+
+
+def _crossings(parts: Sequence[ParsedShard]) -> dict:
+    crossings = chain.from_iterable(shard.crossings for shard in parts)
+    return {pair: c for c in crossings for pair in ((c.a, c.b), (c.b, c.a))}
 
 
 def _targets_of_model(targets: Iterable[Target]) -> dict[str, tuple[str, ...]]:
@@ -130,43 +245,3 @@
         if target.service:
             found.setdefault(target.service, []).append(target.name)
     return {name: tuple(names) for name, names in found.items()}
-
-
-def _check_tiers(tiers: Iterable[Tier]) -> None:
-    ranks = sorted(tier.rank for tier in tiers)
-    if ranks != list(range(len(ranks))):
-        raise ConfigurationError("tiers", f"found ranks {ranks}, allowed are 0, 1, … without gaps")
-
-
-def _check_targets(configuration: Configuration) -> None:
-    for target in configuration.targets.values():
-        place = f"targets.{target.name}"
-        _check_known(f"{place}.kind", (target.kind,), TARGET_KINDS)
-        _check_known(f"{place}.data_centre", (target.data_centre,), configuration.data_centres)
-        if target.kind == "service":
-            _check_known(f"{place}.service", (target.service,), configuration.services)
-            continue
-        _check_known(f"{place}.generation", (target.generation,), configuration.generations)
-        names = tuple(model.partition("@")[0] for model in target.desired.models)
-        _check_known(f"{place}.desired.models", names, configuration.models)
-
-
-def _check_workspaces(configuration: Configuration) -> None:
-    for workspace in configuration.workspaces.values():
-        place = f"workspaces.{workspace.name}"
-        _check_known(f"{place}.tiers", workspace.tiers, configuration.tiers)
-        _check_known(f"{place}.default_tier", (workspace.default_tier,), workspace.tiers)
-        _check_known(f"{place}.models", workspace.models, configuration.models)
-        _check_known(f"{place}.services", workspace.services, configuration.services)
-        _check_known(f"{place}.data_centres", workspace.data_centres, configuration.data_centres)
-        if workspace.weight <= 0:
-            raise ConfigurationError(f"{place}.weight", "allowed is more than 0")
-        for field, value in workspace.limits._asdict().items():
-            if value < 0:
-                raise ConfigurationError(f"{place}.limits.{field}", "allowed is 0 or more")
-
-
-def _check_known(place: str, names: Iterable[str], known) -> None:
-    for name in names:
-        if name not in known:
-            raise ConfigurationError(place, f"found {name!r}, which is not defined")
--- a/guavawalk/version/documents.py
+++ b/guavawalk/version/documents.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from guavawalk.exception import ConfigurationError
+from guavawalk.exception import ConfigurationError, DamagedValue
 from guavawalk.version.types import (
     Crossing,
     DataCentre,
@@ -115,13 +115,15 @@
 
     Raises
     ------
+    DamagedValue
+        If the bytes do not match the digest.
     ConfigurationError
-        If the bytes do not match the digest, or are not a shard document.
+        If they are not a shard document.
     """
     name = f"shard {reference['digest'][:12]}"
     found = digest_bytes(value)
     if found != reference["digest"]:
-        raise ConfigurationError(name, f"the bytes have digest {found[:12]}")
+        raise DamagedValue(name, f"the bytes have digest {found[:12]}")
     return _read(value, ShardDocument, name)
 
 
--- a/guavawalk/version/held.py
+++ b/guavawalk/version/held.py
@@ -1,15 +1,21 @@
 """The version in force in one process, and the rule by which it is replaced."""
 
+from collections import OrderedDict
+from collections.abc import Mapping
 from enum import Enum
 
 import anyio
 
-from guavawalk.version.build import build_configuration
+from guavawalk.exception import ConfigurationError, DamagedValue
+from guavawalk.version.build import BuiltVersion, build_in_steps, build_version
 from guavawalk.version.documents import VersionDocuments
+from guavawalk.version.shards import ALL_KINDS
 from guavawalk.version.types import NO_VERSION, Configuration, VersionStamp
 
 __all__ = ["HeldVersion", "Taken", "create_held_version"]
 
+REFUSED_ROOTS = 32
+
 
 class Taken(Enum):
     """What became of an offered version."""
@@ -18,6 +24,7 @@
     SAME = "same"
     OLDER = "older"
     CONFLICT = "conflict"
+    REFUSED = "refused"
 
 
 class HeldVersion:
@@ -26,12 +33,17 @@
     Notes
     -----
     A version is taken whole or not at all, and never goes back. The same number with another
-    digest is a conflict: the held one stays.
+    digest is a conflict: the held one stays. A root that could not be built is remembered, so
+    that it isn't fetched again.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, kinds: frozenset[str]) -> None:
         self.configuration: Configuration | None = None
         self.documents: VersionDocuments | None = None
+        self._built: BuiltVersion | None = None
+        self._shards: Mapping[str, bytes] = {}
+        self._kinds = kinds
+        self._refused: OrderedDict[VersionStamp, None] = OrderedDict()
         self._changed = anyio.Event()
 
     @property
@@ -39,10 +51,16 @@
         """Stamp of the version in force; `NO_VERSION` before the first."""
         return self.documents.stamp if self.documents else NO_VERSION
 
+    def shard(self, digest: str) -> bytes | None:
+        """Return the bytes of a shard of the version in force."""
+        return self._shards.get(digest)
+
     def judge(self, stamp: VersionStamp) -> Taken:
         """Say what offering a version with this stamp would lead to."""
         if stamp.version < self.stamp.version:
             return Taken.OLDER
+        if stamp in self._refused:
+            return Taken.REFUSED
         if stamp.version > self.stamp.version:
             return Taken.IN_FORCE
         return Taken.SAME if stamp.digest == self.stamp.digest else Taken.CONFLICT
@@ -56,12 +74,27 @@
             If a newer version can't be built; the held one stays.
         """
         verdict = self.judge(documents.stamp)
+        if verdict is Taken.IN_FORCE:
+            try:
+                self._put(documents, build_version(documents, self._built, self._kinds))
+            except ConfigurationError as error:
+                self._refuse(documents.stamp, error)
+                raise
+        return verdict
+
+    async def take_in_steps(self, documents: VersionDocuments) -> Taken:
+        """Like `take`, and let other tasks run while a large version is built."""
+        verdict = self.judge(documents.stamp)
         if verdict is not Taken.IN_FORCE:
             return verdict
-        self.configuration = build_configuration(documents)
-        self.documents = documents
-        self._changed.set()
-        self._changed = anyio.Event()
+        try:
+            built = await self._build(documents)
+        except ConfigurationError as error:
+            self._refuse(documents.stamp, error)
+            raise
+        verdict = self.judge(documents.stamp)
+        if verdict is Taken.IN_FORCE:
+            self._put(documents, built)
         return verdict
 
     async def wait_newer(self, than: int) -> None:
@@ -69,7 +102,37 @@
         while self.stamp.version <= than:
             await self._changed.wait()
 
+    async def _build(self, documents: VersionDocuments) -> BuiltVersion:
+        steps = build_in_steps(documents, self._built, self._kinds)
+        while True:
+            try:
+                next(steps)
+            except StopIteration as done:
+                return done.value
+            await anyio.lowlevel.checkpoint()
 
-def create_held_version() -> HeldVersion:
-    """Create a holder with no version in force."""
-    return HeldVersion()
+    def _put(self, documents: VersionDocuments, built: BuiltVersion) -> None:
+        self.documents = documents
+        self.configuration = built.configuration
+        self._built = built
+        self._shards = dict(zip(built.shards, documents.shards))
+        self._changed.set()
+        self._changed = anyio.Event()
+
+    def _refuse(self, stamp: VersionStamp, error: ConfigurationError) -> None:
+        if isinstance(error, DamagedValue):
+            return
+        self._refused[stamp] = None
+        if len(self._refused) > REFUSED_ROOTS:
+            self._refused.popitem(last=False)
+
+
+def create_held_version(kinds: frozenset[str] = ALL_KINDS) -> HeldVersion:
+    """Create a holder with no version in force.
+
+    Parameters
+    ----------
+    kinds : frozenset of str
+        Kinds of items that this process reads; the bytes of all shards are held in any case.
+    """
+    return HeldVersion(kinds)
--- a/guavawalk/version/publish.py
+++ b/guavawalk/version/publish.py
@@ -4,6 +4,8 @@
 from collections.abc import Iterable, Mapping
 from typing import Any
 
+from xxhash import xxh32_intdigest
+
 from guavawalk.exception import ConfigurationError
 from guavawalk.version.build import stamp_of_root
 from guavawalk.version.documents import (
@@ -17,7 +19,9 @@
 
 __all__ = ["published_values", "render_documents"]
 
-SHARD_TARGET_BYTES = 400_000
+SHARD_MIN_BYTES = 24_000
+SHARD_MAX_BYTES = 400_000
+ITEMS_TO_BOUNDARY = 100
 
 
 def render_documents(version: int, parts: Mapping[str, Iterable[Any]]) -> VersionDocuments:
@@ -57,18 +61,27 @@
     held: list[Any] = []
     size = 0
     for item in items:
-        item_bytes = len(_render(item)) + 1
+        rendered = _render(item)
+        item_bytes = len(rendered) + 1
         if item_bytes > MAX_VALUE_BYTES - 1_000:
             raise ConfigurationError(field, f"one item has {item_bytes} bytes")
-        if held and size + item_bytes > SHARD_TARGET_BYTES:
+        if held and size + item_bytes > SHARD_MAX_BYTES:
             yield _render({field: held})
             held, size = [], 0
         held.append(item)
         size += item_bytes
+        if size >= SHARD_MIN_BYTES and _ends_shard(item):
+            yield _render({field: held})
+            held, size = [], 0
     if held:
         yield _render({field: held})
 
 
+def _ends_shard(item: Any) -> bool:
+    # A boundary that hangs on a name alone stays where it is when other items come, go or change.
+    return xxh32_intdigest(item[0].encode()) % ITEMS_TO_BOUNDARY == 0
+
+
 def _render(value: Any) -> bytes:
     # A NamedTuple is published as an array, which is what the readers' typed decoder takes.
     return json.dumps(value, separators=(",", ":"), ensure_ascii=False).encode()
