Judge a lost offer by the link that carried it

Cause: an offer was sent again with its id, and the sidecar's table of ids forgot by count, so a late copy could run twice; ids withdrawn unseen filled a table for good. Change: an offer is sent once on one link; who lost that link names it, the sidecar closes it before it answers, so that nothing more is read from it. Forgetting a link leads to OUTCOME_UNKNOWN, never to a second run. Answers are kept within a count and a number of bytes; a ticket's record outlives its answer. A ticket has one spelling. An entry's own refusal of a keyed request is NOT_ASKED, since an earlier one may have run. Heartbeats on a waiting exchange bound the time in which a lost sidecar is noticed. Codes of newer peers are read by their class.

--- a/guavawalk/codes.py
+++ b/guavawalk/codes.py
@@ -6,7 +6,15 @@
 from enum import IntEnum
 from typing import NamedTuple
 
-__all__ = ["CODES", "CodeClass", "ResultCode", "ResultCodeInfo", "code_class", "describe_code"]
+__all__ = [
+    "CODES",
+    "CodeClass",
+    "ResultCode",
+    "ResultCodeInfo",
+    "code_class",
+    "describe_code",
+    "read_code",
+]
 
 
 class CodeClass(IntEnum):
@@ -60,6 +68,7 @@
     WRONG_INCARNATION = 218
     MODEL_NOT_LOADED = 219
     INTERNAL_ERROR = 220
+    NOT_RUN_OTHER = 230
 
     OUTCOME_UNKNOWN = 301
     LINK_LOST = 302
@@ -67,6 +76,7 @@
     TARGET_LOST = 304
     TICKET_EXPIRED = 305
     ANSWER_DROPPED = 306
+    NOT_ASKED = 330
 
     TARGET_ERROR = 401
     TARGET_CRASHED = 402
@@ -148,12 +158,16 @@
     ResultCodeInfo(ResultCode.WRONG_INCARNATION, 503, "the process was replaced by another"),
     ResultCodeInfo(ResultCode.MODEL_NOT_LOADED, 503, "the target has not loaded this model"),
     ResultCodeInfo(ResultCode.INTERNAL_ERROR, 500, "an error before it was offered"),
+    ResultCodeInfo(ResultCode.NOT_RUN_OTHER, 503, "not run, for a reason not known here"),
     ResultCodeInfo(ResultCode.OUTCOME_UNKNOWN, 502, "it can't be known whether this ran"),
     ResultCodeInfo(ResultCode.LINK_LOST, 504, "the target's sidecar can't be asked any more"),
     ResultCodeInfo(ResultCode.INCARNATION_GONE, 502, "the process that knew was replaced"),
     ResultCodeInfo(ResultCode.TARGET_LOST, 502, "the target went silent after dispatch"),
     ResultCodeInfo(ResultCode.TICKET_EXPIRED, 409, "the ticket's record may be gone"),
     ResultCodeInfo(ResultCode.ANSWER_DROPPED, 502, "ran, but the answer is no longer held"),
+    ResultCodeInfo(
+        ResultCode.NOT_ASKED, 503, "refused here; not asked whether the key was used before"
+    ),
     ResultCodeInfo(ResultCode.TARGET_ERROR, 502, "the target answered with an error"),
     ResultCodeInfo(ResultCode.TARGET_CRASHED, 502, "the target failed while it ran this"),
     ResultCodeInfo(ResultCode.CUT_OFF, 502, "a forced shutdown cut the answer off"),
@@ -167,3 +181,29 @@
 def describe_code(code: int) -> ResultCodeInfo:
     """Return the table row of a code; an unlisted one reads as `OUTCOME_UNKNOWN`."""
     return CODES.get(code, CODES[ResultCode.OUTCOME_UNKNOWN])
+
+
+_CODE_OF_CLASS = {
+    CodeClass.COMPLETED: ResultCode.COMPLETED,
+    CodeClass.INVALID: ResultCode.BAD_REQUEST,
+    CodeClass.NOT_RUN: ResultCode.NOT_RUN_OTHER,
+    CodeClass.UNKNOWN: ResultCode.OUTCOME_UNKNOWN,
+    CodeClass.FAILED: ResultCode.TARGET_ERROR,
+}
+
+
+def read_code(number: int) -> ResultCode:
+    """Return the code of a number from a peer, or the general code of its class.
+
+    Examples
+    --------
+    >>> read_code(201).name
+    'SHED'
+    >>> read_code(299).name
+    'NOT_RUN_OTHER'
+    >>> read_code(-5).name
+    'OUTCOME_UNKNOWN'
+    """
+    if number in CODES:
+        return ResultCode(number)
+    return _CODE_OF_CLASS[code_class(number)]
--- a/guavawalk/connection/handshake.py
+++ b/guavawalk/connection/handshake.py
@@ -8,7 +8,7 @@
 
 import anyio
 
-from guavawalk.codes import ResultCode
+from guavawalk.codes import ResultCode, read_code
 from guavawalk.connection.link import Link
 from guavawalk.connection.messages import PROTOCOL_VERSION, Failure, Hello, Proof
 from guavawalk.exception import LinkBroken, RequestError
@@ -48,7 +48,8 @@
     Returns
     -------
     Hello
-        What the other end says of itself, also set as `link.peer`.
+        What the other end says of itself, also set as `link.peer`; `link.handle` is set from
+        both nonces.
 
     Raises
     ------
@@ -78,6 +79,7 @@
         await link.send(Failure(ResultCode.UNAUTHENTICATED, "wrong proof"))
         raise RequestError(ResultCode.UNAUTHENTICATED, "wrong proof")
     link.peer = theirs
+    link.handle = b"".join(sorted((mine.nonce, theirs.nonce)))
     return theirs
 
 
@@ -103,7 +105,7 @@
 async def _expect(link: Link, kind: type):
     message = await link.receive()
     if isinstance(message, Failure):
-        raise RequestError(ResultCode(message.code), message.detail)
+        raise RequestError(read_code(message.code), message.detail)
     if not isinstance(message, kind):
         raise LinkBroken(f"found {type(message).__name__}, expected {kind.__name__}")
     return message
--- a/guavawalk/connection/link.py
+++ b/guavawalk/connection/link.py
@@ -7,7 +7,10 @@
 
 from guavawalk.connection.messages import Hello, Message
 
-__all__ = ["Link", "LinkHandler", "Network"]
+__all__ = ["HEARTBEAT_S", "SILENCE_LIMIT_S", "Link", "LinkHandler", "Network"]
+
+HEARTBEAT_S = 2.0
+SILENCE_LIMIT_S = 3 * HEARTBEAT_S
 
 
 class Link(Protocol):
@@ -17,11 +20,14 @@
     ----------
     peer : Hello
         What the other end said of itself; set by the handshake.
+    handle : bytes
+        Names the link at both ends, and no other link; set by the handshake.
     peer_version : int
         Configuration version on the last message received.
     """
 
     peer: Hello
+    handle: bytes
     peer_version: int
 
     async def send(self, message: Message) -> None:
--- a/guavawalk/connection/messages.py
+++ b/guavawalk/connection/messages.py
@@ -105,19 +105,21 @@
 
 
 class Resume(NamedTuple):
-    """Ask for an attempt's answer again, from `offset` on."""
+    """Ask for an attempt's answer again, from `offset` on; `link` is where it was offered."""
 
     attempt_id: str = ""
     incarnation: int = 0
     offset: int = 0
+    link: bytes = b""
 
 
 class Withdraw(NamedTuple):
-    """Take an attempt back; with `cancel` also when it runs."""
+    """Take an attempt back, with `cancel` also when it runs; `link` is where it was offered."""
 
     attempt_id: str = ""
     incarnation: int = 0
     cancel: bool = False
+    link: bytes = b""
 
 
 class Withdrawn(NamedTuple):
--- a/guavawalk/connection/tasks/dispatch.py
+++ b/guavawalk/connection/tasks/dispatch.py
@@ -37,6 +37,10 @@
     if attempt.state is not AttemptState.DISPATCHED:
         return
     try:
+        if attempt.cancel_requested:
+            attempt.undo_dispatch()
+            end_attempt(sidecar, attempt, ResultCode.WITHDRAWN)
+            return
         with anyio.CancelScope() as scope:
             attempt.cancel_scope = scope
             await _run(sidecar, attempt)
--- a/guavawalk/connection/tasks/entry_link.py
+++ b/guavawalk/connection/tasks/entry_link.py
@@ -4,10 +4,12 @@
 
 from typing import TYPE_CHECKING
 
+import anyio
+
 from guavawalk import events
 from guavawalk.codes import ResultCode
 from guavawalk.connection.handshake import greet
-from guavawalk.connection.link import Link
+from guavawalk.connection.link import HEARTBEAT_S, Link
 from guavawalk.connection.messages import (
     Chunk,
     Failure,
@@ -26,9 +28,10 @@
 from guavawalk.connection.tasks.dispatch import run_attempt
 from guavawalk.exception import LinkBroken, RequestError
 from guavawalk.process.sidecar.admission import admit_offer, withdraw_attempt
+from guavawalk.process.sidecar.link_ledger import Exchange
 from guavawalk.process.sidecar.records import TICKET_TTL_S
 from guavawalk.process.sidecar.state import load_report
-from guavawalk.request.attempt import Attempt
+from guavawalk.request.attempt import Attempt, AttemptState
 from guavawalk.request.types import Offer
 
 if TYPE_CHECKING:
@@ -41,12 +44,16 @@
     """Serve a link until it breaks, one exchange after the other."""
     try:
         await greet(link, sidecar.identity)
-        while True:
-            await _serve_exchange(sidecar, link, await link.receive())
+        with anyio.CancelScope() as scope:
+            sidecar.links.open(link.handle, scope)
+            while True:
+                await _serve_exchange(sidecar, link, await link.receive())
     except LinkBroken as error:
         sidecar.log.emit(events.LINK_BROKEN, peer=link.peer.instance, reason=str(error))
     except RequestError as error:
         sidecar.log.emit(events.LINK_REJECTED, code=int(error.code), reason=str(error))
+    finally:
+        sidecar.links.close(link.handle)
 
 
 async def _serve_exchange(sidecar: Sidecar, link: Link, message: Message) -> None:
@@ -66,18 +73,28 @@
 
 
 async def _serve_offer(sidecar: Sidecar, link: Link, offer: Offer) -> None:
+    # A link retired while this offer was being read has been reported as empty.
+    if not sidecar.links.is_open(link.handle):
+        raise LinkBroken("retired")
     try:
         attempt, is_new = admit_offer(sidecar, offer)
     except RequestError as error:
+        refusal = Exchange(offer.attempt_id, offer.attempt_id, error.code)
+        sidecar.links.note(link.handle, refusal)
         await link.send(_refused(sidecar, offer, error))
         return
+    sidecar.links.note(link.handle, Exchange(offer.attempt_id, attempt.offer.attempt_id))
     if is_new:
         sidecar.tasks.start_soon(run_attempt, sidecar, attempt)
-    queued = Queued(offer.attempt_id, sidecar.identity.incarnation, load_report(sidecar), 0)
-    await link.send(queued)
+    await link.send(_queued(sidecar, attempt))
     await _relay_answer(sidecar, link, attempt, 0)
 
 
+def _queued(sidecar: Sidecar, attempt: Attempt) -> Queued:
+    incarnation = sidecar.identity.incarnation
+    return Queued(attempt.offer.attempt_id, incarnation, load_report(sidecar), 0)
+
+
 def _refused(sidecar: Sidecar, offer: Offer, error: RequestError) -> Refused:
     sidecar.log.emit(
         events.ATTEMPT_REFUSED,
@@ -96,20 +113,35 @@
 
 
 async def _serve_resume(sidecar: Sidecar, link: Link, resume: Resume) -> None:
-    attempt = sidecar.attempts.find(resume.attempt_id)
     if resume.incarnation != sidecar.identity.incarnation:
         await link.send(Failure(ResultCode.INCARNATION_GONE))
-    elif attempt is None:
-        await link.send(Failure(ResultCode.ANSWER_DROPPED))
-    else:
+        return
+    attempt, code = _find_offered(sidecar, resume)
+    if attempt is not None:
         await _relay_answer(sidecar, link, attempt, resume.offset)
+    else:
+        await link.send(Refused(resume.attempt_id, code, load=load_report(sidecar)))
+
+
+def _find_offered(sidecar: Sidecar, asked: Resume | Withdraw) -> tuple[Attempt | None, ResultCode]:
+    """Close the link of an offer, then say what became of the offer."""
+    exchange = sidecar.links.retire(asked.link)
+    if exchange is None:
+        return sidecar.attempts.find(asked.attempt_id), ResultCode.OUTCOME_UNKNOWN
+    if asked.attempt_id not in (exchange.offered_id, exchange.attempt_id):
+        return None, ResultCode.WITHDRAWN
+    found = sidecar.attempts.find(exchange.attempt_id)
+    return found, exchange.refused or ResultCode.ANSWER_DROPPED
 
 
 async def _serve_withdraw(sidecar: Sidecar, link: Link, withdraw: Withdraw) -> None:
     if withdraw.incarnation and withdraw.incarnation != sidecar.identity.incarnation:
         await link.send(Failure(ResultCode.INCARNATION_GONE))
         return
-    state, code = withdraw_attempt(sidecar, withdraw.attempt_id, withdraw.cancel)
+    attempt, code = _find_offered(sidecar, withdraw)
+    state = AttemptState.DONE
+    if attempt is not None:
+        state, code = withdraw_attempt(sidecar, attempt, withdraw.cancel)
     await link.send(Withdrawn(withdraw.attempt_id, state, code))
 
 
@@ -118,14 +150,30 @@
         await link.send(Failure(ResultCode.TARGET_LEAVING))
         return
     scope = f"{request.workspace}\0{request.service_path}\0{request.model}"
-    ticket = sidecar.records.issue(scope, sidecar.clock.now_s())
+    try:
+        ticket = sidecar.records.issue(scope, sidecar.clock.now_s())
+    except RequestError as error:
+        await link.send(Failure(error.code, error.detail))
+        return
     await link.send(Ticket(ticket, int(TICKET_TTL_S * 1000)))
 
 
 async def _relay_answer(sidecar: Sidecar, link: Link, attempt: Attempt, offset: int) -> None:
+    attempt.readers += 1
+    try:
+        await _relay_from(sidecar, link, attempt, offset)
+    finally:
+        attempt.readers -= 1
+
+
+async def _relay_from(sidecar: Sidecar, link: Link, attempt: Attempt, offset: int) -> None:
     answer = attempt.answer
     attempt_id = attempt.offer.attempt_id
-    await answer.wait_past(offset, started=False)
+    if answer.dropped:
+        await link.send(Refused(attempt_id, ResultCode.ANSWER_DROPPED))
+        return
+    while not (answer.started or answer.ended):
+        await _wait_or_beat(sidecar, link, attempt, offset, started=False)
     if answer.started:
         queue_ms = int((attempt.dispatched_s - attempt.offered_s) * 1000)
         await link.send(Started(attempt_id, answer.status, answer.headers, queue_ms))
@@ -137,10 +185,20 @@
         elif answer.ended:
             break
         else:
-            await answer.wait_past(offset)
+            await _wait_or_beat(sidecar, link, attempt, offset)
     await link.send(_finished(sidecar, attempt))
 
 
+async def _wait_or_beat(
+    sidecar: Sidecar, link: Link, attempt: Attempt, offset: int, started: bool = True
+) -> None:
+    """Wait for more of the answer; when there is none for a while, say that it is awaited."""
+    with anyio.move_on_after(HEARTBEAT_S):
+        await attempt.answer.wait_past(offset, started)
+        return
+    await link.send(_queued(sidecar, attempt))
+
+
 def _finished(sidecar: Sidecar, attempt: Attempt) -> Finished:
     usage = attempt.usage
     first_token_ms = (attempt.first_token_s - attempt.offered_s) * 1000
--- a/guavawalk/connection/tasks/front.py
+++ b/guavawalk/connection/tasks/front.py
@@ -24,6 +24,7 @@
 from guavawalk.connection.tasks.carry import carry_request
 from guavawalk.connection.tasks.ticket import fetch_ticket
 from guavawalk.exception import RequestError
+from guavawalk.request.ticket import code_for_key
 from guavawalk.request.types import Outcome
 
 if TYPE_CHECKING:
@@ -112,9 +113,10 @@
     entry.log.emit(
         events.REQUEST_INVALID, code=int(error.code), path=request.url.path, reason=str(error)
     )
-    outcome = Outcome(error.code, error.detail, error.retry_after_ms or 0)
-    headers = {"x-guavawalk-code": str(int(error.code))}
-    return JSONResponse(error_body(outcome), describe_code(error.code).http_status, headers)
+    code = code_for_key(error.code, request.headers.get("idempotency-key", ""))
+    outcome = Outcome(code, error.detail, error.retry_after_ms or 0)
+    headers = {"x-guavawalk-code": str(int(code))}
+    return JSONResponse(error_body(outcome), describe_code(code).http_status, headers)
 
 
 def _ticket_endpoint(entry: Entry):
--- a/guavawalk/connection/tasks/ticket.py
+++ b/guavawalk/connection/tasks/ticket.py
@@ -4,10 +4,11 @@
 
 from typing import TYPE_CHECKING
 
+import anyio
 import msgspec
 
 from guavawalk.codes import ResultCode
-from guavawalk.connection.messages import Failure, Ticket, TicketRequest
+from guavawalk.connection.messages import Ticket, TicketRequest
 from guavawalk.exception import LinkBroken, LinkRefused, RequestError
 from guavawalk.request.placement import capable_targets
 from guavawalk.request.types import Work
@@ -18,6 +19,8 @@
 
 __all__ = ["TicketBody", "fetch_ticket"]
 
+REPLY_TIMEOUT_S = 3.0
+
 
 class TicketBody(msgspec.Struct, forbid_unknown_fields=True):
     """Body of `POST /v1/tickets`: one of the two is given."""
@@ -86,12 +89,11 @@
         entry.view.note_unreachable(target.name)
         return None
     try:
-        await link.send(request)
-        reply = await link.receive()
-    except LinkBroken:
+        with anyio.fail_after(REPLY_TIMEOUT_S):
+            await link.send(request)
+            reply = await link.receive()
+    except (LinkBroken, TimeoutError):
         await link.aclose()
         return None
     await entry.links.give_back(target.sidecar, link)
-    if isinstance(reply, Failure):
-        return None
-    return reply
+    return reply if isinstance(reply, Ticket) else None
--- a/guavawalk/connection/tcp.py
+++ b/guavawalk/connection/tcp.py
@@ -47,6 +47,7 @@
 
     def __init__(self, stream: ByteStream, version: Callable[[], int]) -> None:
         self.peer = Hello()
+        self.handle = b""
         self.peer_version = 0
         self._stream = stream
         self._reader = BufferedByteReceiveStream(stream)
--- a/guavawalk/connection/wire.thrift
+++ b/guavawalk/connection/wire.thrift
@@ -99,12 +99,14 @@
   1: string attempt_id
   2: i64 incarnation
   3: i64 offset
+  30: binary link
 }
 
 struct Withdraw {
   1: string attempt_id
   2: i64 incarnation
   3: bool cancel
+  30: binary link
 }
 
 struct Withdrawn {
--- a/guavawalk/process/sidecar/admission.py
+++ b/guavawalk/process/sidecar/admission.py
@@ -31,11 +31,10 @@
     known = table.find(offer.attempt_id)
     if known is not None:
         return known, False
-    if offer.attempt_id in table.withdrawn:
-        raise RequestError(ResultCode.WITHDRAWN)
     if offer.idempotency_key:
         known = sidecar.records.find(offer, now_s)
         if known is not None:
+            known.joined = True
             return known, False
     if table.leaving:
         raise RequestError(ResultCode.TARGET_LEAVING)
@@ -73,7 +72,7 @@
 
 
 def withdraw_attempt(
-    sidecar: Sidecar, attempt_id: str, cancel: bool
+    sidecar: Sidecar, attempt: Attempt, cancel: bool
 ) -> tuple[AttemptState, ResultCode]:
     """Take an attempt back if it was not dispatched.
 
@@ -87,19 +86,20 @@
     state : AttemptState
         `DONE`, or where the attempt stands when it goes on.
     code : ResultCode
-        `WITHDRAWN` if it will never run, its code if it had ended, else `OUTCOME_UNKNOWN`.
+        Its code if it has ended, `WITHDRAWN` by this or another, else `OUTCOME_UNKNOWN`.
+
+    Notes
+    -----
+    An attempt that another request joined by the same ticket goes on.
     """
-    attempt = sidecar.attempts.find(attempt_id)
-    if attempt is None:
-        noted = sidecar.attempts.withdraw_unseen(attempt_id, sidecar.clock.now_s())
-        code = ResultCode.WITHDRAWN if noted else ResultCode.OUTCOME_UNKNOWN
-        return AttemptState.DONE, code
+    if attempt.joined:
+        return attempt.state, attempt.code
     if sidecar.queue.remove(attempt):
         end_attempt(sidecar, attempt, ResultCode.WITHDRAWN)
-        return AttemptState.DONE, ResultCode.WITHDRAWN
-    if cancel and attempt.state is not AttemptState.DONE and attempt.cancel_scope is not None:
+    elif cancel and attempt.state is not AttemptState.DONE:
         attempt.cancel_requested = True
-        attempt.cancel_scope.cancel()
+        if attempt.cancel_scope is not None:
+            attempt.cancel_scope.cancel()
     return attempt.state, attempt.code
 
 
--- /dev/null
+++ b/guavawalk/process/sidecar/link_ledger.py
@@ -0,0 +1,91 @@
+"""What each link from an entry last carried, so that a lost offer is judged without clocks.
+
+An offer is sent once, on one link. Whoever asks about it on another link names the first one;
+that link is closed here before the answer is given, so nothing more is read from it.
+"""
+
+from collections import OrderedDict
+from typing import NamedTuple
+
+import anyio
+
+from guavawalk.codes import ResultCode
+
+__all__ = ["Exchange", "LinkLedger", "create_link_ledger"]
+
+
+class Exchange(NamedTuple):
+    """The last offer read from a link.
+
+    Attributes
+    ----------
+    attempt_id : str
+        The attempt that answers it; another than offered where the ticket was used before.
+    refused : ResultCode or None
+        The code if it was refused.
+    """
+
+    offered_id: str = ""
+    attempt_id: str = ""
+    refused: ResultCode | None = None
+
+
+class OpenLink:
+    """A link that is being served."""
+
+    def __init__(self, scope: anyio.CancelScope) -> None:
+        self.scope = scope
+        self.exchange = Exchange()
+
+
+class LinkLedger:
+    """Open links, and the last exchange of those closed lately.
+
+    Notes
+    -----
+    The table of closed links is bounded; the oldest is forgotten first, and then the outcome of
+    its offer is unknown. Forgetting never lets an offer run again.
+    """
+
+    def __init__(self, capacity: int) -> None:
+        self._capacity = capacity
+        self._open: dict[bytes, OpenLink] = {}
+        self._closed: OrderedDict[bytes, Exchange] = OrderedDict()
+
+    def open(self, handle: bytes, scope: anyio.CancelScope) -> None:
+        """Note a greeted link and the scope of its task."""
+        self._open[handle] = OpenLink(scope)
+
+    def is_open(self, handle: bytes) -> bool:
+        """Say whether offers of a link may still be taken."""
+        return handle in self._open
+
+    def note(self, handle: bytes, exchange: Exchange) -> None:
+        """Note the offer that a link carries now."""
+        self._open[handle].exchange = exchange
+
+    def close(self, handle: bytes) -> None:
+        """Take no more offers of a link."""
+        link = self._open.pop(handle, None)
+        if link is None:
+            return
+        self._closed[handle] = link.exchange
+        while len(self._closed) > self._capacity:
+            self._closed.popitem(last=False)
+
+    def retire(self, handle: bytes) -> Exchange | None:
+        """Close a link for whoever lost its other end; return its last exchange if known."""
+        link = self._open.get(handle)
+        if link is not None:
+            self.close(handle)
+            link.scope.cancel()
+        return self._closed.get(handle)
+
+    def __len__(self) -> int:
+        """Count the links."""
+        return len(self._open) + len(self._closed)
+
+
+def create_link_ledger(capacity: int) -> LinkLedger:
+    """Create a ledger that remembers `capacity` closed links."""
+    return LinkLedger(capacity)
--- a/guavawalk/process/sidecar/records.py
+++ b/guavawalk/process/sidecar/records.py
@@ -5,10 +5,12 @@
 import secrets
 from typing import NamedTuple
 
+from sortedcontainers import SortedDict
+
 from guavawalk.codes import ResultCode
 from guavawalk.exception import RequestError
 from guavawalk.request.attempt import Attempt
-from guavawalk.request.ticket import TICKET_PREFIX, read_ticket
+from guavawalk.request.ticket import TICKET_PREFIX, TicketFields, read_ticket
 from guavawalk.request.types import Offer
 
 __all__ = ["TICKET_TTL_S", "Records", "create_records", "ticket_scope"]
@@ -18,11 +20,16 @@
 
 
 class Record(NamedTuple):
-    """The one call made with a ticket."""
+    """The one call made with a ticket.
+
+    Attributes
+    ----------
+    attempt : Attempt or None
+        `None` once its answer is no longer held.
+    """
 
-    body_digest: str
-    attempt: Attempt
-    issued_s: float
+    body_digest: bytes
+    attempt: Attempt | None
 
 
 class Records:
@@ -32,7 +39,8 @@
     -----
     A ticket can be checked by the incarnation that issued it and by no other, since the MAC key
     is made at start and never leaves the process. A record is dropped only once its ticket has
-    expired; from then on the ticket is refused.
+    expired; from then on the ticket is refused. A full table refuses new calls and new tickets.
+    Records are in the order of issue, so the expired ones come first.
     """
 
     def __init__(self, target: str, incarnation: int, capacity: int) -> None:
@@ -40,10 +48,17 @@
         self._incarnation = incarnation
         self._capacity = capacity
         self._key = secrets.token_bytes(32)
-        self._records: dict[str, Record] = {}
+        self._records: SortedDict = SortedDict()
 
     def issue(self, scope: str, now_s: float) -> str:
-        """Issue a ticket for one call in a scope (workspace and service or model)."""
+        """Issue a ticket for one call in a scope (workspace and service or model).
+
+        Raises
+        ------
+        RequestError
+            `RECORDS_FULL` if a call with it would be refused now.
+        """
+        self._make_room(now_s)
         nonce = secrets.token_hex(8)
         issued_ms = int(now_s * 1000)
         mac = self._mac(scope, issued_ms, nonce)
@@ -56,7 +71,8 @@
         Raises
         ------
         RequestError
-            `INCARNATION_GONE`, `TICKET_INVALID`, `TICKET_EXPIRED` or `KEY_REUSED`.
+            `INCARNATION_GONE`, `TICKET_INVALID`, `TICKET_EXPIRED`, `KEY_REUSED` or
+            `ANSWER_DROPPED`.
         """
         fields = read_ticket(offer.idempotency_key)
         if fields.target != self._target or fields.incarnation != self._incarnation:
@@ -64,13 +80,15 @@
         expected = self._mac(ticket_scope(offer), fields.issued_ms, fields.nonce)
         if not hmac.compare_digest(expected, fields.mac):
             raise RequestError(ResultCode.TICKET_INVALID)
-        if now_s - fields.issued_ms / 1000 > TICKET_TTL_S:
+        if _has_expired(fields.issued_ms, now_s):
             raise RequestError(ResultCode.TICKET_EXPIRED)
-        record = self._records.get(offer.idempotency_key)
+        record = self._records.get(_key(fields))
         if record is None:
             return None
         if record.body_digest != _body_digest(offer):
             raise RequestError(ResultCode.KEY_REUSED)
+        if record.attempt is None:
+            raise RequestError(ResultCode.ANSWER_DROPPED)
         return record.attempt
 
     def add(self, attempt: Attempt, now_s: float) -> None:
@@ -81,41 +99,64 @@
         RequestError
             `RECORDS_FULL` if every record is live.
         """
-        self._drop_expired(now_s)
-        if len(self._records) >= self._capacity:
-            raise RequestError(ResultCode.RECORDS_FULL)
-        fields = read_ticket(attempt.offer.idempotency_key)
-        record = Record(_body_digest(attempt.offer), attempt, fields.issued_ms / 1000)
-        self._records[attempt.offer.idempotency_key] = record
+        self._make_room(now_s)
+        key = _key(read_ticket(attempt.offer.idempotency_key))
+        self._records[key] = Record(_body_digest(attempt.offer), attempt)
 
     def forget(self, attempt: Attempt) -> None:
         """Drop the record of an attempt that was not run, so that its ticket may be used again."""
-        record = self._records.get(attempt.offer.idempotency_key)
+        key = _key(read_ticket(attempt.offer.idempotency_key))
+        record = self._records.get(key)
         if record is not None and record.attempt is attempt:
-            del self._records[attempt.offer.idempotency_key]
+            del self._records[key]
+
+    def drop_answer(self, attempt: Attempt) -> None:
+        """Keep only the fact that an attempt ran; its answer is no longer held."""
+        if not attempt.offer.idempotency_key:
+            return
+        key = _key(read_ticket(attempt.offer.idempotency_key))
+        record = self._records.get(key)
+        if record is not None and record.attempt is attempt:
+            self._records[key] = record._replace(attempt=None)
 
     def __len__(self) -> int:
         """Count the records."""
         return len(self._records)
 
-    def _drop_expired(self, now_s: float) -> None:
-        for key, record in list(self._records.items()):
-            if now_s - record.issued_s > TICKET_TTL_S:
-                del self._records[key]
+    def _make_room(self, now_s: float) -> None:
+        while self._records and _has_expired(self._records.peekitem(0)[0].issued_ms, now_s):
+            self._records.popitem(0)
+        if len(self._records) >= self._capacity:
+            raise RequestError(ResultCode.RECORDS_FULL)
 
     def _mac(self, scope: str, issued_ms: int, nonce: str) -> str:
         text = f"{scope}\0{issued_ms}\0{nonce}".encode()
         return hmac.new(self._key, text, hashlib.sha256).hexdigest()[:MAC_CHARS]
 
 
+class RecordKey(NamedTuple):
+    """What orders and finds a record."""
+
+    issued_ms: int
+    nonce: str
+
+
+def _key(fields: TicketFields) -> RecordKey:
+    return RecordKey(fields.issued_ms, fields.nonce)
+
+
+def _has_expired(issued_ms: int, now_s: float) -> bool:
+    return now_s - issued_ms / 1000 > TICKET_TTL_S
+
+
 def ticket_scope(offer: Offer) -> str:
     """Return what a ticket is bound to: the workspace, and the service or model."""
     return f"{offer.workspace}\0{offer.service_path}\0{offer.model}"
 
 
-def _body_digest(offer: Offer) -> str:
-    text = f"{offer.method}\0{offer.path}\0".encode() + offer.body
-    return hashlib.blake2b(text, digest_size=16).hexdigest()
+def _body_digest(offer: Offer) -> bytes:
+    text = f"{offer.method}\0{offer.path}\0{offer.adapter}\0".encode() + offer.body
+    return hashlib.blake2b(text, digest_size=16).digest()
 
 
 def create_records(target: str, incarnation: int, capacity: int) -> Records:
--- a/guavawalk/process/sidecar/state.py
+++ b/guavawalk/process/sidecar/state.py
@@ -11,6 +11,7 @@
 from guavawalk.process.clock import Clock
 from guavawalk.process.observe.log import EventLog
 from guavawalk.process.observe.metrics import Metrics
+from guavawalk.process.sidecar.link_ledger import LinkLedger
 from guavawalk.process.sidecar.queue import Queue
 from guavawalk.process.sidecar.records import Records
 from guavawalk.process.sidecar.window import DispatchWindow
@@ -18,9 +19,14 @@
 from guavawalk.request.types import LoadReport
 from guavawalk.version.held import HeldVersion
 
-__all__ = ["AttemptTable", "Sidecar", "SidecarLimits", "create_attempt_table", "load_report"]
-
-ANSWER_GRACE_S = 30.0
+__all__ = [
+    "AttemptTable",
+    "Sidecar",
+    "SidecarLimits",
+    "create_attempt_table",
+    "end_attempt",
+    "load_report",
+]
 
 
 class SidecarLimits(NamedTuple):
@@ -28,17 +34,18 @@
 
     answer_bytes: int = 4 * 1024 * 1024
     kept_answers: int = 2_000
-    withdrawn_ids: int = 20_000
+    kept_answer_bytes: int = 32 * 1024 * 1024
+    closed_links: int = 4_096
 
 
 class AttemptTable:
-    """Attempts by id: those that live, the last ones that ended, and ids withdrawn unseen."""
+    """Attempts by id: those that live, and the last ones that ended."""
 
     def __init__(self, limits: SidecarLimits) -> None:
         self.limits = limits
         self.live: dict[str, Attempt] = {}
         self.ended: OrderedDict[str, Attempt] = OrderedDict()
-        self.withdrawn: dict[str, float] = {}
+        self.kept_bytes = 0
         self.running = 0
         self.leaving = False
 
@@ -46,21 +53,31 @@
         """Return an attempt that lives or is still kept."""
         return self.live.get(attempt_id) or self.ended.get(attempt_id)
 
-    def retire(self, attempt: Attempt) -> None:
-        """Move an ended attempt from the live ones to the kept ones."""
+    def retire(self, attempt: Attempt) -> list[Attempt]:
+        """Move an ended attempt from the live ones to the kept ones; return those dropped."""
         attempt_id = attempt.offer.attempt_id
         if self.live.pop(attempt_id, None) is None:
-            return
+            return []
+        attempt.slim()
         self.ended[attempt_id] = attempt
-        while len(self.ended) > self.limits.kept_answers:
-            self.ended.popitem(last=False)
-
-    def withdraw_unseen(self, attempt_id: str, now_s: float) -> bool:
-        """Note an id so that a late offer of it is refused; False if there is no room."""
-        if len(self.withdrawn) >= self.limits.withdrawn_ids:
-            return False
-        self.withdrawn[attempt_id] = now_s
-        return True
+        self.kept_bytes += attempt.answer.length
+        return self._drop_oldest()
+
+    def _drop_oldest(self) -> list[Attempt]:
+        dropped = []
+        while self._over():
+            oldest = next((kept for kept in self.ended.values() if not kept.readers), None)
+            if oldest is None:
+                break
+            del self.ended[oldest.offer.attempt_id]
+            self.kept_bytes -= oldest.answer.length
+            oldest.answer.drop()
+            dropped.append(oldest)
+        return dropped
+
+    def _over(self) -> bool:
+        too_many = len(self.ended) > self.limits.kept_answers
+        return too_many or self.kept_bytes > self.limits.kept_answer_bytes
 
 
 class Sidecar(NamedTuple):
@@ -81,6 +98,7 @@
     window: DispatchWindow
     records: Records
     attempts: AttemptTable
+    links: LinkLedger
     log: EventLog
     metrics: Metrics
     tasks: TaskGroup
@@ -110,6 +128,7 @@
 def end_attempt(sidecar: Sidecar, attempt: Attempt, code: ResultCode, detail: str = "") -> None:
     """End an attempt and keep its answer for a while."""
     attempt.finish(code, sidecar.clock.now_s(), detail)
-    sidecar.attempts.retire(attempt)
     if not attempt.has_run and attempt.offer.idempotency_key:
         sidecar.records.forget(attempt)
+    for dropped in sidecar.attempts.retire(attempt):
+        sidecar.records.drop_answer(dropped)
--- a/guavawalk/process/sidecar_daemon.py
+++ b/guavawalk/process/sidecar_daemon.py
@@ -30,6 +30,7 @@
 )
 from guavawalk.process.shutdown import watch_signals
 from guavawalk.process.sidecar.admission import start_leaving
+from guavawalk.process.sidecar.link_ledger import create_link_ledger
 from guavawalk.process.sidecar.queue import create_tier_queue
 from guavawalk.process.sidecar.records import create_records
 from guavawalk.process.sidecar.state import Sidecar, SidecarLimits, create_attempt_table
@@ -78,6 +79,7 @@
         settings.fleet_secret.encode(),
         lambda: held.stamp,
     )
+    limits = SidecarLimits(answer_bytes=settings.answer_limit_bytes)
     return Sidecar(
         identity=identity,
         target_name=settings.target,
@@ -87,7 +89,8 @@
         queue=create_tier_queue(settings.queue_slots),
         window=create_fixed_window(settings.window_slots),
         records=create_records(settings.target, incarnation, settings.record_slots),
-        attempts=create_attempt_table(SidecarLimits(answer_bytes=settings.answer_limit_bytes)),
+        attempts=create_attempt_table(limits),
+        links=create_link_ledger(limits.closed_links),
         log=log,
         metrics=create_metrics(settings.statsd),
         tasks=tasks,
--- a/guavawalk/request/answer.py
+++ b/guavawalk/request/answer.py
@@ -22,6 +22,7 @@
         self.headers: tuple[str, ...] = ()
         self.started = False
         self.ended = False
+        self.dropped = False
         self._data = bytearray()
         self._grown = anyio.Event()
 
@@ -55,6 +56,12 @@
         self.ended = True
         self._wake()
 
+    def drop(self) -> None:
+        """Forget the bytes; a reader must be told so."""
+        self.dropped = True
+        self._data = bytearray()
+        self._wake()
+
     def take_from(self, offset: int) -> bytes:
         """Return the bytes from `offset` on that are there now."""
         return bytes(memoryview(self._data)[offset:])
--- a/guavawalk/request/attempt.py
+++ b/guavawalk/request/attempt.py
@@ -30,6 +30,10 @@
         On this process's monotonic clock.
     turn : anyio.Event
         Set when the attempt may be dispatched, or has ended before that.
+    joined : bool
+        Whether another request with the same ticket waits for it too.
+    readers : int
+        Links that relay its answer now.
     """
 
     def __init__(self, offer: Offer, offered_s: float, answer: Answer) -> None:
@@ -44,6 +48,8 @@
         self.detail = ""
         self.usage = Usage()
         self.cancel_requested = False
+        self.joined = False
+        self.readers = 0
         self.cancel_scope: anyio.CancelScope | None = None
         self.answer = answer
         self.turn = anyio.Event()
@@ -67,6 +73,10 @@
         """Take the dispatch back, since the target took no connection."""
         self.dispatched_s = 0.0
 
+    def slim(self) -> None:
+        """Let go of what only the run needed."""
+        self.offer = self.offer._replace(body=b"", headers=(), prefix_hashes=())
+
     def stream(self, now_s: float) -> None:
         """Note the first token."""
         self.state = AttemptState.STREAMING
