Let operators write configurations in Python

Cause: the configuration could only be made from a plan inside the code. Change: guavawalk.version.authoring checks each part as it is written and renders documents that a node would take. guavawalk config renders, checks, compares and explains them. An item over a shard's size is named.

--- a/guavawalk/process/commands/app.py
+++ b/guavawalk/process/commands/app.py
@@ -11,6 +11,7 @@
 
 from guavawalk.exception import GuavawalkError
 from guavawalk.process.commands.bench import bench_app
+from guavawalk.process.commands.config import config_app
 
 __all__ = ["app", "main"]
 
@@ -20,6 +21,7 @@
 settings_app = App(name="settings", help="Work with settings files.")
 app.command(settings_app)
 app.command(bench_app)
+app.command(config_app)
 
 SettingsFile = Annotated[Path, Parameter(name="--settings", help="JSON with comments.")]
 
--- a/guavawalk/process/commands/bench.py
+++ b/guavawalk/process/commands/bench.py
@@ -46,3 +46,13 @@
                 write_line(json_file, results[-1])
     print_results(results)
     return 0
+
+
+@bench_app.command
+def render(workspaces: int = 29_000, targets: int = 2_100) -> int:
+    """Render, check and build a configuration of the final size."""
+    from guavawalk.process.bench.render import measure_render
+
+    for name, value in measure_render(workspaces, targets)._asdict().items():
+        print(f"{name}: {value:.2f}" if isinstance(value, float) else f"{name}: {value}")
+    return 0
--- /dev/null
+++ b/guavawalk/process/commands/config.py
@@ -0,0 +1,136 @@
+"""`guavawalk config`: configurations written in Python, and what they would change."""
+
+from pathlib import Path
+from typing import Annotated
+
+from cyclopts import App, Parameter
+from rich.console import Console
+from rich.table import Table
+
+from guavawalk.exception import ConfigurationError
+from guavawalk.request.explain import explain_placement
+from guavawalk.request.placement import create_least_reported_load
+from guavawalk.request.types import Work
+from guavawalk.version.authoring import (
+    describe_changes,
+    load_configuration,
+    load_draft,
+    render_draft,
+    write_documents,
+)
+from guavawalk.version.types import Configuration
+
+__all__ = ["config_app", "request_of"]
+
+config_app = App(name="config", help="Render, check and compare configurations.")
+
+Version = Annotated[int, Parameter(help="Number of the version, above the one in force.")]
+OutDirectory = Annotated[Path, Parameter(help="Directory for the documents.")]
+
+
+@config_app.command
+def render(file: Path, *, version: Version, out: OutDirectory) -> int:
+    """Write the documents of an operator's Python file, each under its key."""
+    documents = render_draft(load_draft(file), version)
+    new_shards = write_documents(documents, out)
+    print(f"version {version}, digest {documents.stamp.digest}")
+    print(f"{len(documents.shards)} shards, {new_shards} of them new in {out}; publish root last")
+    return 0
+
+
+@config_app.command
+def check(file: Path) -> int:
+    """Check an operator's file, or a directory of rendered documents."""
+    found = load_configuration(file)
+    counts = (
+        f"{len(found.tiers)} tiers",
+        f"{len(found.targets)} targets",
+        f"{len(found.workspaces)} workspaces",
+    )
+    print(f"{file}: fine; {', '.join(counts)}")
+    return 0
+
+
+@config_app.command
+def diff(old: Path, new: Path) -> int:
+    """Say what the second of two configurations would change, and for whom."""
+    changes = describe_changes(load_configuration(old), load_configuration(new))
+    for change in changes:
+        print(change)
+    if not changes:
+        print("nothing changes")
+    return 0
+
+
+@config_app.command
+def explain(
+    file: Path,
+    *,
+    workspace: str,
+    tier: str = "",
+    model: str = "",
+    service: str = "",
+    adapter: str = "",
+    prompt_tokens: int = 100,
+    output_tokens: int = 0,
+    here: str = "",
+) -> int:
+    """Say which targets may serve a request, in what order and why.
+
+    Parameters
+    ----------
+    here : str
+        Data centre of the entry that the request comes to.
+    """
+    configuration = load_configuration(file)
+    if here:
+        _check_defined("--here", here, configuration.data_centres)
+    work = request_of(configuration, workspace, tier, model, service)
+    expected_tokens = output_tokens or work.expected_output_tokens
+    work = work._replace(
+        adapter=adapter, prompt_tokens=prompt_tokens, expected_output_tokens=expected_tokens
+    )
+    table = Table("order", "target", "why")
+    for row in explain_placement(work, here, create_least_reported_load()):
+        table.add_row(str(row.order or "-"), row.target, row.reason)
+    Console().print(table)
+    print("all targets taken as idle and reachable")
+    return 0
+
+
+def request_of(
+    configuration: Configuration, workspace: str, tier: str, model: str, service: str
+) -> Work:
+    """Return the work of a request that names these.
+
+    Raises
+    ------
+    ConfigurationError
+        If one is not defined, or the workspace may not use it.
+    """
+    _check_defined("--workspace", workspace, configuration.workspaces)
+    owner = configuration.workspaces[workspace]
+    tier = tier or owner.default_tier
+    _check_defined("--tier", tier, owner.tiers)
+    if bool(model) == bool(service):
+        raise ConfigurationError("--model", "allowed is one of --model and --service")
+    if model:
+        _check_defined("--model", model, owner.models)
+    else:
+        _check_defined("--service", service, owner.services)
+    return Work(
+        trace_id="",
+        configuration=configuration,
+        workspace=owner,
+        tier=configuration.tiers[tier],
+        deadline_s=float("inf"),
+        model=model,
+        service_path=service,
+        expected_output_tokens=configuration.models[model].expected_output_tokens if model else 0,
+    )
+
+
+def _check_defined(place: str, name: str, allowed) -> None:
+    if name not in allowed:
+        listed = ", ".join(list(allowed)[:10]) or "none"
+        raise ConfigurationError(place, f"found {name!r:.80}, allowed are {listed}")
--- /dev/null
+++ b/guavawalk/version/authoring/checks.py
@@ -0,0 +1,99 @@
+"""Checks of single values, made while an operator writes them."""
+
+import ipaddress
+import math
+import re
+from collections.abc import Iterable, Mapping
+from typing import TypeVar
+
+from guavawalk.exception import ConfigurationError
+from guavawalk.version.documents import digest_bytes
+
+__all__ = [
+    "check_address",
+    "check_at_least",
+    "check_fraction",
+    "check_known",
+    "check_name",
+    "digest_keys",
+    "names_of",
+]
+
+T = TypeVar("T")
+
+MAX_NAME_CHARS = 64
+MAX_PORT = 65_535
+DIGEST_PATTERN = re.compile("[0-9a-f]{64}")
+NAME_PATTERN = re.compile(r"[A-Za-z0-9][A-Za-z0-9_-]*")
+
+
+def check_name(kind: str, name: str, taken: Mapping[str, object]) -> str:
+    """Check that a name is well formed and free; return its place in messages.
+
+    Raises
+    ------
+    ConfigurationError
+        If the name stands already or has a character that metrics and URLs can't carry.
+    """
+    if not isinstance(name, str) or not NAME_PATTERN.fullmatch(name) or len(name) > MAX_NAME_CHARS:
+        problem = f"found {name!r:.80}, allowed are up to {MAX_NAME_CHARS} of A-Z a-z 0-9 _ -"
+        raise ConfigurationError(f"{kind}.name", problem)
+    place = f"{kind}.{name}"
+    if name in taken:
+        raise ConfigurationError(place, "the name stands twice")
+    return place
+
+
+def check_at_least(place: str, value: float, lowest: float, exclusive: bool = False) -> None:
+    """Check that a number is finite and at least `lowest`, or above it if `exclusive`."""
+    is_number = isinstance(value, int | float) and not isinstance(value, bool)
+    allowed = f"more than {lowest}" if exclusive else f"{lowest} or more"
+    if not is_number or not math.isfinite(value) or value < lowest:
+        raise ConfigurationError(place, f"found {value!r}, allowed is {allowed}")
+    if exclusive and value == lowest:
+        raise ConfigurationError(place, f"found {value!r}, allowed is {allowed}")
+
+
+def check_fraction(place: str, value: float) -> None:
+    """Check that a number lies from 0 to 1."""
+    check_at_least(place, value, 0)
+    if value > 1:
+        raise ConfigurationError(place, f"found {value!r}, allowed is 0 to 1")
+
+
+def check_address(place: str, address: str) -> None:
+    """Check that an address is `IP:port`, with a numeric IP and a port of 1 to 65535."""
+    host, _, port = str(address).rpartition(":")
+    try:
+        ipaddress.ip_address(host.strip("[]"))
+        is_port = port.isascii() and port.isdigit() and 1 <= int(port) <= MAX_PORT
+    except ValueError:
+        is_port = False
+    if not is_port:
+        raise ConfigurationError(place, f"found {address!r:.80}, allowed is IP:port")
+
+
+def check_known(
+    place: str, items: Iterable[T], known: Mapping[str, T], field: str = "name"
+) -> None:
+    """Check that each value referred to was added to the same draft."""
+    for item in items:
+        name = getattr(item, field, item)
+        if known.get(name) != item:
+            raise ConfigurationError(place, f"found {name!r:.80}, which is not defined")
+
+
+def names_of(items: Iterable[T], field: str = "name") -> tuple[str, ...]:
+    """Return the names of values; a value without one stands for itself."""
+    return tuple(getattr(item, field, str(item)) for item in items)
+
+
+def digest_keys(place: str, keys: Iterable[str], digests: Iterable[str]) -> tuple[str, ...]:
+    """Return the digests of keys, with those given as digests; a message never shows either."""
+    found = [digest_bytes(key.encode()) for key in keys]
+    for digest in digests:
+        if not DIGEST_PATTERN.fullmatch(digest):
+            problem = f"found {len(digest)} characters, allowed are 64 hex digits"
+            raise ConfigurationError(f"{place}.key_digests", problem)
+        found.append(digest)
+    return tuple(found)
--- /dev/null
+++ b/guavawalk/version/authoring/draft.py
@@ -0,0 +1,304 @@
+"""A configuration while an operator writes it."""
+
+from collections.abc import Iterable, Sequence
+from typing import Any
+
+from guavawalk.exception import ConfigurationError
+from guavawalk.version.authoring.checks import (
+    check_address,
+    check_at_least,
+    check_fraction,
+    check_known,
+    check_name,
+    digest_keys,
+    names_of,
+)
+from guavawalk.version.types import (
+    Crossing,
+    DataCentre,
+    DesiredState,
+    Generation,
+    Model,
+    Service,
+    Target,
+    Tier,
+    Workspace,
+    WorkspaceLimits,
+)
+
+__all__ = ["Draft", "create_draft"]
+
+ENGINE_ROLES = ("mixed", "prefill", "decode")
+
+
+class Draft:
+    """Parts of a configuration, each checked as it is added.
+
+    Notes
+    -----
+    Each `add_*` method returns the value that it added; pass it on where it is referred to, so
+    that an editor completes it and a misspelt name fails at once. Every method raises
+    `ConfigurationError`, which names the place and what is allowed.
+    """
+
+    def __init__(self) -> None:
+        self.tiers: dict[str, Tier] = {}
+        self.data_centres: dict[str, DataCentre] = {}
+        self.crossings: dict[frozenset[str], Crossing] = {}
+        self.generations: dict[str, Generation] = {}
+        self.models: dict[str, Model] = {}
+        self.services: dict[str, Service] = {}
+        self.targets: dict[str, Target] = {}
+        self.workspaces: dict[str, Workspace] = {}
+        self._owner_of_address: dict[str, str] = {}
+        self._owner_of_key: dict[str, str] = {}
+
+    def add_tier(
+        self,
+        name: str,
+        *,
+        deadline_ms: int = 60_000,
+        first_token_ms: int = 10_000,
+        reserved_share: float = 0.0,
+        rank: int | None = None,
+    ) -> Tier:
+        """Add a tier; without a rank, it comes after those added before.
+
+        Parameters
+        ----------
+        reserved_share : float
+            Part of each target's dispatch window kept for this tier and more urgent ones.
+        rank : int, optional
+            0 is the most urgent; `render_draft` refuses a gap.
+        """
+        place = check_name("tiers", name, self.tiers)
+        check_at_least(f"{place}.deadline_ms", deadline_ms, 1)
+        check_at_least(f"{place}.first_token_ms", first_token_ms, 1)
+        check_fraction(f"{place}.reserved_share", reserved_share)
+        rank = len(self.tiers) if rank is None else rank
+        check_at_least(f"{place}.rank", rank, 0)
+        tier = Tier(name, rank, deadline_ms, first_token_ms, float(reserved_share))
+        self.tiers[name] = tier
+        return tier
+
+    def add_data_centre(self, name: str, *, region: str) -> DataCentre:
+        """Add a data centre."""
+        check_name("data_centres", name, self.data_centres)
+        check_name(f"data_centres.{name}.region", region, {})
+        centre = DataCentre(name, region)
+        self.data_centres[name] = centre
+        return centre
+
+    def add_crossing(
+        self, a: DataCentre, b: DataCentre, *, delay_ms: float, price: float = 0.0
+    ) -> Crossing:
+        """Add the cost of going between two data centres, either way."""
+        names = names_of((a, b))
+        place = f"crossings.{'-'.join(names)}"
+        check_known(place, (a, b), self.data_centres)
+        pair = frozenset(names)
+        if len(pair) == 1 or pair in self.crossings:
+            raise ConfigurationError(place, "allowed is one crossing between two data centres")
+        check_at_least(f"{place}.delay_ms", delay_ms, 0)
+        check_at_least(f"{place}.price", price, 0)
+        first, second = sorted(pair)
+        crossing = Crossing(first, second, float(delay_ms), float(price))
+        self.crossings[pair] = crossing
+        return crossing
+
+    def add_generation(
+        self,
+        name: str,
+        *,
+        prefill_tokens_per_s: float,
+        decode_tokens_per_s: float,
+        batch_slots: int,
+        cache_tokens: int = 0,
+    ) -> Generation:
+        """Add a generation of hardware with the speed of one target."""
+        place = check_name("generations", name, self.generations)
+        check_at_least(f"{place}.prefill_tokens_per_s", prefill_tokens_per_s, 0, exclusive=True)
+        check_at_least(f"{place}.decode_tokens_per_s", decode_tokens_per_s, 0, exclusive=True)
+        check_at_least(f"{place}.batch_slots", batch_slots, 1)
+        check_at_least(f"{place}.cache_tokens", cache_tokens, 0)
+        speeds = (float(prefill_tokens_per_s), float(decode_tokens_per_s))
+        generation = Generation(name, *speeds, batch_slots, cache_tokens)
+        self.generations[name] = generation
+        return generation
+
+    def add_model(
+        self, name: str, *, context_tokens: int = 131_072, expected_output_tokens: int = 256
+    ) -> Model:
+        """Add a model that callers may name."""
+        place = check_name("models", name, self.models)
+        check_at_least(f"{place}.context_tokens", context_tokens, 1)
+        check_at_least(f"{place}.expected_output_tokens", expected_output_tokens, 1)
+        model = Model(name, context_tokens, expected_output_tokens)
+        self.models[name] = model
+        return model
+
+    def add_service(
+        self,
+        path: str,
+        *,
+        idempotent_methods: Sequence[str] = ("GET", "HEAD", "OPTIONS"),
+        deadline_ms: int = 10_000,
+    ) -> Service:
+        """Add a plain service; `path` is the first segment of its URLs."""
+        place = check_name("services", path, self.services)
+        check_at_least(f"{place}.deadline_ms", deadline_ms, 1)
+        service = Service(path, tuple(idempotent_methods), deadline_ms)
+        self.services[path] = service
+        return service
+
+    def add_engine(
+        self,
+        name: str,
+        data_centre: DataCentre,
+        sidecar: str,
+        generation: Generation,
+        *,
+        models: Sequence[Model],
+        adapters: Sequence[str] = (),
+        role: str = "mixed",
+        checks_fencing: bool = False,
+    ) -> Target:
+        """Add a target that runs models.
+
+        Parameters
+        ----------
+        sidecar : str
+            Address of its sidecar, `IP:port`.
+        checks_fencing : bool
+            Whether the engine refuses an order with an old fencing number.
+        """
+        place = check_name("targets", name, self.targets)
+        check_known(f"{place}.generation", (generation,), self.generations)
+        check_known(f"{place}.models", models, self.models)
+        if role not in ENGINE_ROLES:
+            problem = f"found {role!r:.80}, allowed is one of {', '.join(ENGINE_ROLES)}"
+            raise ConfigurationError(f"{place}.role", problem)
+        target = Target(
+            name=name,
+            kind="model",
+            data_centre=data_centre,
+            sidecar=sidecar,
+            generation=generation.name,
+            desired=DesiredState(names_of(models), tuple(adapters), role),
+            checks_fencing=checks_fencing,
+        )
+        return self._add_target(place, target, data_centre)
+
+    def add_service_target(
+        self, name: str, data_centre: DataCentre, sidecar: str, service: Service
+    ) -> Target:
+        """Add a target that serves a plain service; `sidecar` is `IP:port`."""
+        place = check_name("targets", name, self.targets)
+        check_known(f"{place}.service", (service,), self.services, "path")
+        target = Target(name, "service", data_centre, sidecar, service=service.path)
+        return self._add_target(place, target, data_centre)
+
+    def _add_target(self, place: str, target: Target, data_centre: DataCentre) -> Target:
+        check_known(f"{place}.data_centre", (data_centre,), self.data_centres)
+        check_address(f"{place}.sidecar", target.sidecar)
+        owner = self._owner_of_address.setdefault(target.sidecar, target.name)
+        if owner != target.name:
+            raise ConfigurationError(f"{place}.sidecar", f"{target.sidecar} is also {owner}'s")
+        target = target._replace(data_centre=data_centre.name)
+        self.targets[target.name] = target
+        return target
+
+    def retire_target(self, target: Target | str) -> Target:
+        """Mark a target as leaving: it gets no new work, and what runs goes on."""
+        name = target if isinstance(target, str) else target.name
+        if name not in self.targets:
+            raise ConfigurationError(f"targets.{name}", "no such target is defined")
+        self.targets[name] = self.targets[name]._replace(leaving=True)
+        return self.targets[name]
+
+    def add_workspace(
+        self,
+        name: str,
+        *,
+        tiers: Sequence[Tier],
+        default_tier: Tier | None = None,
+        models: Sequence[Model] = (),
+        services: Sequence[Service] = (),
+        data_centres: Sequence[DataCentre] = (),
+        keys: Iterable[str] = (),
+        key_digests: Iterable[str] = (),
+        weight: float = 1.0,
+        requests_per_s: float = 0.0,
+        prompt_tokens_per_s: float = 0.0,
+        long_requests: int = 0,
+    ) -> Workspace:
+        """Add a workspace.
+
+        Parameters
+        ----------
+        default_tier : Tier, optional
+            Tier of requests that name none; the first of `tiers` without it.
+        data_centres : sequence of DataCentre
+            Where its work may run; empty for anywhere.
+        keys, key_digests : iterable of str
+            API keys, of which only digests are kept, and digests of keys.
+        weight : float
+            Share beside other workspaces when a queue is full.
+        requests_per_s, prompt_tokens_per_s, long_requests : float
+            Limits over the whole system; 0 means none.
+        """
+        place = check_name("workspaces", name, self.workspaces)
+        self._check_workspace_references(place, tiers, models, services, data_centres)
+        default = default_tier or tiers[0]
+        check_known(f"{place}.default_tier", (default,), {tier.name: tier for tier in tiers})
+        check_at_least(f"{place}.weight", weight, 0, exclusive=True)
+        limits = WorkspaceLimits(requests_per_s, prompt_tokens_per_s, long_requests)
+        for field, value in limits._asdict().items():
+            check_at_least(f"{place}.limits.{field}", value, 0)
+        digests = digest_keys(place, keys, key_digests)
+        self._own_keys(place, name, digests)
+        workspace = Workspace(
+            name=name,
+            key_digests=digests,
+            tiers=names_of(tiers),
+            default_tier=default.name,
+            models=names_of(models),
+            services=names_of(services, "path"),
+            data_centres=names_of(data_centres),
+            weight=float(weight),
+            limits=limits,
+        )
+        self.workspaces[name] = workspace
+        return workspace
+
+    def _check_workspace_references(self, place, tiers, models, services, data_centres) -> None:
+        if not tiers:
+            raise ConfigurationError(f"{place}.tiers", "allowed is one tier or more")
+        check_known(f"{place}.tiers", tiers, self.tiers)
+        check_known(f"{place}.models", models, self.models)
+        check_known(f"{place}.services", services, self.services, "path")
+        check_known(f"{place}.data_centres", data_centres, self.data_centres)
+
+    def _own_keys(self, place: str, name: str, digests: Sequence[str]) -> None:
+        for digest in digests:
+            owner = self._owner_of_key.setdefault(digest, name)
+            if owner != name:
+                raise ConfigurationError(f"{place}.keys", f"one of the keys is also {owner}'s")
+
+    def parts(self) -> dict[str, list[Any]]:
+        """Return all parts by field of `ShardDocument`, in an order that names alone give."""
+        return {
+            "tiers": sorted(self.tiers.values(), key=lambda tier: (tier.rank, tier.name)),
+            "data_centres": sorted(self.data_centres.values()),
+            "crossings": sorted(self.crossings.values()),
+            "generations": sorted(self.generations.values()),
+            "models": sorted(self.models.values()),
+            "services": sorted(self.services.values()),
+            "targets": sorted(self.targets.values()),
+            "workspaces": sorted(self.workspaces.values()),
+        }
+
+
+def create_draft() -> Draft:
+    """Create an empty draft."""
+    return Draft()
--- a/guavawalk/version/publish.py
+++ b/guavawalk/version/publish.py
@@ -22,6 +22,7 @@
 SHARD_MIN_BYTES = 24_000
 SHARD_MAX_BYTES = 400_000
 ITEMS_TO_BOUNDARY = 100
+MAX_ITEM_BYTES = MAX_VALUE_BYTES - 1_000
 
 
 def render_documents(version: int, parts: Mapping[str, Iterable[Any]]) -> VersionDocuments:
@@ -63,8 +64,9 @@
     for item in items:
         rendered = _render(item)
         item_bytes = len(rendered) + 1
-        if item_bytes > MAX_VALUE_BYTES - 1_000:
-            raise ConfigurationError(field, f"one item has {item_bytes} bytes")
+        if item_bytes > MAX_ITEM_BYTES:
+            problem = f"{item_bytes} bytes, allowed in one shard are {MAX_ITEM_BYTES}"
+            raise ConfigurationError(f"{field}.{item[0]:.80}", problem)
         if held and size + item_bytes > SHARD_MAX_BYTES:
             yield _render({field: held})
             held, size = [], 0
--- /dev/null
+++ b/tests/request/test_explain.py
@@ -0,0 +1,60 @@
+"""Explanations of placement against the decisions themselves."""
+
+import pytest
+
+from guavawalk.process.commands.config import request_of
+from guavawalk.request.explain import explain_placement
+from guavawalk.request.placement import capable_targets, create_least_reported_load
+from guavawalk.version.authoring import check_draft
+from tests.version.authoring.test_draft import add_engine, small_draft
+
+
+def reasons(draft, here: str = "victoria", **changes) -> dict[str, str]:
+    work = request_of(check_draft(draft), "harbour", "", "quill", "")._replace(**changes)
+    rows = explain_placement(work, here, create_least_reported_load())
+    capable = {target.name for target in capable_targets(work, work.configuration)}
+    assert {row.target for row in rows if row.order} == capable
+    assert {row.target for row in rows} == set(work.configuration.targets)
+    return {row.target: row.reason for row in rows}
+
+
+class TestExplanation:
+    def test_capable_target_gives_its_speed(self):
+        found = reasons(small_draft(), prompt_tokens=4_000, expected_output_tokens=120)
+        assert "in victoria, the entry's data centre" in found["engine-0"]
+        assert "gen-a: prefill 1000 ms, answer 1000 ms" in found["engine-0"]
+        assert found["booking-0"] == "does not hold model 'quill'"
+
+    @pytest.mark.parametrize(
+        ("changes", "reason"),
+        [
+            ({"role": "prefill"}, "only fills caches"),
+            ({"models": []}, "does not hold model 'quill'"),
+        ],
+    )
+    def test_incapable_target_gives_its_objection(self, changes, reason):
+        draft = small_draft()
+        add_engine(draft, **changes)
+        assert reason in reasons(draft)["engine-1"]
+
+    def test_leaving(self):
+        draft = small_draft()
+        draft.retire_target("engine-0")
+        assert reasons(draft)["engine-0"] == "is leaving"
+
+    def test_adapter(self):
+        assert "does not hold adapter 'gilt'" in reasons(small_draft(), adapter="gilt")["engine-0"]
+
+    def test_workspace_rules(self):
+        draft = small_draft()
+        draft.add_data_centre("sooke", region="coast")
+        owner = draft.workspaces["harbour"]
+        draft.workspaces["harbour"] = owner._replace(data_centres=("sooke",))
+        assert "not among the workspace's data centres" in reasons(draft)["engine-0"]
+
+    def test_crossing(self):
+        draft = small_draft()
+        sooke = draft.add_data_centre("sooke", region="coast")
+        assert "no crossing from sooke" in reasons(draft, "sooke")["engine-0"]
+        draft.add_crossing(sooke, draft.data_centres["victoria"], delay_ms=4, price=2)
+        assert "4 ms from sooke at price 2" in reasons(draft, "sooke")["engine-0"]
--- /dev/null
+++ b/tests/version/authoring/test_draft.py
@@ -0,0 +1,172 @@
+"""Early errors of the operator library: each names its place."""
+
+import pytest
+
+from guavawalk.exception import ConfigurationError
+from guavawalk.version.authoring import Draft, check_draft, create_draft, render_draft
+from guavawalk.version.build import build_configuration
+from guavawalk.version.types import DataCentre, Generation, Model, Tier
+
+
+def small_draft() -> Draft:
+    draft = create_draft()
+    tier = draft.add_tier("onsite")
+    centre = draft.add_data_centre("victoria", region="coast")
+    speeds = {"prefill_tokens_per_s": 4_000, "decode_tokens_per_s": 120, "batch_slots": 8}
+    generation = draft.add_generation("gen-a", **speeds)
+    model = draft.add_model("quill")
+    service = draft.add_service("booking")
+    draft.add_engine("engine-0", centre, "10.0.0.1:7000", generation, models=[model])
+    draft.add_service_target("booking-0", centre, "10.0.0.2:7000", service)
+    draft.add_workspace("harbour", tiers=[tier], models=[model], services=[service], keys=["k"])
+    return draft
+
+
+def add_engine(draft: Draft, name: str = "engine-1", **changes):
+    fields = {
+        "data_centre": draft.data_centres["victoria"],
+        "sidecar": "10.0.0.3:7000",
+        "generation": draft.generations["gen-a"],
+        "models": [draft.models["quill"]],
+        **changes,
+    }
+    return draft.add_engine(name, **fields)
+
+
+def add_workspace(draft: Draft, name: str = "council", **changes):
+    return draft.add_workspace(name, **{"tiers": [draft.tiers["onsite"]], **changes})
+
+
+class TestTargets:
+    @pytest.mark.parametrize(
+        ("changes", "place"),
+        [
+            ({"name": "engine-0"}, "targets.engine-0"),
+            ({"name": "engine 1"}, "targets.name"),
+            ({"name": "e" * 65}, "targets.name"),
+            ({"data_centre": DataCentre("sooke", "coast")}, "targets.engine-1.data_centre"),
+            ({"data_centre": "victoria"}, "targets.engine-1.data_centre"),
+            ({"generation": Generation("gen-z", 1, 1, 1)}, "targets.engine-1.generation"),
+            ({"models": [Model("brush")]}, "targets.engine-1.models"),
+            ({"role": "idle"}, "targets.engine-1.role"),
+            ({"sidecar": "10.0.0.1:7000"}, "targets.engine-1.sidecar"),
+        ],
+    )
+    def test_bad_engine_names_its_place(self, changes, place):
+        with pytest.raises(ConfigurationError) as caught:
+            add_engine(small_draft(), **changes)
+        assert caught.value.path == place
+
+    @pytest.mark.parametrize(
+        "address",
+        ["", "10.0.0.9", "10.0.0.9:", "10.0.0.9:0", "10.0.0.9:65536", "host:70", "10.0.0:7", "a:²"],
+    )
+    def test_malformed_address_is_shown(self, address):
+        with pytest.raises(ConfigurationError, match="allowed is IP:port") as caught:
+            add_engine(small_draft(), sidecar=address)
+        assert caught.value.path == "targets.engine-1.sidecar"
+
+    def test_ipv6_address_is_taken(self):
+        assert add_engine(small_draft(), sidecar="[::1]:7000").sidecar == "[::1]:7000"
+
+    def test_unknown_target_cannot_be_retired(self):
+        with pytest.raises(ConfigurationError, match="no such target") as caught:
+            small_draft().retire_target("engine-9")
+        assert caught.value.path == "targets.engine-9"
+
+    def test_retired_target_leaves(self):
+        draft = small_draft()
+        draft.retire_target("engine-0")
+        assert check_draft(draft).targets["engine-0"].leaving
+
+
+class TestCrossings:
+    def test_unknown_data_centre(self):
+        draft = small_draft()
+        with pytest.raises(ConfigurationError, match="'sooke', which is not defined") as caught:
+            other = DataCentre("sooke", "coast")
+            draft.add_crossing(draft.data_centres["victoria"], other, delay_ms=3.0)
+        assert caught.value.path == "crossings.victoria-sooke"
+
+    def test_one_for_each_pair(self):
+        draft = small_draft()
+        victoria = draft.data_centres["victoria"]
+        sooke = draft.add_data_centre("sooke", region="coast")
+        draft.add_crossing(victoria, sooke, delay_ms=3.0)
+        with pytest.raises(ConfigurationError, match="one crossing"):
+            draft.add_crossing(sooke, victoria, delay_ms=3.0)
+        with pytest.raises(ConfigurationError, match="one crossing"):
+            draft.add_crossing(sooke, sooke, delay_ms=3.0)
+
+
+class TestTiers:
+    def test_order_gives_ranks(self):
+        draft = create_draft()
+        assert [draft.add_tier(name).rank for name in ("onsite", "plan", "tag")] == [0, 1, 2]
+
+    @pytest.mark.parametrize("rank", [0, 2])
+    def test_gap_or_double_is_refused(self, rank):
+        draft = small_draft()
+        draft.add_tier("tag", rank=rank)
+        with pytest.raises(ConfigurationError, match=f"found ranks .*{rank}") as caught:
+            check_draft(draft)
+        assert caught.value.path == "tiers"
+
+    @pytest.mark.parametrize("share", [-0.1, 1.1, float("nan")])
+    def test_reserved_share_is_a_fraction(self, share):
+        with pytest.raises(ConfigurationError) as caught:
+            create_draft().add_tier("onsite", reserved_share=share)
+        assert caught.value.path == "tiers.onsite.reserved_share"
+
+
+class TestWorkspaces:
+    @pytest.mark.parametrize(
+        ("changes", "place"),
+        [
+            ({"requests_per_s": -1}, "limits.requests_per_s"),
+            ({"prompt_tokens_per_s": float("inf")}, "limits.prompt_tokens_per_s"),
+            ({"long_requests": -1}, "limits.long_requests"),
+            ({"long_requests": True}, "limits.long_requests"),
+            ({"weight": 0}, "weight"),
+            ({"tiers": []}, "tiers"),
+            ({"tiers": [Tier("plan", 1)]}, "tiers"),
+            ({"default_tier": Tier("plan", 1)}, "default_tier"),
+            ({"models": [Model("brush")]}, "models"),
+            ({"key_digests": ["my key"]}, "key_digests"),
+            ({"keys": ["k"]}, "keys"),
+        ],
+    )
+    def test_bad_workspace_names_its_place(self, changes, place):
+        with pytest.raises(ConfigurationError) as caught:
+            add_workspace(small_draft(), **changes)
+        assert caught.value.path == f"workspaces.council.{place}"
+
+    def test_a_key_is_never_shown(self):
+        draft = small_draft()
+        add_workspace(draft, keys=["sesame"])
+        for changes in ({"keys": ["sesame"]}, {"key_digests": ["sesame"]}):
+            with pytest.raises(ConfigurationError) as caught:
+                add_workspace(draft, "lamplight", **changes)
+            assert "sesame" not in str(caught.value)
+        assert "sesame" not in repr(draft.workspaces)
+        assert b"sesame" not in b"".join(render_draft(draft, 1).shards)
+
+
+class TestRendering:
+    def test_nodes_build_what_was_written(self):
+        draft = small_draft()
+        built = build_configuration(render_draft(draft, 3))
+        assert built.stamp.version == 3
+        assert built.workspaces == draft.workspaces
+        assert built.targets == draft.targets
+
+    def test_order_of_writing_does_not_matter(self):
+        first, second = small_draft(), small_draft()
+        for names, draft in ((("a", "b"), first), (("b", "a"), second)):
+            for name in names:
+                add_workspace(draft, name)
+        assert render_draft(first, 1) == render_draft(second, 1)
+
+    def test_version_is_positive(self):
+        with pytest.raises(ConfigurationError, match="found 0, allowed is 1 or more"):
+            render_draft(small_draft(), 0)
