Read settings from objects, and measure the relay

Cause: msgspec takes a NamedTuple from an array only, so every settings file was refused; no test had read one.

--- /dev/null
+++ b/guavawalk/process/bench/relay.py
@@ -0,0 +1,115 @@
+"""What the relay through entry and sidecar adds, against the engine asked directly."""
+
+import json
+import time
+from collections.abc import Sequence
+from pathlib import Path
+from typing import NamedTuple
+
+import anyio
+import httpcore
+
+__all__ = ["RelayLoad", "RelaySample", "measure_relay", "quantile_ms", "read_process_cost"]
+
+TOKEN_MARK = b'"delta"'
+CLOCK_TICKS_PER_S = 100
+
+
+class RelayLoad(NamedTuple):
+    """An open-loop load of equal streams."""
+
+    requests_per_s: float
+    duration_s: float
+    tokens: int
+
+
+class RelaySample(NamedTuple):
+    """One stream as its caller saw it."""
+
+    first_token_ms: float
+    total_ms: float
+    tokens: int
+
+
+class ProcessCost(NamedTuple):
+    """What a process has used so far."""
+
+    cpu_s: float
+    resident_mb: float
+
+
+async def measure_relay(urls: Sequence[str], load: RelayLoad, key: str) -> list[list[RelaySample]]:
+    """Send the same load to each URL at the same time.
+
+    Parameters
+    ----------
+    urls : sequence of str
+        Base URLs: an entry's, and the engine's own.
+    load : RelayLoad
+        The load for each.
+    key : str
+        API key for the entry.
+
+    Returns
+    -------
+    list of list of RelaySample
+        Samples by URL, in the order given.
+    """
+    samples: list[list[RelaySample]] = [[] for _ in urls]
+    async with (
+        httpcore.AsyncConnectionPool(max_connections=2_000) as pool,
+        anyio.create_task_group() as tasks,
+    ):
+        start_s = anyio.current_time()
+        for index in range(int(load.requests_per_s * load.duration_s)):
+            await anyio.sleep_until(start_s + index / load.requests_per_s)
+            for url, group in zip(urls, samples):
+                tasks.start_soon(_stream, pool, url, load, key, group)
+    return samples
+
+
+async def _stream(
+    pool: httpcore.AsyncConnectionPool, url: str, load: RelayLoad, key: str, group: list
+) -> None:
+    document = {
+        "model": "quill",
+        "messages": [{"role": "user", "content": "which glaze?"}],
+        "max_tokens": load.tokens,
+        "stream": True,
+    }
+    headers = [("Authorization", f"Bearer {key}"), ("Content-Type", "application/json")]
+    started_s = time.monotonic()
+    first_s = 0.0
+    tokens = 0
+    async with pool.stream(
+        "POST",
+        f"{url}/v1/chat/completions",
+        headers=headers,
+        content=json.dumps(document).encode(),
+    ) as response:
+        async for data in response.aiter_stream():
+            first_s = first_s or time.monotonic()
+            tokens += data.count(TOKEN_MARK)
+    ended_s = time.monotonic()
+    group.append(RelaySample((first_s - started_s) * 1000, (ended_s - started_s) * 1000, tokens))
+
+
+def quantile_ms(values: Sequence[float], quantile: float) -> float:
+    """Return the value at a quantile, by nearest rank.
+
+    Examples
+    --------
+    >>> quantile_ms([3.0, 1.0, 2.0], 0.5)
+    2.0
+    """
+    ranked = sorted(values)
+    return ranked[min(len(ranked) - 1, int(quantile * len(ranked)))]
+
+
+def read_process_cost(pid: int) -> ProcessCost:
+    """Return the processor time and resident memory of a process, from `/proc`."""
+    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+    cpu_s = (int(fields[11]) + int(fields[12])) / CLOCK_TICKS_PER_S
+    status = Path(f"/proc/{pid}/status").read_text()
+    resident_kb = int(status.partition("VmRSS:")[2].split()[0])
+    return ProcessCost(cpu_s, resident_kb / 1024)
--- a/guavawalk/process/commands/app.py
+++ b/guavawalk/process/commands/app.py
@@ -10,8 +10,10 @@
 from rich.console import Console
 
 from guavawalk.exception import GuavawalkError
+from guavawalk.process.commands import bench_relay  # noqa: F401
 from guavawalk.process.commands.bench import bench_app
 from guavawalk.process.commands.config import config_app
+from guavawalk.process.commands.standin import standin_app
 
 __all__ = ["app", "main"]
 
@@ -22,6 +24,7 @@
 app.command(settings_app)
 app.command(bench_app)
 app.command(config_app)
+app.command(standin_app)
 
 SettingsFile = Annotated[Path, Parameter(name="--settings", help="JSON with comments.")]
 
--- a/guavawalk/process/settings.py
+++ b/guavawalk/process/settings.py
@@ -2,7 +2,7 @@
 
 import ssl
 from pathlib import Path
-from typing import NamedTuple, TypeVar
+from typing import NamedTuple, TypeVar, get_type_hints
 
 import json5
 import msgspec
@@ -124,12 +124,7 @@
     """
     source = str(path)
     document = _read_document(path)
-    _refuse_unknown(source, "$", document, kind)
-    try:
-        settings = msgspec.convert(document, kind)
-    except msgspec.ValidationError as error:
-        problem, _, place = str(error).partition(" - at `")
-        raise SettingsError(source, place.rstrip("`") or "$", problem) from error
+    settings = _build(source, "$", document, kind)
     _check_values(source, settings)
     return settings
 
@@ -155,15 +150,29 @@
     return document
 
 
-def _refuse_unknown(source: str, path: str, document: dict, kind: type) -> None:
-    allowed = kind._fields
+def _build(source: str, path: str, document: object, kind: type[S]) -> S:
+    if not isinstance(document, dict):
+        raise SettingsError(source, path, f"found {type(document).__name__}, allowed is an object")
+    parts = get_type_hints(kind)
+    fields = {}
     for name, value in document.items():
-        if name not in allowed:
-            listed = ", ".join(allowed)
-            raise SettingsError(source, f"{path}.{name}", f"unknown field; allowed are {listed}")
-        part = kind.__annotations__[name]
-        if isinstance(value, dict) and hasattr(part, "_fields"):
-            _refuse_unknown(source, f"{path}.{name}", value, part)
+        if name not in parts:
+            problem = f"unknown field; allowed are {', '.join(parts)}"
+            raise SettingsError(source, f"{path}.{name}", problem)
+        fields[name] = _convert(source, f"{path}.{name}", value, parts[name])
+    for name in kind._fields:
+        if name not in fields and name not in kind._field_defaults:
+            raise SettingsError(source, f"{path}.{name}", "the field is missing")
+    return kind(**fields)
+
+
+def _convert(source: str, path: str, value: object, part: type) -> object:
+    if hasattr(part, "_fields"):
+        return _build(source, path, value, part)
+    try:
+        return msgspec.convert(value, part)
+    except msgspec.ValidationError as error:
+        raise SettingsError(source, path, f"found {value!r}; {error}") from error
 
 
 def _check_values(source: str, settings) -> None:
