Place requests by expected completion, prefix affinity and a corrected view

Change: the entry's policy is expected_cost: wait by tier from the sidecar's last reply and own offers since, prefill of the uncached part, generation by learned length, crossing; rendezvous hashing of the prefix with a load bound; a bounded cache view; quarantine with probing; refusal of what can't end in time, with a margin by tier. Load reports tell queued output by tier.

--- a/guavawalk/connection/tasks/carry.py
+++ b/guavawalk/connection/tasks/carry.py
@@ -11,10 +11,9 @@
 from guavawalk.connection.caller import Caller
 from guavawalk.connection.tasks.offer import Progress, abandon_offer, offer_work
 from guavawalk.exception import LinkRefused, RequestError
-from guavawalk.request.placement import capable_targets
+from guavawalk.process.entry.choice import Choice, choose_target
 from guavawalk.request.ticket import code_for_key, read_ticket
 from guavawalk.request.types import Outcome, Work
-from guavawalk.version.types import Target
 
 if TYPE_CHECKING:
     from guavawalk.process.entry.state import Entry
@@ -24,6 +23,7 @@
 ASK_TRIES = 3
 ASK_PAUSE_S = 0.2
 UNREACHABLE_RETRY_MS = 1_000
+CRASH_CODES = (ResultCode.TARGET_CRASHED, ResultCode.TARGET_LOST)
 
 
 async def carry_request(entry: Entry, work: Work, caller: Caller) -> Outcome:
@@ -133,10 +133,12 @@
 async def _try_targets(entry: Entry, work: Work, caller: Caller, progress: Progress) -> Outcome:
     tried: set[str] = set()
     last = Outcome(ResultCode.NO_TARGET)
+    work = entry.view.lengths.sized(work)
     while True:
-        target = _choose(entry, work, tried)
-        if target is None:
+        choice = _choose(entry, work, tried, progress)
+        if choice is None:
             return last
+        target = choice.target
         if progress.attempts and not entry.retries.take(work.workspace.name, progress.attempts):
             return last._replace(code=ResultCode.RETRY_BUDGET, detail=f"last: {last.code.name}")
         tried.add(target.name)
@@ -148,16 +150,26 @@
             last = await offer_work(entry, work, caller, progress, target)
         except LinkRefused as error:
             last = Outcome(ResultCode.TARGET_UNREACHABLE, str(error), target=target.name)
+        _note_attempt(entry, work, choice, last)
         if code_class(last.code) is not CodeClass.NOT_RUN:
             return last
 
 
-def _choose(entry: Entry, work: Work, tried: set[str]) -> Target | None:
-    targets = capable_targets(work, work.configuration)
-    targets = [target for target in targets if target.name not in tried]
-    views = {target.name: entry.view.of(target.name, work) for target in targets}
-    ranked = entry.placement.rank(work, entry.data_centre, targets, views)
-    return ranked[0].target if ranked else None
+def _choose(entry: Entry, work: Work, tried: set[str], progress: Progress) -> Choice | None:
+    try:
+        return choose_target(entry, work, tried)
+    except RequestError:
+        if progress.attempts:
+            return None
+        raise
+
+
+def _note_attempt(entry: Entry, work: Work, choice: Choice, outcome: Outcome) -> None:
+    name = choice.target.name
+    if outcome.code is ResultCode.COMPLETED:
+        entry.view.note_completed(name, work, outcome, choice.cached_tokens)
+    elif outcome.code in CRASH_CODES:
+        entry.view.note_crash(name)
 
 
 def _note_outcome(entry: Entry, work: Work, outcome: Outcome) -> None:
--- a/guavawalk/connection/tasks/offer.py
+++ b/guavawalk/connection/tasks/offer.py
@@ -106,7 +106,7 @@
     try:
         return await _exchange(entry, caller, progress, target, offer, link)
     finally:
-        entry.view.note_end(target.name)
+        entry.view.note_end(target.name, work)
 
 
 async def _exchange(
--- a/guavawalk/connection/tasks/ticket.py
+++ b/guavawalk/connection/tasks/ticket.py
@@ -42,7 +42,7 @@
     wanted = _read_body(body)
     work = _work_of(wanted, configuration, workspace)
     targets = capable_targets(work, configuration)
-    views = {target.name: entry.view.of(target.name, work) for target in targets}
+    views = entry.view.for_work(work)
     for candidate in entry.placement.rank(work, entry.data_centre, targets, views):
         request = TicketRequest(workspace.name, wanted.service, wanted.model)
         ticket = await _ask(entry, candidate.target, request)
--- a/guavawalk/connection/wire.thrift
+++ b/guavawalk/connection/wire.thrift
@@ -24,6 +24,7 @@
   7: double decode_tokens_per_s
   8: bool leaving
   9: i32 warm_prefix_tokens
+  50: list<i64> queued_output_by_rank
 }
 
 struct Offer {
--- a/guavawalk/process/bench/late_view.py
+++ b/guavawalk/process/bench/late_view.py
@@ -5,6 +5,8 @@
 import anyio
 from anyio.abc import TaskStatus
 
+from guavawalk.process.entry.cached import create_cache_view
+from guavawalk.process.entry.lengths import create_length_estimator
 from guavawalk.process.entry.view import FleetView
 from guavawalk.process.fleet import Fleet
 from guavawalk.process.sidecar.state import load_report
@@ -52,6 +54,6 @@
 def _replace_view(fleet: Fleet, centre: str) -> LateView:
     node = f"entry-{centre}"
     process = fleet.processes[node]
-    view = LateView(process.entry.clock)
+    view = LateView(process.entry.clock, create_cache_view(), create_length_estimator())
     fleet.processes[node] = process._replace(entry=process.entry._replace(view=view))
     return view
--- /dev/null
+++ b/guavawalk/process/bench/placement.py
@@ -0,0 +1,145 @@
+"""Measuring what one placement decision costs among many targets."""
+
+import random
+import time
+from typing import NamedTuple
+
+from guavawalk.process.clock import Clock
+from guavawalk.process.entry.view import create_fleet_view
+from guavawalk.request.placement import capable_targets
+from guavawalk.request.policies import create_placement
+from guavawalk.request.prompt import prefix_hashes
+from guavawalk.request.types import LoadReport, Work
+from guavawalk.version.build import build_configuration
+from guavawalk.version.publish import render_documents
+from guavawalk.version.types import (
+    Crossing,
+    DataCentre,
+    DesiredState,
+    Generation,
+    Model,
+    Target,
+    Tier,
+    Workspace,
+)
+
+__all__ = ["PlacementCost", "measure_placement", "placement_scene"]
+
+CENTRES = 15
+GENERATIONS = 4
+TIERS = 4
+SHARED_PROMPTS = 200
+PROMPT_CHARS = 8_000
+WARM_UP = 2_000
+
+
+class PlacementCost(NamedTuple):
+    """Time that decisions took, in microseconds."""
+
+    decisions: int
+    mean_us: float
+    p50_us: float
+    p99_us: float
+
+
+class WallClock:
+    """The machine's monotonic clock."""
+
+    def now_s(self) -> float:
+        """Return the time."""
+        return time.monotonic()
+
+
+def placement_scene(known: int, capable: int, seed: int) -> tuple[Work, str, list[Target]]:
+    """Make a configuration of `known` targets, of which `capable` hold the work's model.
+
+    Returns
+    -------
+    work : Work
+        A request with a prompt of several blocks.
+    here : str
+        Data centre of the entry.
+    targets : list of Target
+        The capable ones.
+    """
+    rng = random.Random(seed)
+    centres = [f"centre-{index}" for index in range(CENTRES)]
+    targets = [_target(index, rng.choice(centres), index < capable) for index in range(known)]
+    tiers = [Tier(f"tier-{rank}", rank) for rank in range(TIERS)]
+    names = tuple(tier.name for tier in tiers)
+    workspace = Workspace("studio", (), names, names[0], models=("wanted", "other"))
+    shard = {
+        "tiers": tiers,
+        "data_centres": [DataCentre(name, "region") for name in centres],
+        "crossings": [Crossing(a, b, 3.0, 1.0) for a in centres for b in centres if a < b],
+        "generations": [
+            Generation(f"gen-{index}", 4_000.0 * (index + 1), 30.0 * (index + 1), 8)
+            for index in range(GENERATIONS)
+        ],
+        "models": [Model("wanted"), Model("other")],
+        "targets": targets,
+        "workspaces": [workspace],
+    }
+    configuration = build_configuration(render_documents(1, shard))
+    text = "".join(rng.choice("abcdefgh ") for _ in range(PROMPT_CHARS))
+    work = Work(
+        trace_id="",
+        configuration=configuration,
+        workspace=workspace,
+        tier=tiers[1],
+        deadline_s=60.0,
+        model="wanted",
+        prompt_tokens=len(text) // 4,
+        expected_output_tokens=40,
+        prefix_hashes=prefix_hashes("wanted", text),
+    )
+    return work, centres[0], capable_targets(work, configuration)
+
+
+def _target(index: int, centre: str, capable: bool) -> Target:
+    return Target(
+        name=f"target-{index:04}",
+        kind="model",
+        data_centre=centre,
+        sidecar="127.0.0.1:1",
+        generation=f"gen-{index % GENERATIONS}",
+        desired=DesiredState(models=("wanted",) if capable else ("other",)),
+    )
+
+
+def measure_placement(
+    policy: str, known: int = 2_100, capable: int = 60, decisions: int = 20_000, seed: int = 1
+) -> PlacementCost:
+    """Measure the choice of a target, from the configuration and the entry's view on.
+
+    Notes
+    -----
+    Prompts are drawn from some shared ones; each decision is followed by the sidecar's reply, which
+    is not counted.
+    """
+    rng = random.Random(seed)
+    work, here, _ = placement_scene(known, capable, seed)
+    texts = ["".join(rng.choices("abcdefgh ", k=PROMPT_CHARS)) for _ in range(SHARED_PROMPTS)]
+    works = [work._replace(prefix_hashes=prefix_hashes("wanted", text)) for text in texts]
+    clock: Clock = WallClock()
+    view = create_fleet_view(clock)
+    placement = create_placement(policy, seed)
+    elapsed_us = []
+    for index in range(WARM_UP + decisions):
+        chosen = rng.choice(works)
+        started_ns = time.perf_counter_ns()
+        targets = capable_targets(chosen, chosen.configuration)
+        ranked = placement.rank(chosen, here, targets, view.for_work(chosen))
+        if index >= WARM_UP:
+            elapsed_us.append((time.perf_counter_ns() - started_ns) / 1_000)
+        name = ranked[0].target.name
+        view.note_offer(name, chosen)
+        view.note_load(name, LoadReport((rng.randrange(3),) * TIERS, rng.randrange(9), 8))
+        view.note_end(name, chosen)
+    elapsed_us.sort()
+    return PlacementCost(
+        decisions,
+        sum(elapsed_us) / decisions,
+        elapsed_us[decisions // 2],
+        elapsed_us[decisions * 99 // 100],
+    )
--- a/guavawalk/process/bench/policy.py
+++ b/guavawalk/process/bench/policy.py
@@ -161,12 +161,12 @@
     work = fleet.work(
         arrival.workspace,
         arrival.tier,
-        mark_output(arrival.text, arrival.output_tokens),
-        output_tokens=arrival.max_tokens,
+        arrival.text,
+        output_tokens=arrival.output_tokens,
         model=fleet.plan.models[0].name,
         deadline_ms=deadline_ms,
         entry=arrival.entry,
-    )._replace(max_output_tokens=arrival.max_tokens)
+    )._replace(expected_output_tokens=arrival.max_tokens, max_output_tokens=arrival.max_tokens)
     started_s = anyio.current_time()
     caller = await fleet.send(arrival.entry, work, MemoryCaller())
     elapsed_s = anyio.current_time() - started_s
--- a/guavawalk/process/commands/bench.py
+++ b/guavawalk/process/commands/bench.py
@@ -36,7 +36,7 @@
     """
     from guavawalk.process.bench.policy import run_policy
     from guavawalk.process.bench.policy_report import print_results, write_line
-    from guavawalk.request.placement import PLACEMENTS
+    from guavawalk.request.policies import PLACEMENTS
 
     results = []
     for load in loads:
@@ -64,3 +64,20 @@
     from guavawalk.process.bench.queue import SIZES, measure_queue, queue_table
 
     print(queue_table([measure_queue(size) for size in SIZES]))
+
+
+@bench_app.command
+def placement(
+    policies: tuple[str, ...] = (), known: int = 2_100, capable: int = 60, decisions: int = 20_000
+) -> int:
+    """Measure the time of one placement decision among many targets."""
+    from guavawalk.process.bench.placement import measure_placement
+    from guavawalk.request.policies import PLACEMENTS
+
+    for name in policies or tuple(PLACEMENTS):
+        cost = measure_placement(name, known, capable, decisions)
+        print(
+            f"{name}: mean {cost.mean_us:.1f} µs, p50 {cost.p50_us:.1f} µs, "
+            f"p99 {cost.p99_us:.1f} µs, {capable} capable of {known}, {decisions} decisions"
+        )
+    return 0
--- /dev/null
+++ b/guavawalk/process/entry/choice.py
@@ -0,0 +1,81 @@
+"""An entry's choice of the target to ask next, or the refusal to ask any."""
+
+from __future__ import annotations
+
+from collections.abc import Collection
+from typing import TYPE_CHECKING, NamedTuple
+
+from guavawalk.codes import ResultCode
+from guavawalk.exception import RequestError
+from guavawalk.request.placement import Candidate, capable_targets
+from guavawalk.request.types import Work
+from guavawalk.version.types import Target
+
+if TYPE_CHECKING:
+    from guavawalk.process.entry.state import Entry
+
+__all__ = ["Choice", "choose_target", "deadline_margin"]
+
+TOP_MARGIN = 0.4
+LOWEST_MARGIN = 1.0
+MIN_RETRY_MS = 100
+MAX_RETRY_MS = 30_000
+
+
+class Choice(NamedTuple):
+    """A target, and the prefix believed cached there."""
+
+    target: Target
+    cached_tokens: int
+
+
+def choose_target(entry: Entry, work: Work, tried: Collection[str]) -> Choice | None:
+    """Return the best target not yet tried; None if there is none.
+
+    Raises
+    ------
+    RequestError
+        `DEADLINE_UNREACHABLE` if no target is expected to end the work in time.
+    """
+    targets = capable_targets(work, work.configuration)
+    if tried:
+        targets = [target for target in targets if target.name not in tried]
+    views = entry.view.for_work(work)
+    ranked = entry.placement.rank(work, entry.data_centre, targets, views)
+    if not ranked:
+        return None
+    remaining_s = work.deadline_s - entry.clock.now_s()
+    timely = _first_in_time(ranked, remaining_s, deadline_margin(work))
+    if timely is None:
+        raise _unreachable(ranked, remaining_s)
+    return Choice(timely.target, views.cached.get(timely.target.name, 0))
+
+
+def deadline_margin(work: Work) -> float:
+    """Return the part of its expected time that must fit before the deadline.
+
+    Notes
+    -----
+    The lower the tier, the larger the part; so where estimates are wrong the lowest tier is
+    refused first, and the top tier only when it is far from possible.
+    """
+    lowest = max(len(work.configuration.tiers) - 1, 1)
+    share = min(work.tier.rank / lowest, 1.0)
+    return TOP_MARGIN + (LOWEST_MARGIN - TOP_MARGIN) * share
+
+
+def _first_in_time(ranked: list[Candidate], remaining_s: float, margin: float) -> Candidate | None:
+    for candidate in ranked:
+        if candidate.finish_s * margin <= remaining_s:
+            return candidate
+    return None
+
+
+def _unreachable(ranked: list[Candidate], remaining_s: float) -> RequestError:
+    soonest_s = min(candidate.finish_s for candidate in ranked)
+    retry_ms = int((soonest_s - remaining_s) * 1000)
+    return RequestError(
+        ResultCode.DEADLINE_UNREACHABLE,
+        f"expected after {soonest_s:.1f} s, allowed are {max(remaining_s, 0.0):.1f} s",
+        min(max(retry_ms, MIN_RETRY_MS), MAX_RETRY_MS),
+    )
--- a/guavawalk/process/entry_daemon.py
+++ b/guavawalk/process/entry_daemon.py
@@ -1,5 +1,6 @@
 """The entry process: assembly, serving and shutdown."""
 
+import random
 from functools import partial
 
 import anyio
@@ -24,13 +25,15 @@
 from guavawalk.process.settings import EntrySettings, client_tls_context, server_tls_context
 from guavawalk.process.shutdown import watch_signals
 from guavawalk.process.sidecar_daemon import create_incarnation, create_metrics
-from guavawalk.request.placement import Placement, create_placement
+from guavawalk.request.placement import Placement
+from guavawalk.request.policies import create_placement
 from guavawalk.version.held import HeldVersion, create_held_version
 
 __all__ = ["create_entry", "drain_entry", "run_entry", "serve_entry"]
 
 DRAIN_CHECK_S = 0.05
 IDLE_SWEEP_S = 5.0
+SEED_BITS = 64
 # The front answers a head over the limit with its number; the listener only bounds memory.
 HEAD_SLACK = 2
 
@@ -55,7 +58,7 @@
         held=held,
         links=create_link_pool(network, identity, clock),
         view=create_fleet_view(clock),
-        placement=placement or create_placement(settings.placement),
+        placement=placement or create_placement(settings.placement, random.getrandbits(SEED_BITS)),
         limiter=create_no_limiter(),
         retries=create_attempt_cap(),
         gauge=create_request_gauge(),
--- a/guavawalk/process/fleet.py
+++ b/guavawalk/process/fleet.py
@@ -27,10 +27,12 @@
     MemoryEngine,
     MemoryPlatform,
     MemoryService,
+    mark_output,
 )
 from guavawalk.process.standins.platform import PlatformBooks
 from guavawalk.process.standins.service import ServiceBooks
-from guavawalk.request.placement import DEFAULT_PLACEMENT, Placement
+from guavawalk.request.placement import Placement
+from guavawalk.request.policies import DEFAULT_PLACEMENT
 from guavawalk.request.prompt import estimate_tokens, fingerprint, prefix_hashes
 from guavawalk.request.types import Work
 from guavawalk.version.held import create_held_version
@@ -121,7 +123,14 @@
         method: str = "POST",
         entry: str = "",
     ) -> Work:
-        """Make the work of one request, under the version in force at an entry."""
+        """Make the work of one request, under the version in force at an entry.
+
+        Notes
+        -----
+        A model's answer has `output_tokens` tokens, whatever an entry expects of it.
+        """
+        if model:
+            text = mark_output(text, output_tokens)
         configuration = self.entry(entry or self.plan.entries[0]).held.configuration
         return Work(
             trace_id=f"trace-{random.getrandbits(32):x}",
--- a/guavawalk/process/settings.py
+++ b/guavawalk/process/settings.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from guavawalk.exception import SettingsError
-from guavawalk.request.placement import DEFAULT_PLACEMENT, PLACEMENTS
+from guavawalk.request.policies import DEFAULT_PLACEMENT, PLACEMENTS
 
 __all__ = [
     "EntrySettings",
--- a/guavawalk/process/sidecar/queue.py
+++ b/guavawalk/process/sidecar/queue.py
@@ -21,6 +21,7 @@
     waiting_by_rank: tuple[int, ...]
     prompt_tokens: int
     output_tokens: int
+    output_by_rank: tuple[int, ...] = ()
 
 
 class Queue(Protocol):
@@ -79,6 +80,7 @@
         self._cost_tokens = 0
         self._prompt_tokens = 0
         self._output_tokens = 0
+        self._output_by_rank: list[int] = []
 
     def push(self, attempt: Attempt) -> list[Attempt]:
         """Add an attempt; shed until the rest fits, or refuse this one alone."""
@@ -143,7 +145,8 @@
     def totals(self) -> QueueTotals:
         """Return the counts and sums, which are kept up to date."""
         counts = [len(tier) for tier in self._tiers]
-        return QueueTotals(tuple(counts), self._prompt_tokens, self._output_tokens)
+        outputs = tuple(self._output_by_rank)
+        return QueueTotals(tuple(counts), self._prompt_tokens, self._output_tokens, outputs)
 
     def __len__(self) -> int:
         """Count what waits."""
@@ -180,6 +183,7 @@
     def _add(self, waiting: Waiting) -> None:
         while len(self._tiers) <= waiting.rank:
             self._tiers.append(create_tier_backlog())
+            self._output_by_rank.append(0)
         self._tiers[waiting.rank].add(waiting)
         self._waiting[waiting.attempt] = waiting
         self._count(waiting, 1)
@@ -197,6 +201,7 @@
         self._cost_tokens += sign * waiting.cost_tokens
         self._prompt_tokens += sign * offer.prompt_tokens
         self._output_tokens += sign * offer.expected_output_tokens
+        self._output_by_rank[waiting.rank] += sign * offer.expected_output_tokens
 
 
 def _bounded_rank(rank: int) -> int:
--- a/guavawalk/process/sidecar/state.py
+++ b/guavawalk/process/sidecar/state.py
@@ -124,6 +124,7 @@
         first_token_ms=int(window.first_token_ms),
         decode_tokens_per_s=window.decode_tokens_per_s,
         leaving=sidecar.attempts.leaving,
+        queued_output_by_rank=totals.output_by_rank,
     )
 
 
--- a/guavawalk/request/explain.py
+++ b/guavawalk/request/explain.py
@@ -4,7 +4,8 @@
 from collections.abc import Mapping
 from typing import NamedTuple
 
-from guavawalk.request.placement import Placement, TargetView, capable_targets
+from guavawalk.request.placement import Placement, capable_targets
+from guavawalk.request.target_view import StaticViews, TargetView
 from guavawalk.request.types import Work
 from guavawalk.version.types import Configuration, Target
 
@@ -46,7 +47,7 @@
     configuration = work.configuration
     capable = capable_targets(work, configuration)
     known = {target.name: (views or {}).get(target.name, TargetView()) for target in capable}
-    ranked = placement.rank(work, here, capable, known)
+    ranked = placement.rank(work, here, capable, StaticViews(known))
     explained = [
         Explanation(order, found.target.name, _merit(work, here, found.target, found.cost_ms))
         for order, found in enumerate(ranked, start=1)
--- a/guavawalk/request/placement.py
+++ b/guavawalk/request/placement.py
@@ -1,67 +1,60 @@
 """Choosing the order in which targets are asked to run a request."""
 
 import random
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Mapping, Sequence
 from itertools import count
 from typing import NamedTuple, Protocol
 
+from guavawalk.request.target_view import TargetView
 from guavawalk.request.types import LoadReport, Work
 from guavawalk.version.types import Configuration, Target
 
 __all__ = [
-    "DEFAULT_PLACEMENT",
-    "PLACEMENTS",
     "Candidate",
     "Placement",
-    "TargetView",
+    "TargetViews",
     "capable_targets",
     "create_least_reported_load",
-    "create_placement",
     "create_random_of_two",
     "create_round_robin",
 ]
 
 
-class TargetView(NamedTuple):
-    """What an entry believes of one target.
+class Candidate(NamedTuple):
+    """A target with its expected cost; lower is better.
 
     Attributes
     ----------
-    load : LoadReport
-        The last report.
-    report_age_s : float
-        How old it is.
-    own_running : int
-        Attempts that this entry has there now.
-    own_prompt_tokens, own_output_tokens : int
-        Tokens of this entry's attempts offered since the report.
-    cached_tokens : int
-        Longest prefix of this request believed cached there.
-    usable : bool
-        False while it leaves, is quarantined or can't be reached.
+    finish_s : float
+        Expected time until the answer is whole; 0 where the policy does not know.
     """
 
-    load: LoadReport = LoadReport()
-    report_age_s: float = 0.0
-    own_running: int = 0
-    own_prompt_tokens: int = 0
-    own_output_tokens: int = 0
-    cached_tokens: int = 0
-    usable: bool = True
+    target: Target
+    cost_ms: float
+    finish_s: float = 0.0
 
 
-class Candidate(NamedTuple):
-    """A target with its expected cost; lower is better."""
+class TargetViews(Protocol):
+    """What is believed of each target, for one request.
 
-    target: Target
-    cost_ms: float
+    Attributes
+    ----------
+    cached : mapping of str to int
+        Length of the prefix believed cached, for the targets that have one.
+    """
+
+    cached: Mapping[str, int]
+
+    def __getitem__(self, name: str) -> TargetView:
+        """Return the view of a target."""
+        ...
 
 
 class Placement(Protocol):
     """A policy that orders capable targets."""
 
     def rank(
-        self, work: Work, here: str, targets: Sequence[Target], views: Mapping[str, TargetView]
+        self, work: Work, here: str, targets: Sequence[Target], views: TargetViews
     ) -> list[Candidate]:
         """Order targets, best first.
 
@@ -73,7 +66,7 @@
             Data centre of the entry.
         targets : sequence of Target
             Those that may serve the request.
-        views : mapping of str to TargetView
+        views : TargetViews
             What is believed of each, by name.
         """
         ...
@@ -148,7 +141,7 @@
     return load.running + sum(load.queued_by_rank)
 
 
-def _usable(targets: Sequence[Target], views: Mapping[str, TargetView]) -> list[Target]:
+def _usable(targets: Sequence[Target], views: TargetViews) -> list[Target]:
     return [target for target in targets if views[target.name].usable]
 
 
@@ -165,16 +158,3 @@
 def create_random_of_two(seed: int | None = None) -> Placement:
     """Create the random of two baseline."""
     return RandomOfTwo(random.Random(seed))
-
-
-PLACEMENTS: dict[str, Callable[[int | None], Placement]] = {
-    "round_robin": lambda seed: create_round_robin(),
-    "least_reported_load": lambda seed: create_least_reported_load(),
-    "random_of_two": create_random_of_two,
-}
-DEFAULT_PLACEMENT = "least_reported_load"
-
-
-def create_placement(name: str, seed: int | None = None) -> Placement:
-    """Create a policy by its name in `PLACEMENTS`."""
-    return PLACEMENTS[name](seed)
--- a/guavawalk/request/types.py
+++ b/guavawalk/request/types.py
@@ -82,6 +82,7 @@
     decode_tokens_per_s: float = 0.0
     leaving: bool = False
     warm_prefix_tokens: int = 0
+    queued_output_by_rank: tuple[int, ...] = ()
 
 
 class Offer(NamedTuple):
--- /dev/null
+++ b/tests/process/entry/test_view.py
@@ -0,0 +1,125 @@
+"""What an entry believes: caches, lengths, quarantine."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from guavawalk.process.bench.placement import placement_scene
+from guavawalk.process.entry.cached import BLOCK_TOKENS, create_cache_view
+from guavawalk.process.entry.lengths import MIN_SAMPLES, create_length_estimator
+from guavawalk.process.entry.quarantine import MAX_AVOID_S, create_quarantine
+from guavawalk.process.entry.view import LEAVING_FOR_S, create_fleet_view
+from guavawalk.request.types import LoadReport, Usage
+
+WORK, _, TARGETS = placement_scene(3, 3, 0)
+NAME = TARGETS[0].name
+
+
+class FakeClock:
+    def __init__(self):
+        self.s = 100.0
+
+    def now_s(self):
+        return self.s
+
+
+class TestCacheView:
+    @given(st.lists(st.tuples(st.sampled_from("abc"), st.lists(st.integers(0, 3), max_size=4))))
+    def test_equals_a_naive_index(self, sends):
+        # A block's hash covers the prefix before it, so blocks are tuples' hashes here.
+        view = create_cache_view(1_000)
+        naive = {}
+        for name, path in sends:
+            blocks = [hash(tuple(path[: end + 1])) for end in range(len(path))]
+            view.note_sent(name, blocks)
+            naive.setdefault(name, set()).update(blocks)
+        for _, path in sends:
+            blocks = [hash(tuple(path[: end + 1])) for end in range(len(path))]
+            expected = {}
+            for name, held in naive.items():
+                depth = max((i + 1 for i, block in enumerate(blocks) if block in held), default=0)
+                if depth:
+                    expected[name] = depth * BLOCK_TOKENS
+            assert view.cached_tokens(blocks) == expected
+
+    def test_is_bounded(self):
+        view = create_cache_view(10)
+        for block in range(100):
+            view.note_sent(f"t{block}", [block])
+        assert len(view) == 10
+
+    def test_misses_lower_the_expectation(self):
+        view = create_cache_view()
+        view.note_sent("a", [1, 2])
+        for _ in range(30):
+            view.note_usage("a", 2 * BLOCK_TOKENS, Usage(200, 0, 5))
+        assert view.cached_tokens([1, 2])["a"] < BLOCK_TOKENS
+
+
+class TestLengths:
+    def test_learns_but_never_passes_the_callers_bound(self):
+        lengths = create_length_estimator()
+        work = WORK._replace(expected_output_tokens=500, max_output_tokens=80)
+        assert lengths.sized(work).expected_output_tokens == 500
+        for _ in range(MIN_SAMPLES):
+            lengths.note(work, 100)
+        assert lengths.sized(work).expected_output_tokens == 80
+        free = work._replace(max_output_tokens=0)
+        assert lengths.sized(free).expected_output_tokens == 100
+
+    def test_is_bounded(self):
+        lengths = create_length_estimator(10)
+        for index in range(50):
+            lengths.note(WORK._replace(model=f"m{index}"), 5)
+        assert len(lengths) == 10
+
+    def test_rest_of_a_running_answer_is_dominated_by_the_long(self):
+        lengths = create_length_estimator()
+        for index in range(1_000):
+            lengths.note(WORK, 400 if index % 10 == 0 else 4)
+        assert lengths.remaining_tokens > 2 * lengths.mean_tokens
+
+
+class TestQuarantine:
+    def test_avoids_longer_each_time_and_ends(self):
+        quarantine = create_quarantine()
+        now_s, waits = 0.0, []
+        for _ in range(12):
+            quarantine.note_failure(now_s)
+            waits.append(quarantine.until_s - now_s)
+            now_s = quarantine.until_s
+        assert waits == sorted(waits)
+        assert waits[-1] == MAX_AVOID_S
+
+    def test_probes_one_at_a_time_then_trusts(self):
+        quarantine = create_quarantine()
+        quarantine.note_failure(0.0)
+        assert not quarantine.admits(0.5, 0)
+        assert quarantine.admits(2.0, 0)
+        assert not quarantine.admits(2.0, 1)
+        quarantine.note_success()
+        assert quarantine.admits(2.0, 1)
+
+
+class TestFleetView:
+    def test_leaving_is_avoided_and_forgotten(self):
+        clock = FakeClock()
+        view = create_fleet_view(clock)
+        view.note_load(NAME, LoadReport(leaving=True))
+        assert not view.of(NAME, 0).usable
+        clock.s += LEAVING_FOR_S
+        assert view.of(NAME, 0).usable
+
+    def test_own_offers_count_until_the_next_report(self):
+        view = create_fleet_view(FakeClock())
+        view.note_offer(NAME, WORK)
+        assert view.of(NAME, 0).own_new == 1
+        view.note_load(NAME, LoadReport(running=1))
+        assert view.of(NAME, 0).own_new == 0
+        assert view.of(NAME, 0).own_running == 1
+
+    def test_a_crash_loses_the_cache(self):
+        view = create_fleet_view(FakeClock())
+        view.note_offer(NAME, WORK)
+        assert NAME in view.for_work(WORK).cached
+        view.note_crash(NAME)
+        assert NAME not in view.for_work(WORK).cached
--- /dev/null
+++ b/tests/request/test_expected_cost.py
@@ -0,0 +1,131 @@
+"""Placement by expected cost, against a full scan and against its own rules."""
+
+import random
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from guavawalk.process.bench.placement import placement_scene
+from guavawalk.request.affinity import affinity_order
+from guavawalk.request.expected_cost import MAX_SCANNED, cost_parts, create_expected_cost
+from guavawalk.request.placement import capable_targets
+from guavawalk.request.target_view import StaticViews, TargetView
+from guavawalk.request.types import LoadReport
+
+SEEDS = st.integers(0, 10_000)
+
+
+def full_scan(work, here, targets, views):
+    usable = [target for target in targets if views[target.name].usable]
+    return min(usable, key=lambda t: cost_parts(work, here, t, views[t.name]).cost_s, default=None)
+
+
+def random_views(targets, rng):
+    views = {}
+    for target in targets:
+        queued = tuple(rng.randrange(5) for _ in range(3))
+        tokens = tuple(20 * count for count in queued)
+        running = rng.randrange(10)
+        load = LoadReport(queued, running, 8, queued_output_by_rank=tokens)
+        views[target.name] = TargetView(load, rng.random() * 3, usable=rng.random() < 0.8)
+    return StaticViews(views)
+
+
+class TestAgainstFullScan:
+    @given(SEEDS, st.integers(1, MAX_SCANNED))
+    def test_few_targets_are_all_looked_at(self, seed, count):
+        rng = random.Random(seed)
+        work, here, targets = placement_scene(count, count, seed)
+        work = work._replace(prefix_hashes=())
+        views = random_views(targets, rng)
+        ranked = create_expected_cost(seed).rank(work, here, targets, views)
+        best = full_scan(work, here, targets, views)
+        assert (ranked[0].target if ranked else None) == best
+
+    def test_a_sample_of_many_is_close_to_the_best(self):
+        rng = random.Random(1)
+        work, here, targets = placement_scene(60, 60, 1)
+        policy = create_expected_cost(1)
+        ratios = []
+        for _ in range(200):
+            views = random_views(targets, rng)
+            found = policy.rank(work, here, targets, views)[0]
+            best = full_scan(work, here, targets, views)
+            best_s = cost_parts(work, here, best, views[best.name]).cost_s
+            ratios.append(found.cost_ms / 1000 / best_s)
+        assert sum(ratios) / len(ratios) < 1.5
+
+    @given(SEEDS)
+    def test_never_an_unusable_target(self, seed):
+        rng = random.Random(seed)
+        work, here, targets = placement_scene(30, 30, seed)
+        views = random_views(targets, rng)
+        for candidate in create_expected_cost(seed).rank(work, here, targets, views):
+            assert views[candidate.target.name].usable
+
+
+class TestAffinity:
+    @given(st.integers(-(2**63), 2**63 - 1), st.permutations([f"t{i}" for i in range(8)]))
+    def test_order_does_not_hang_on_the_order_of_names(self, key, names):
+        assert affinity_order(key, tuple(names)) == affinity_order(key, tuple(sorted(names)))
+
+    def test_two_entries_agree_without_talking(self):
+        work, here, targets = placement_scene(30, 30, 5)
+        targets = [target._replace(generation="gen-1") for target in targets]
+        views = StaticViews({target.name: TargetView() for target in targets})
+        chosen = {
+            create_expected_cost(seed).rank(work, here, targets, views)[0].target.name
+            for seed in range(10)
+        }
+        assert len(chosen) == 1
+
+    def test_a_full_target_gives_no_credit(self):
+        work, here, targets = placement_scene(10, 10, 5)
+        idle = StaticViews({target.name: TargetView() for target in targets})
+        first = create_expected_cost(0).rank(work, here, targets, idle)[0].target.name
+        full = TargetView(LoadReport((6,), 8, 8, queued_output_by_rank=(200,)))
+        views = StaticViews({**idle.views, first: full})
+        assert create_expected_cost(0).rank(work, here, targets, views)[0].target.name != first
+
+
+class TestCost:
+    def test_only_the_same_tier_and_higher_ones_are_waited_for(self):
+        work, here, targets = placement_scene(1, 1, 0)
+        lower = LoadReport((0, 0, 50), 4, 4, queued_output_by_rank=(0, 0, 5_000))
+        higher = LoadReport((50, 0, 0), 4, 4, queued_output_by_rank=(5_000, 0, 0))
+        costs = [
+            cost_parts(work, here, targets[0], TargetView(load)).wait_s for load in (lower, higher)
+        ]
+        assert costs[0] < costs[1]
+
+    def test_an_old_report_counts_less(self):
+        work, here, targets = placement_scene(1, 1, 0)
+        load = LoadReport((50,), 4, 4, queued_output_by_rank=(50_000,))
+        fresh, old = (cost_parts(work, here, targets[0], TargetView(load, age)) for age in (0, 10))
+        assert old.wait_s < fresh.wait_s
+
+    @pytest.mark.parametrize("own_long, expected", [(0, False), (8, True)])
+    def test_long_work_is_kept_from_holding_all_slots(self, own_long, expected):
+        work, here, targets = placement_scene(1, 1, 0)
+        work = work._replace(expected_output_tokens=1_000)
+        view = TargetView(LoadReport(window=8), own_long=own_long)
+        assert (cost_parts(work, here, targets[0], view).penalty_s > 5) is expected
+
+
+class TestCapability:
+    def test_leaving_prefill_and_forbidden_targets_are_left_out(self):
+        work, _, targets = placement_scene(8, 8, 0)
+        leaving = targets[0]._replace(leaving=True)
+        prefill = targets[1]._replace(desired=targets[1].desired._replace(role="prefill"))
+        changed = {leaving.name: leaving, prefill.name: prefill}
+        configuration = work.configuration._replace(
+            targets={**work.configuration.targets, **changed}
+        )
+        centre = targets[2].data_centre
+        workspace = work.workspace._replace(data_centres=(centre,))
+        work = work._replace(configuration=configuration, workspace=workspace)
+        found = capable_targets(work, configuration)
+        assert found
+        assert not {t.name for t in found} & set(changed)
+        assert {t.data_centre for t in found} == {centre}
