Show what a process does: histograms, metrics, traces

Cause: a process told nothing of its requests but its logs, and a shed attempt was not even there. Change: bounded histograms by workspace and tier, recent refusals, gauges, a held list of metric names, and guavawalk trace. Notes on a request's end stand in modules of their own.

--- a/guavawalk/connection/http_request.py
+++ b/guavawalk/connection/http_request.py
@@ -12,7 +12,14 @@
 from guavawalk.version.documents import digest_bytes
 from guavawalk.version.types import Configuration, Model, Service, Tier, Workspace
 
-__all__ = ["CallerHeaders", "RawRequest", "find_workspace", "read_headers", "read_work"]
+__all__ = [
+    "CallerHeaders",
+    "RawRequest",
+    "find_workspace",
+    "read_headers",
+    "read_trace_id",
+    "read_work",
+]
 
 OWN_PREFIX = "v1"
 MODEL_PATHS = ("/v1/chat/completions", "/v1/completions")
@@ -63,7 +70,7 @@
         api_key=key.strip(),
         tier=headers.get("x-guavawalk-tier", ""),
         deadline_ms=_read_deadline(headers.get("x-guavawalk-deadline-ms")),
-        trace_id=_read_trace(headers.get("x-request-id", "")),
+        trace_id=read_trace_id(headers.get("x-request-id", "")),
         idempotency_key=headers.get("idempotency-key", ""),
     )
 
@@ -78,7 +85,8 @@
     return int(text)
 
 
-def _read_trace(text: str) -> str:
+def read_trace_id(text: str) -> str:
+    """Return a caller's trace id, or a new one; `BAD_REQUEST` if it can't be logged."""
     if not text:
         return secrets.token_hex(8)
     if len(text) > MAX_TRACE_CHARS or not text.isascii() or not text.isprintable():
--- a/guavawalk/connection/tasks/carry.py
+++ b/guavawalk/connection/tasks/carry.py
@@ -6,12 +6,12 @@
 
 import anyio
 
-from guavawalk import events
 from guavawalk.codes import CodeClass, ResultCode, code_class
 from guavawalk.connection.caller import Caller
 from guavawalk.connection.tasks.offer import Progress, abandon_offer, offer_work
 from guavawalk.exception import LinkRefused, RequestError
 from guavawalk.process.entry.choice import Choice, choose_target
+from guavawalk.process.entry.observed import note_outcome
 from guavawalk.request.ticket import code_for_key, read_ticket
 from guavawalk.request.types import Outcome, Work
 
@@ -49,7 +49,7 @@
         outcome = await _carry_while_wanted(entry, work, caller, progress)
     finally:
         entry.gauge.running -= 1
-    _note_outcome(entry, work, outcome)
+    note_outcome(entry, work, outcome)
     await caller.finish(outcome)
     return outcome
 
@@ -170,19 +170,3 @@
         entry.view.note_completed(name, work, outcome, choice.cached_tokens)
     elif outcome.code in CRASH_CODES:
         entry.view.note_crash(name)
-
-
-def _note_outcome(entry: Entry, work: Work, outcome: Outcome) -> None:
-    entry.log.emit(
-        events.REQUEST_ENDED,
-        trace_id=work.trace_id,
-        workspace=work.workspace.name,
-        tier=work.tier.name,
-        code=int(outcome.code),
-        target=outcome.target,
-        attempts=outcome.attempts,
-        first_token_ms=round(outcome.first_token_ms, 1),
-        total_ms=round(outcome.total_ms, 1),
-    )
-    entry.metrics.count(f"request.{work.tier.name}.{outcome.code.name.lower()}")
-    entry.metrics.time(f"request.{work.tier.name}.first_token_ms", outcome.first_token_ms)
--- a/guavawalk/connection/tasks/dispatch.py
+++ b/guavawalk/connection/tasks/dispatch.py
@@ -6,11 +6,11 @@
 
 import anyio
 
-from guavawalk import events
 from guavawalk.codes import ResultCode
 from guavawalk.connection.target import TargetAnswer
 from guavawalk.exception import RequestError, TargetConnectError, TargetLost
 from guavawalk.process.sidecar.admission import dispatch_ready
+from guavawalk.process.sidecar.observed import note_attempt_end, note_tokens
 from guavawalk.process.sidecar.state import end_attempt
 from guavawalk.request.attempt import Attempt, AttemptState
 
@@ -35,6 +35,7 @@
     """
     await _wait_turn(sidecar, attempt)
     if attempt.state is not AttemptState.DISPATCHED:
+        note_attempt_end(sidecar, attempt)
         return
     try:
         if attempt.cancel_requested:
@@ -49,7 +50,7 @@
     finally:
         sidecar.attempts.running -= 1
         end_attempt(sidecar, attempt, ResultCode.CUT_OFF)
-        _note_end(sidecar, attempt)
+        note_attempt_end(sidecar, attempt)
         dispatch_ready(sidecar)
 
 
@@ -92,6 +93,7 @@
             sidecar.window.observe_first_token(attempt, elapsed_ms)
         elif part.output_tokens:
             sidecar.window.observe_tokens(attempt, part.output_tokens, elapsed_ms)
+            note_tokens(sidecar, attempt, part.output_tokens, elapsed_ms)
         last_s = now_s
         if part.usage is not None:
             attempt.usage = part.usage
@@ -105,17 +107,3 @@
     end_attempt(sidecar, attempt, ResultCode.CANCELLED)
     with anyio.move_on_after(CANCEL_TIMEOUT_S, shield=True):
         await sidecar.target.cancel(attempt.offer.attempt_id)
-
-
-def _note_end(sidecar: Sidecar, attempt: Attempt) -> None:
-    offer = attempt.offer
-    sidecar.log.emit(
-        events.ATTEMPT_ENDED,
-        trace_id=offer.trace_id,
-        attempt_id=offer.attempt_id,
-        workspace=offer.workspace,
-        tier_rank=offer.tier_rank,
-        code=int(attempt.code),
-        queue_ms=round((attempt.dispatched_s - attempt.offered_s) * 1000, 1),
-        run_ms=round((attempt.ended_s - attempt.dispatched_s) * 1000, 1),
-    )
--- a/guavawalk/connection/tasks/entry_link.py
+++ b/guavawalk/connection/tasks/entry_link.py
@@ -29,6 +29,7 @@
 from guavawalk.exception import LinkBroken, RequestError
 from guavawalk.process.sidecar.admission import admit_offer, withdraw_attempt
 from guavawalk.process.sidecar.link_ledger import Exchange
+from guavawalk.process.sidecar.observed import note_refused
 from guavawalk.process.sidecar.records import TICKET_TTL_S
 from guavawalk.process.sidecar.state import load_report
 from guavawalk.request.attempt import Attempt, AttemptState
@@ -96,13 +97,7 @@
 
 
 def _refused(sidecar: Sidecar, offer: Offer, error: RequestError) -> Refused:
-    sidecar.log.emit(
-        events.ATTEMPT_REFUSED,
-        trace_id=offer.trace_id,
-        attempt_id=offer.attempt_id,
-        workspace=offer.workspace,
-        code=int(error.code),
-    )
+    note_refused(sidecar, offer, error)
     return Refused(
         attempt_id=offer.attempt_id,
         code=error.code,
--- a/guavawalk/connection/tasks/front.py
+++ b/guavawalk/connection/tasks/front.py
@@ -19,11 +19,13 @@
     RawRequest,
     find_workspace,
     read_headers,
+    read_trace_id,
     read_work,
 )
 from guavawalk.connection.tasks.carry import carry_request
 from guavawalk.connection.tasks.ticket import fetch_ticket
 from guavawalk.exception import RequestError
+from guavawalk.process.entry.observed import note_invalid
 from guavawalk.request.ticket import code_for_key
 from guavawalk.request.types import Outcome
 
@@ -110,15 +112,20 @@
 
 
 def _invalid(entry: Entry, request: Request, error: RequestError) -> Response:
-    entry.log.emit(
-        events.REQUEST_INVALID, code=int(error.code), path=request.url.path, reason=str(error)
-    )
+    note_invalid(entry, error, request.url.path, _trace_id(request))
     code = code_for_key(error.code, request.headers.get("idempotency-key", ""))
     outcome = Outcome(code, error.detail, error.retry_after_ms or 0)
     headers = {"x-guavawalk-code": str(int(code))}
     return JSONResponse(error_body(outcome), describe_code(code).http_status, headers)
 
 
+def _trace_id(request: Request) -> str:
+    try:
+        return read_trace_id(request.headers.get("x-request-id", ""))
+    except RequestError:
+        return ""
+
+
 def _ticket_endpoint(entry: Entry):
     async def tickets(request: Request) -> Response:
         try:
--- a/guavawalk/exception.py
+++ b/guavawalk/exception.py
@@ -9,6 +9,7 @@
     "LinkBroken",
     "LinkError",
     "LinkRefused",
+    "LogFileError",
     "PlatformUnavailable",
     "RequestError",
     "SettingsError",
@@ -63,6 +64,10 @@
     """A value that is not the one that its digest names; another source may have it whole."""
 
 
+class LogFileError(GuavawalkError):
+    """A log file that can't be read."""
+
+
 class PlatformUnavailable(GuavawalkError):
     """The platform's service did not answer, or not with something usable."""
 
--- a/guavawalk/process/commands/app.py
+++ b/guavawalk/process/commands/app.py
@@ -14,6 +14,7 @@
 from guavawalk.process.commands.bench import bench_app
 from guavawalk.process.commands.config import config_app
 from guavawalk.process.commands.standin import standin_app
+from guavawalk.process.commands.trace import trace
 
 __all__ = ["app", "main"]
 
@@ -25,6 +26,7 @@
 app.command(bench_app)
 app.command(config_app)
 app.command(standin_app)
+app.command(trace)
 
 SettingsFile = Annotated[Path, Parameter(name="--settings", help="JSON with comments.")]
 
@@ -68,11 +70,11 @@
 
 
 @app.command
-def catalogue(kind: Literal["codes", "events"]) -> int:
-    """Print the table of docs/CODES.md or docs/EVENTS.md from the code."""
-    from guavawalk.process.commands.catalogue import codes_table, events_table
+def catalogue(kind: Literal["codes", "events", "metrics"]) -> int:
+    """Print the table of docs/CODES.md, docs/EVENTS.md or docs/METRICS.md from the code."""
+    from guavawalk.process.commands.catalogue import codes_table, events_table, metrics_table
 
-    print({"codes": codes_table, "events": events_table}[kind](), end="")
+    print({"codes": codes_table, "events": events_table, "metrics": metrics_table}[kind](), end="")
     return 0
 
 
--- a/guavawalk/process/commands/bench.py
+++ b/guavawalk/process/commands/bench.py
@@ -81,3 +81,13 @@
             f"p99 {cost.p99_us:.1f} µs, {capable} capable of {known}, {decisions} decisions"
         )
     return 0
+
+
+@bench_app.command
+def histograms(workspaces: int = 29_000, requests: int = 50_000, seed: int = 1) -> int:
+    """Measure what histograms of many workspaces cost."""
+    from guavawalk.process.bench.histograms import measure_histograms
+
+    for name, value in measure_histograms(workspaces, requests, seed)._asdict().items():
+        print(f"{name}: {value:.2f}" if isinstance(value, float) else f"{name}: {value}")
+    return 0
--- a/guavawalk/process/commands/catalogue.py
+++ b/guavawalk/process/commands/catalogue.py
@@ -1,11 +1,12 @@
-"""The tables of docs/CODES.md and docs/EVENTS.md, printed from the code."""
+"""The tables of docs/CODES.md, docs/EVENTS.md and docs/METRICS.md, printed from the code."""
 
 import logging
 
 from guavawalk.codes import CODES, code_class
 from guavawalk.events import EVENTS
+from guavawalk.process.observe.names import METRICS
 
-__all__ = ["codes_table", "events_table"]
+__all__ = ["codes_table", "events_table", "metrics_table"]
 
 
 def codes_table() -> str:
@@ -26,3 +27,11 @@
         level = logging.getLevelName(event.level)
         lines.append(f"| {event.number} | {event.name} | {level} | {event.message} |")
     return "\n".join(lines) + "\n"
+
+
+def metrics_table() -> str:
+    """Return the metrics as a Markdown table."""
+    lines = ["| name | kind | sent by | meaning |", "|---|---|---|---|"]
+    for metric in METRICS:
+        lines.append(f"| `{metric.pattern}` | {metric.kind} | {metric.role} | {metric.meaning} |")
+    return "\n".join(lines) + "\n"
--- /dev/null
+++ b/guavawalk/process/entry/observed.py
@@ -0,0 +1,74 @@
+"""What an entry notes of each request, for logs, metrics and operators."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from guavawalk import events
+from guavawalk.codes import CodeClass, ResultCode, code_class
+from guavawalk.exception import RequestError
+from guavawalk.process.observe.histograms import Measure
+from guavawalk.process.observe.names import metric_part
+from guavawalk.process.observe.refusals import Refusal
+from guavawalk.request.types import Outcome, Work
+
+if TYPE_CHECKING:
+    from guavawalk.process.entry.state import Entry
+
+__all__ = ["note_invalid", "note_outcome"]
+
+MAX_LOGGED_CHARS = 200
+
+
+def note_outcome(entry: Entry, work: Work, outcome: Outcome) -> None:
+    """Note how a request ended."""
+    entry.log.emit(
+        events.REQUEST_ENDED,
+        trace_id=work.trace_id,
+        workspace=work.workspace.name,
+        tier=work.tier.name,
+        code=int(outcome.code),
+        target=outcome.target,
+        attempts=outcome.attempts,
+        first_token_ms=round(outcome.first_token_ms, 1),
+        total_ms=round(outcome.total_ms, 1),
+    )
+    tier = metric_part(work.tier.name)
+    entry.metrics.count(f"request.{tier}.{outcome.code.name.lower()}")
+    _note_refusal(entry, work, outcome)
+    histograms = entry.observed.histograms
+    histograms.note_request(work.workspace.name, work.tier.name)
+    if outcome.code is not ResultCode.COMPLETED:
+        return
+    entry.metrics.time(f"request.{tier}.first_token_ms", outcome.first_token_ms)
+    entry.metrics.time(f"request.{tier}.whole_ms", outcome.total_ms)
+    key = (work.workspace.name, work.tier.name)
+    histograms.record(*key, Measure.FIRST_TOKEN, outcome.first_token_ms)
+    histograms.record(*key, Measure.WHOLE, outcome.total_ms)
+
+
+def _note_refusal(entry: Entry, work: Work, outcome: Outcome) -> None:
+    if code_class(outcome.code) is not CodeClass.NOT_RUN:
+        return
+    refusal = Refusal(
+        at_s=entry.clock.now_s(),
+        code=outcome.code,
+        workspace=work.workspace.name,
+        tier=work.tier.name,
+        trace_id=work.trace_id,
+        target=outcome.target,
+    )
+    entry.observed.refusals.note(refusal)
+
+
+def note_invalid(entry: Entry, error: RequestError, path: str, trace_id: str) -> None:
+    """Note a request that was refused before it became work."""
+    entry.log.emit(
+        events.REQUEST_INVALID,
+        trace_id=trace_id,
+        code=int(error.code),
+        path=path[:MAX_LOGGED_CHARS],
+        reason=str(error)[:MAX_LOGGED_CHARS],
+    )
+    entry.metrics.count(f"request.invalid.{error.code.name.lower()}")
+    entry.observed.refusals.note(Refusal(entry.clock.now_s(), error.code, "", "", trace_id))
--- a/guavawalk/process/entry/state.py
+++ b/guavawalk/process/entry/state.py
@@ -10,6 +10,7 @@
 from guavawalk.process.entry.view import FleetView
 from guavawalk.process.observe.log import EventLog
 from guavawalk.process.observe.metrics import Metrics
+from guavawalk.process.observe.observations import Observations
 from guavawalk.request.placement import Placement
 from guavawalk.version.held import HeldVersion
 
@@ -56,6 +57,7 @@
     limits: EntryLimits
     log: EventLog
     metrics: Metrics
+    observed: Observations
 
 
 def create_request_gauge() -> RequestGauge:
--- a/guavawalk/process/entry_daemon.py
+++ b/guavawalk/process/entry_daemon.py
@@ -14,14 +14,18 @@
 from guavawalk.connection.tasks.follow_platform import follow_platform
 from guavawalk.connection.tasks.front import create_front
 from guavawalk.connection.tcp import create_tcp_network
+from guavawalk.exception import RequestError
 from guavawalk.process.clock import Clock, create_clock
 from guavawalk.process.entry.limits import create_no_limiter
 from guavawalk.process.entry.links import create_link_pool
+from guavawalk.process.entry.observed import note_invalid
 from guavawalk.process.entry.retry import create_attempt_cap
 from guavawalk.process.entry.state import Entry, EntryLimits, create_request_gauge
 from guavawalk.process.entry.view import create_fleet_view
 from guavawalk.process.http_server import serve_asgi
+from guavawalk.process.observe.gauges import GaugeValues, report_gauges
 from guavawalk.process.observe.log import EventLog, create_event_log
+from guavawalk.process.observe.observations import create_observations
 from guavawalk.process.settings import EntrySettings, client_tls_context, server_tls_context
 from guavawalk.process.shutdown import watch_signals
 from guavawalk.process.sidecar_daemon import create_incarnation, create_metrics
@@ -70,6 +74,7 @@
         ),
         log=log,
         metrics=create_metrics(settings.statsd),
+        observed=create_observations(),
     )
 
 
@@ -98,7 +103,7 @@
 
 
 def _note_rejected(entry: Entry, code: ResultCode) -> None:
-    entry.log.emit(events.REQUEST_INVALID, code=int(code), reason="no readable request")
+    note_invalid(entry, RequestError(code, "no readable request"), "", "")
 
 
 async def _sweep_idle_links(entry: Entry) -> None:
@@ -107,6 +112,10 @@
         await entry.links.close_idle()
 
 
+def _read_gauges(entry: Entry) -> GaugeValues:
+    return GaugeValues(entry.gauge.running, entry.held.stamp.version)
+
+
 async def drain_entry(entry: Entry) -> None:
     """Take no more requests and wait until those under way have ended."""
     entry.gauge.draining = True
@@ -142,6 +151,7 @@
 
         await tasks.start(watch_signals, partial(tasks.start_soon, drain), force)
         tasks.start_soon(serve_entry, entry, platform, settings.listen)
+        tasks.start_soon(report_gauges, entry.metrics, partial(_read_gauges, entry))
         await drained.wait()
         tasks.cancel_scope.cancel()
     return 1 if entry.gauge.running else 0
--- /dev/null
+++ b/guavawalk/process/observe/trace.py
@@ -0,0 +1,93 @@
+"""The story of one request, out of the logs of many processes."""
+
+import json
+from collections.abc import Iterable, Iterator
+from pathlib import Path
+from typing import Any, NamedTuple
+
+from guavawalk.exception import LogFileError
+
+__all__ = ["Trace", "TraceLine", "read_trace"]
+
+COMMON_FIELDS = ("time", "level", "message", "event", "event_name", "role", "instance", "trace_id")
+ID_FIELDS = ("trace_id", "attempt_id")
+
+
+class TraceLine(NamedTuple):
+    """One event of a request."""
+
+    time: str
+    instance: str
+    event: int
+    message: str
+    details: str
+
+
+class Trace(NamedTuple):
+    """What the logs say of one request.
+
+    Attributes
+    ----------
+    unreadable_lines : int
+        Lines that are no JSON objects.
+    """
+
+    lines: tuple[TraceLine, ...]
+    unreadable_lines: int
+
+
+def read_trace(trace_id: str, files: Iterable[Path]) -> Trace:
+    """Find the events of a request, by its trace id and the ids of its attempts.
+
+    Raises
+    ------
+    LogFileError
+        If a file can't be read.
+
+    Notes
+    -----
+    Events are in the order of the times that their processes gave them; between two machines the
+    order is as good as their clocks.
+    """
+    files = tuple(files)
+    wanted = {trace_id}
+    unreadable_lines = 0
+    for record in _records(files):
+        if record is None:
+            unreadable_lines += 1
+        elif record.get("trace_id") == trace_id and record.get("attempt_id"):
+            wanted.add(record["attempt_id"])
+    found = [
+        _line(record)
+        for record in _records(files)
+        if record and any(str(record.get(field, "")) in wanted for field in ID_FIELDS)
+    ]
+    return Trace(tuple(sorted(found, key=lambda line: line.time)), unreadable_lines)
+
+
+def _records(files: Iterable[Path]) -> Iterator[dict[str, Any] | None]:
+    for file in files:
+        try:
+            with file.open(encoding="utf-8", errors="replace") as lines:
+                yield from map(_record, lines)
+        except OSError as error:
+            raise LogFileError(f"{file}: {error.strerror or 'unreadable'}") from error
+
+
+def _record(line: str) -> dict[str, Any] | None:
+    try:
+        record = json.loads(line)
+    except (ValueError, RecursionError):
+        return None
+    return record if isinstance(record, dict) else None
+
+
+def _line(record: dict[str, Any]) -> TraceLine:
+    details = {name: value for name, value in record.items() if name not in COMMON_FIELDS}
+    return TraceLine(
+        time=str(record.get("time", "")),
+        instance=str(record.get("instance", "")),
+        event=record.get("event", 0),
+        message=str(record.get("message", "")),
+        details=" ".join(f"{name}={value}" for name, value in details.items()),
+    )
--- /dev/null
+++ b/guavawalk/process/sidecar/observed.py
@@ -0,0 +1,117 @@
+"""What a sidecar notes of each attempt, for logs, metrics and operators."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from guavawalk import events
+from guavawalk.codes import CodeClass, ResultCode, code_class
+from guavawalk.exception import RequestError
+from guavawalk.process.observe.histograms import Measure
+from guavawalk.process.observe.names import metric_part
+from guavawalk.process.observe.refusals import Refusal
+from guavawalk.request.attempt import Attempt
+from guavawalk.request.types import Offer
+from guavawalk.request.waste import wasted_prompt_tokens
+from guavawalk.version.held import HeldVersion
+
+if TYPE_CHECKING:
+    from guavawalk.process.sidecar.state import Sidecar
+
+__all__ = ["note_attempt_end", "note_refused", "note_tokens", "tier_name"]
+
+
+def tier_name(held: HeldVersion, rank: int) -> str:
+    """Return the name of a tier by rank, under the version in force."""
+    configuration = held.configuration
+    for tier in configuration.tiers.values() if configuration else ():
+        if tier.rank == rank:
+            return tier.name
+    return f"rank-{rank}"
+
+
+def note_tokens(sidecar: Sidecar, attempt: Attempt, tokens: int, elapsed_ms: float) -> None:
+    """Note tokens that came `elapsed_ms` after the ones before."""
+    offer = attempt.offer
+    tier = tier_name(sidecar.held, offer.tier_rank)
+    each_ms = elapsed_ms / tokens
+    sidecar.observed.histograms.record(
+        offer.workspace, tier, Measure.BETWEEN_TOKENS, each_ms, tokens
+    )
+
+
+def note_attempt_end(sidecar: Sidecar, attempt: Attempt) -> None:
+    """Note how an attempt ended, whether it was dispatched or not."""
+    offer = attempt.offer
+    sidecar.log.emit(
+        events.ATTEMPT_ENDED,
+        trace_id=offer.trace_id,
+        attempt_id=offer.attempt_id,
+        target=sidecar.target_name,
+        workspace=offer.workspace,
+        tier_rank=offer.tier_rank,
+        code=int(attempt.code),
+        queue_ms=round(_queue_ms(attempt), 1),
+        run_ms=round(_run_ms(attempt), 1),
+    )
+    tier = tier_name(sidecar.held, offer.tier_rank)
+    sidecar.observed.histograms.note_request(offer.workspace, tier)
+    sidecar.metrics.count(f"attempt.{metric_part(tier)}.{attempt.code.name.lower()}")
+    if code_class(attempt.code) is CodeClass.NOT_RUN:
+        _note_refusal(sidecar, offer, attempt.code)
+    if attempt.has_run:
+        _note_times(sidecar, attempt, tier)
+
+
+def _queue_ms(attempt: Attempt) -> float:
+    left_s = attempt.dispatched_s if attempt.has_run else attempt.ended_s
+    return (left_s - attempt.offered_s) * 1000
+
+
+def _run_ms(attempt: Attempt) -> float:
+    return (attempt.ended_s - attempt.dispatched_s) * 1000 if attempt.has_run else 0.0
+
+
+def _note_times(sidecar: Sidecar, attempt: Attempt, tier: str) -> None:
+    histograms = sidecar.observed.histograms
+    key = (attempt.offer.workspace, tier)
+    part = metric_part(tier)
+    histograms.record(*key, Measure.QUEUE, _queue_ms(attempt))
+    sidecar.metrics.time(f"attempt.{part}.queue_ms", _queue_ms(attempt))
+    if attempt.first_token_s:
+        first_token_ms = (attempt.first_token_s - attempt.offered_s) * 1000
+        histograms.record(*key, Measure.FIRST_TOKEN, first_token_ms)
+        sidecar.metrics.time(f"attempt.{part}.first_token_ms", first_token_ms)
+    if attempt.code is ResultCode.COMPLETED:
+        histograms.record(*key, Measure.WHOLE, (attempt.ended_s - attempt.offered_s) * 1000)
+    wasted_tokens = wasted_prompt_tokens(attempt)
+    if wasted_tokens:
+        histograms.record(*key, Measure.WASTED, wasted_tokens)
+        sidecar.metrics.count(f"attempt.{part}.wasted_prompt_tokens", wasted_tokens)
+
+
+def note_refused(sidecar: Sidecar, offer: Offer, error: RequestError) -> None:
+    """Note an offer that was not taken."""
+    sidecar.log.emit(
+        events.ATTEMPT_REFUSED,
+        trace_id=offer.trace_id,
+        attempt_id=offer.attempt_id,
+        target=sidecar.target_name,
+        workspace=offer.workspace,
+        code=int(error.code),
+    )
+    tier = tier_name(sidecar.held, offer.tier_rank)
+    sidecar.metrics.count(f"attempt.{metric_part(tier)}.{error.code.name.lower()}")
+    _note_refusal(sidecar, offer, error.code)
+
+
+def _note_refusal(sidecar: Sidecar, offer: Offer, code: ResultCode) -> None:
+    refusal = Refusal(
+        at_s=sidecar.clock.now_s(),
+        code=code,
+        workspace=offer.workspace,
+        tier=tier_name(sidecar.held, offer.tier_rank),
+        trace_id=offer.trace_id,
+        target=sidecar.target_name,
+    )
+    sidecar.observed.refusals.note(refusal)
--- a/guavawalk/process/sidecar/state.py
+++ b/guavawalk/process/sidecar/state.py
@@ -11,6 +11,7 @@
 from guavawalk.process.clock import Clock
 from guavawalk.process.observe.log import EventLog
 from guavawalk.process.observe.metrics import Metrics
+from guavawalk.process.observe.observations import Observations
 from guavawalk.process.sidecar.drain import DrainRate
 from guavawalk.process.sidecar.link_ledger import LinkLedger
 from guavawalk.process.sidecar.queue import Queue
@@ -103,6 +104,7 @@
     links: LinkLedger
     log: EventLog
     metrics: Metrics
+    observed: Observations
     tasks: TaskGroup
 
 
--- a/guavawalk/process/sidecar_daemon.py
+++ b/guavawalk/process/sidecar_daemon.py
@@ -16,12 +16,14 @@
 from guavawalk.connection.tasks.follow_platform import follow_platform
 from guavawalk.connection.tcp import create_tcp_network
 from guavawalk.process.clock import Clock, create_clock
+from guavawalk.process.observe.gauges import GaugeValues, report_gauges
 from guavawalk.process.observe.log import EventLog, create_event_log
 from guavawalk.process.observe.metrics import (
     Metrics,
     create_null_metrics,
     create_statsd_metrics,
 )
+from guavawalk.process.observe.observations import create_observations
 from guavawalk.process.settings import (
     SidecarSettings,
     StatsdSettings,
@@ -95,6 +97,7 @@
         links=create_link_ledger(limits.closed_links),
         log=log,
         metrics=create_metrics(settings.statsd),
+        observed=create_observations(),
         tasks=tasks,
     )
 
@@ -116,6 +119,15 @@
         task_status.started(bound)
 
 
+def _read_gauges(sidecar: Sidecar) -> GaugeValues:
+    return GaugeValues(
+        running=sidecar.attempts.running,
+        version=sidecar.held.stamp.version,
+        queued=len(sidecar.queue),
+        window=sidecar.window.size,
+    )
+
+
 async def drain_sidecar(sidecar: Sidecar) -> None:
     """Take no more work and wait until what runs has ended."""
     sidecar.log.emit(events.SHUTDOWN_BEGUN, running=sidecar.attempts.running)
@@ -145,6 +157,7 @@
         await tasks.start(watch_signals, partial(_begin_drain, sidecar, drained), forced)
         platform = create_http_platform(settings.platform_url)
         await tasks.start(serve_sidecar, sidecar, network, platform, settings.listen)
+        tasks.start_soon(report_gauges, sidecar.metrics, partial(_read_gauges, sidecar))
         await drained.wait()
         tasks.cancel_scope.cancel()
     return 1 if sidecar.attempts.live else 0
--- /dev/null
+++ b/tests/process/observe/test_refusals.py
@@ -0,0 +1,23 @@
+"""Recent refusals."""
+
+from guavawalk.codes import ResultCode
+from guavawalk.process.observe.refusals import Refusal, create_refusals
+
+
+def refusal(at_s: float, workspace: str = "harbour") -> Refusal:
+    return Refusal(at_s, ResultCode.SHED, workspace, "tag", "t")
+
+
+class TestRefusals:
+    def test_last_come_first_and_the_oldest_give_way(self):
+        refusals = create_refusals(kept=2)
+        for at_s in (1.0, 2.0, 3.0):
+            refusals.note(refusal(at_s))
+        assert [found.at_s for found in refusals.recent()] == [3.0, 2.0]
+        assert refusals.counts() == {ResultCode.SHED: 3}
+
+    def test_scope(self):
+        refusals = create_refusals()
+        refusals.note(refusal(1.0, "harbour"))
+        refusals.note(refusal(2.0, "council"))
+        assert [found.at_s for found in refusals.recent({"harbour"})] == [1.0]
