Let the dispatch window follow the engine

Cause: a fixed window fills the engine's own queue, which knows no tiers, and pushes bursts of long prompts at once, which the engine prefills in arrival order before an urgent one.

Change: an adaptive window with a pace (grows by one, shrinks by a fifth, a band between), a prefill budget, a reserve for urgent tiers (Tier.reserved_share) and a cap on long attempts. The fixed window stays as baseline; settings choose by name. bench window runs both in virtual time.

--- a/guavawalk/connection/tasks/dispatch.py
+++ b/guavawalk/connection/tasks/dispatch.py
@@ -49,6 +49,7 @@
             await _cancel(sidecar, attempt)
     finally:
         sidecar.attempts.running -= 1
+        sidecar.window.note_end(attempt)
         end_attempt(sidecar, attempt, ResultCode.CUT_OFF)
         note_attempt_end(sidecar, attempt)
         dispatch_ready(sidecar)
@@ -91,9 +92,12 @@
         if not attempt.first_token_s:
             attempt.stream(now_s)
             sidecar.window.observe_first_token(attempt, elapsed_ms)
+            dispatch_ready(sidecar)
         elif part.output_tokens:
-            sidecar.window.observe_tokens(attempt, part.output_tokens, elapsed_ms)
+            grew = sidecar.window.observe_tokens(attempt, part.output_tokens, elapsed_ms)
             note_tokens(sidecar, attempt, part.output_tokens, elapsed_ms)
+            if grew:
+                dispatch_ready(sidecar)
         last_s = now_s
         if part.usage is not None:
             attempt.usage = part.usage
--- a/guavawalk/process/commands/bench.py
+++ b/guavawalk/process/commands/bench.py
@@ -91,3 +91,18 @@
     for name, value in measure_histograms(workspaces, requests, seed)._asdict().items():
         print(f"{name}: {value:.2f}" if isinstance(value, float) else f"{name}: {value}")
     return 0
+
+
+@bench_app.command
+def window(duration_s: float = 60.0, seed: int = 1, scenarios: tuple[str, ...] = ()) -> None:
+    """Measure dispatch windows before one engine, in virtual time."""
+    from guavawalk.process.bench.window import SCENARIOS, WINDOW_CHOICES, measure_window
+
+    print(
+        "| scenario | window | tier | offered | in time | good tokens | p50 ms | p95 ms | queue |"
+    )
+    print("|---|---|---|---|---|---|---|---|---|")
+    for scenario in scenarios or SCENARIOS:
+        for choice in WINDOW_CHOICES:
+            for row in measure_window(scenario, choice, duration_s, seed):
+                print("| " + " | ".join(str(value) for value in row) + " |")
--- a/guavawalk/process/fleet.py
+++ b/guavawalk/process/fleet.py
@@ -19,6 +19,7 @@
 from guavawalk.process.plan import Plan, PlannedTarget, plan_parts
 from guavawalk.process.settings import EntrySettings, SidecarSettings
 from guavawalk.process.sidecar.state import Sidecar
+from guavawalk.process.sidecar.window import DEFAULT_WINDOW
 from guavawalk.process.sidecar_daemon import create_sidecar, serve_sidecar
 from guavawalk.process.standins.engine_model import EngineModel, EngineSpeed, create_engine_model
 from guavawalk.process.standins.memory_network import Fabric, create_fabric
@@ -61,7 +62,7 @@
     """
 
     def __init__(
-        self, plan: Plan, fabric: Fabric, tasks: TaskGroup, placement, placement_name
+        self, plan: Plan, fabric: Fabric, tasks: TaskGroup, placement, placement_name, window
     ) -> None:
         self.plan = plan
         self.fabric = fabric
@@ -74,6 +75,7 @@
         self._tasks = tasks
         self._placement = placement
         self._placement_name = placement_name
+        self._window = window
 
     def publish(self, parts: dict | None = None) -> int:
         """Publish the plan's configuration, or other parts, as the next version."""
@@ -167,6 +169,7 @@
             target_kind="service" if target.service else "model",
             target_url="",
             allow_open=True,
+            window=self._window,
         )
         held = create_held_version()
         network = self.fabric.network(node, lambda: held.stamp.version)
@@ -229,6 +232,7 @@
     placement: Placement | None = None,
     delay_s: float = 0.0005,
     placement_name: str = DEFAULT_PLACEMENT,
+    window: str = DEFAULT_WINDOW,
 ):
     """Run a deployment in memory for as long as the block lasts; yield a `Fleet`.
 
@@ -238,10 +242,12 @@
         One policy for all entries; without it each has its own, by `placement_name`.
     delay_s : float
         One-way delay between any two nodes.
+    window : str
+        Dispatch window of the sidecars, by name.
     """
     async with anyio.create_task_group() as tasks:
         fabric = create_fabric(lambda a, b: delay_s)
-        fleet = Fleet(plan, fabric, tasks, placement, placement_name)
+        fleet = Fleet(plan, fabric, tasks, placement, placement_name, window)
         fleet.publish()
         for target in plan.targets:
             await fleet.start_sidecar(target)
--- a/guavawalk/process/settings.py
+++ b/guavawalk/process/settings.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from guavawalk.exception import SettingsError
+from guavawalk.process.sidecar.window import DEFAULT_WINDOW, WINDOWS
 from guavawalk.request.policies import DEFAULT_PLACEMENT, PLACEMENTS
 
 __all__ = [
@@ -86,6 +87,10 @@
         `model` or `service`.
     target_url : str
         Base URL of the target.
+    window : str
+        `adaptive`, which follows the engine, or `fixed`; a plain service's is always fixed.
+    window_slots : int
+        Most attempts that run at the target at once.
     """
 
     instance: str
@@ -98,6 +103,7 @@
     role: str = "sidecar"
     fleet_secret: str = ""
     allow_open: bool = False
+    window: str = DEFAULT_WINDOW
     window_slots: int = 16
     queue_slots: int = 1_000
     answer_limit_bytes: int = 4 * 1024 * 1024
@@ -188,6 +194,10 @@
     if placement not in PLACEMENTS:
         problem = f"found {placement!r}, allowed is {', '.join(PLACEMENTS)}"
         raise SettingsError(source, "$.placement", problem)
+    window = getattr(settings, "window", DEFAULT_WINDOW)
+    if window not in WINDOWS:
+        problem = f"found {window!r}, allowed is {', '.join(WINDOWS)}"
+        raise SettingsError(source, "$.window", problem)
     if getattr(settings, "target_kind", "model") not in ("model", "service"):
         problem = f"found {settings.target_kind!r}, allowed is model or service"
         raise SettingsError(source, "$.target_kind", problem)
--- /dev/null
+++ b/guavawalk/process/sidecar/adaptive_window.py
@@ -0,0 +1,144 @@
+"""A dispatch window that follows the engine."""
+
+from collections.abc import Callable
+
+from guavawalk.process.clock import Clock
+from guavawalk.process.sidecar.headroom import long_slots, reserved_slots
+from guavawalk.process.sidecar.pace import Pace, create_pace
+from guavawalk.process.sidecar.prefill import PrefillLedger, create_prefill_ledger, uncached_tokens
+from guavawalk.process.sidecar.queue import MAX_RANKS, bounded_rank
+from guavawalk.process.sidecar.window import DispatchWindow
+from guavawalk.request.attempt import Attempt
+from guavawalk.version.types import Configuration
+from guavawalk.version.window import WindowRules, window_rules
+
+__all__ = ["AdaptiveWindow", "create_adaptive_window"]
+
+LOW_TIER_PREFILL_SHARE = 0.5
+LATE_FIRST_TOKEN_FACTOR = 2.0
+SMOOTHING = 0.2
+
+
+class AdaptiveWindow:
+    """A window with a pace, a prefill budget, headroom for urgent work and a cap on long work.
+
+    Notes
+    -----
+    The engine takes prompts in the order of arrival, so a prompt goes out only while those under
+    prefill, with its own, take no longer than the target for a first token; one alone may take
+    as long as it needs.
+    """
+
+    def __init__(
+        self,
+        max_size: int,
+        clock: Clock,
+        configuration: Callable[[], Configuration | None],
+        target_name: str,
+    ) -> None:
+        self.first_token_ms = 0.0
+        self.decode_tokens_per_s = 0.0
+        self._max_size = max_size
+        self._clock = clock
+        self._configuration = configuration
+        self._target_name = target_name
+        self._seen: Configuration | None = None
+        self._rules = WindowRules()
+        self._pace: Pace = create_pace(max_size)
+        self._prefill: PrefillLedger = create_prefill_ledger()
+        self._running_by_rank = [0] * MAX_RANKS
+        self._running_long = 0
+
+    @property
+    def size(self) -> int:
+        """Attempts that may run at once."""
+        return self._pace.size
+
+    def admits(self, attempt: Attempt, running: int) -> bool:
+        """Admit if a slot is free beside the reserved ones, and the prefill is short enough."""
+        self._follow_configuration()
+        if running == 0:
+            return True
+        if not self._has_slot(attempt, running):
+            self._pace.note_full()
+            return False
+        return self._has_prefill_room(attempt)
+
+    def has_long_room(self) -> bool:
+        """Keep long attempts to their share of the slots."""
+        return self._running_long < long_slots(self.size)
+
+    def note_dispatch(self, attempt: Attempt) -> None:
+        """Count it, and its prompt."""
+        self._running_by_rank[bounded_rank(attempt.offer.tier_rank)] += 1
+        self._running_long += attempt.is_long
+        self._prefill.start(attempt)
+
+    def note_end(self, attempt: Attempt) -> None:
+        """Count it no more."""
+        self._running_by_rank[bounded_rank(attempt.offer.tier_rank)] -= 1
+        self._running_long -= attempt.is_long
+        self._prefill.drop(attempt)
+
+    def observe_first_token(self, attempt: Attempt, elapsed_ms: float) -> None:
+        """Learn the prefill rate; a first token far past what its prompt explains is late."""
+        expected_ms = self._prefill.finish(attempt, elapsed_ms)
+        allowed_ms = LATE_FIRST_TOKEN_FACTOR * expected_ms + self._rules.first_token_target_ms
+        if elapsed_ms > allowed_ms:
+            self._pace.note_late_first_token()
+        self.first_token_ms = _smooth(self.first_token_ms, elapsed_ms)
+
+    def observe_tokens(self, attempt: Attempt, tokens: int, elapsed_ms: float) -> bool:
+        """Follow the gap between tokens."""
+        if elapsed_ms > 0:
+            rate = tokens * 1000 / elapsed_ms
+            self.decode_tokens_per_s = _smooth(self.decode_tokens_per_s, rate)
+        target_ms = self._rules.gap_target_ms
+        return self._pace.note_tokens(tokens, elapsed_ms, target_ms, self._clock.now_s())
+
+    def _has_slot(self, attempt: Attempt, running: int) -> bool:
+        rank = bounded_rank(attempt.offer.tier_rank)
+        shares = self._rules.reserved_shares
+        return running + reserved_slots(rank, self.size, self._running_by_rank, shares) < self.size
+
+    def _has_prefill_room(self, attempt: Attempt) -> bool:
+        outstanding = self._prefill.outstanding_tokens
+        if outstanding == 0:
+            return True
+        share = 1.0 if attempt.offer.tier_rank == 0 else LOW_TIER_PREFILL_SHARE
+        expected_ms = self._prefill.expected_ms(outstanding + uncached_tokens(attempt))
+        return expected_ms <= share * self._rules.first_token_target_ms
+
+    def _follow_configuration(self) -> None:
+        configuration = self._configuration()
+        if configuration is self._seen:
+            return
+        self._seen = configuration
+        self._rules = window_rules(configuration, self._target_name)
+        self._pace.bound(min(self._max_size, self._rules.batch_slots or self._max_size))
+        if self._rules.prefill_tokens_per_s > 0 and not len(self._prefill):
+            self._prefill = create_prefill_ledger(self._rules.prefill_tokens_per_s)
+
+
+def _smooth(before: float, sample: float) -> float:
+    return before + SMOOTHING * (sample - before) if before else sample
+
+
+def create_adaptive_window(
+    max_size: int,
+    clock: Clock,
+    configuration: Callable[[], Configuration | None],
+    target_name: str,
+) -> DispatchWindow:
+    """Create a window that follows its engine.
+
+    Parameters
+    ----------
+    max_size : int
+        Upper bound; the generation's batch slots bound it too.
+    configuration : callable
+        Returns the version in force.
+    target_name : str
+        Target that the window is for.
+    """
+    return AdaptiveWindow(max_size, clock, configuration, target_name)
--- a/guavawalk/process/sidecar/admission.py
+++ b/guavawalk/process/sidecar/admission.py
@@ -44,6 +44,7 @@
     if offer.deadline_ms <= 0:
         raise RequestError(ResultCode.DEADLINE_PASSED)
     attempt = create_attempt(offer, now_s, table.limits.answer_bytes)
+    attempt.is_long = sidecar.lengths.note_offer(offer_cost_tokens(offer))
     if offer.idempotency_key:
         sidecar.records.add(attempt, now_s)
     table.live[offer.attempt_id] = attempt
@@ -76,20 +77,29 @@
     """Dispatch what the window lets out, in the queue's order."""
     table = sidecar.attempts
     while True:
-        attempt = sidecar.queue.peek()
-        if attempt is None or not sidecar.window.admits(attempt, table.running):
+        attempt = _next_ready(sidecar)
+        if attempt is None:
             return
-        sidecar.queue.pop()
         now_s = sidecar.clock.now_s()
         if attempt.deadline_s <= now_s:
             end_attempt(sidecar, attempt, ResultCode.DEADLINE_PASSED)
             continue
         table.running += 1
         attempt.dispatch(now_s)
+        sidecar.window.note_dispatch(attempt)
         cost_tokens = offer_cost_tokens(attempt.offer)
         sidecar.drain.note_dispatch(cost_tokens, now_s, len(sidecar.queue))
 
 
+def _next_ready(sidecar: Sidecar) -> Attempt | None:
+    # A long attempt that waits for one of the few long slots must not hold up short ones.
+    with_long = sidecar.window.has_long_room()
+    attempt = sidecar.queue.peek(with_long)
+    if attempt is None or not sidecar.window.admits(attempt, sidecar.attempts.running):
+        return None
+    return sidecar.queue.pop(with_long)
+
+
 def withdraw_attempt(
     sidecar: Sidecar, attempt: Attempt, cancel: bool
 ) -> tuple[AttemptState, ResultCode]:
--- /dev/null
+++ b/guavawalk/process/sidecar/prefill.py
@@ -0,0 +1,68 @@
+"""Prompt tokens that the engine has still to compute, and how fast it computes them."""
+
+from guavawalk.request.attempt import Attempt
+
+__all__ = ["PrefillLedger", "create_prefill_ledger", "uncached_tokens"]
+
+DEFAULT_TOKENS_PER_S = 8_000.0
+MIN_SAMPLE_TOKENS = 256
+SAMPLE_WEIGHT = 0.2
+MS_PER_S = 1000.0
+
+
+def uncached_tokens(attempt: Attempt) -> int:
+    """Return the prompt tokens that the engine is expected to compute."""
+    return max(attempt.offer.prompt_tokens - attempt.cached_tokens, 0)
+
+
+class PrefillLedger:
+    """The prompts under prefill, in the order in which the engine takes them.
+
+    Attributes
+    ----------
+    outstanding_tokens : int
+        Tokens of attempts that were dispatched and have no first token yet.
+    tokens_per_s : float
+        Recent rate; waiting in the engine counts, so a queueing engine looks slow.
+    """
+
+    def __init__(self, tokens_per_s: float = DEFAULT_TOKENS_PER_S) -> None:
+        self.outstanding_tokens = 0
+        self.tokens_per_s = tokens_per_s
+        self._own: dict[Attempt, int] = {}
+        self._ahead: dict[Attempt, int] = {}
+
+    def __len__(self) -> int:
+        """Count the prompts under prefill."""
+        return len(self._own)
+
+    def start(self, attempt: Attempt) -> None:
+        """Note a dispatch."""
+        tokens = uncached_tokens(attempt)
+        self.outstanding_tokens += tokens
+        self._own[attempt] = tokens
+        self._ahead[attempt] = self.outstanding_tokens
+
+    def drop(self, attempt: Attempt) -> None:
+        """Forget an attempt; nothing is learned."""
+        self.outstanding_tokens -= self._own.pop(attempt, 0)
+        self._ahead.pop(attempt, None)
+
+    def finish(self, attempt: Attempt, elapsed_ms: float) -> float:
+        """Note a first token, and return the time that was expected for it."""
+        tokens = self._ahead.get(attempt, 0)
+        expected_ms = self.expected_ms(tokens)
+        self.drop(attempt)
+        if tokens >= MIN_SAMPLE_TOKENS and elapsed_ms > 0:
+            sample = tokens * MS_PER_S / elapsed_ms
+            self.tokens_per_s += SAMPLE_WEIGHT * (sample - self.tokens_per_s)
+        return expected_ms
+
+    def expected_ms(self, tokens: int) -> float:
+        """Return how long so many tokens take."""
+        return tokens * MS_PER_S / self.tokens_per_s
+
+
+def create_prefill_ledger(tokens_per_s: float = DEFAULT_TOKENS_PER_S) -> PrefillLedger:
+    """Create an empty ledger of an engine with a nominal rate."""
+    return PrefillLedger(tokens_per_s)
--- a/guavawalk/process/sidecar/queue.py
+++ b/guavawalk/process/sidecar/queue.py
@@ -8,7 +8,7 @@
 from guavawalk.request.attempt import Attempt
 from guavawalk.request.cost import offer_cost_tokens
 
-__all__ = ["MAX_RANKS", "Queue", "QueueTotals", "create_tier_queue"]
+__all__ = ["MAX_RANKS", "Queue", "QueueTotals", "bounded_rank", "create_tier_queue"]
 
 MAX_RANKS = 16
 MAX_WEIGHT = 1_000_000.0
@@ -136,7 +136,7 @@
 
     def cost_ahead_tokens(self, rank: int, deadline_s: float) -> int:
         """Add up the tiers above, and what has an earlier deadline in the same tier."""
-        rank = _bounded_rank(rank)
+        rank = bounded_rank(rank)
         ahead = sum(tier.cost_tokens for tier in self._tiers[:rank])
         if rank < len(self._tiers):
             ahead += self._tiers[rank].cost_before_tokens(deadline_s)
@@ -158,7 +158,7 @@
             deadline_s=attempt.deadline_s,
             sequence=next(self._sequence),
             attempt=attempt,
-            rank=_bounded_rank(offer.tier_rank),
+            rank=bounded_rank(offer.tier_rank),
             cost_tokens=offer_cost_tokens(offer),
             weight_units=_weight_units(offer.workspace_weight),
         )
@@ -204,7 +204,8 @@
         self._output_by_rank[waiting.rank] += sign * offer.expected_output_tokens
 
 
-def _bounded_rank(rank: int) -> int:
+def bounded_rank(rank: int) -> int:
+    """Return a rank within those that a sidecar keeps apart."""
     return min(max(rank, 0), MAX_RANKS - 1)
 
 
--- a/guavawalk/process/sidecar/state.py
+++ b/guavawalk/process/sidecar/state.py
@@ -13,6 +13,7 @@
 from guavawalk.process.observe.metrics import Metrics
 from guavawalk.process.observe.observations import Observations
 from guavawalk.process.sidecar.drain import DrainRate
+from guavawalk.process.sidecar.lengths import LengthBook
 from guavawalk.process.sidecar.link_ledger import LinkLedger
 from guavawalk.process.sidecar.queue import Queue
 from guavawalk.process.sidecar.records import Records
@@ -99,6 +100,7 @@
     queue: Queue
     window: DispatchWindow
     drain: DrainRate
+    lengths: LengthBook
     records: Records
     attempts: AttemptTable
     links: LinkLedger
--- a/guavawalk/process/sidecar/window.py
+++ b/guavawalk/process/sidecar/window.py
@@ -4,7 +4,10 @@
 
 from guavawalk.request.attempt import Attempt
 
-__all__ = ["DispatchWindow", "create_fixed_window"]
+__all__ = ["DEFAULT_WINDOW", "WINDOWS", "DispatchWindow", "create_fixed_window"]
+
+WINDOWS = ("adaptive", "fixed")
+DEFAULT_WINDOW = "adaptive"
 
 
 class DispatchWindow(Protocol):
@@ -28,12 +31,24 @@
         """Say whether an attempt may go out while `running` others run."""
         ...
 
+    def has_long_room(self) -> bool:
+        """Say whether one more long attempt may go out, as far as long ones are bounded."""
+        ...
+
+    def note_dispatch(self, attempt: Attempt) -> None:
+        """Note that an attempt goes out."""
+        ...
+
+    def note_end(self, attempt: Attempt) -> None:
+        """Note that a dispatched attempt runs no more."""
+        ...
+
     def observe_first_token(self, attempt: Attempt, elapsed_ms: float) -> None:
-        """Note the time from dispatch to first token."""
+        """Note the time from dispatch to first token; more may go out then."""
         ...
 
-    def observe_tokens(self, attempt: Attempt, tokens: int, elapsed_ms: float) -> None:
-        """Note tokens that came `elapsed_ms` after the ones before."""
+    def observe_tokens(self, attempt: Attempt, tokens: int, elapsed_ms: float) -> bool:
+        """Note tokens that came `elapsed_ms` after the ones before; say if the window grew."""
         ...
 
 
@@ -49,14 +64,25 @@
         """Admit below the size."""
         return running < self.size
 
+    def has_long_room(self) -> bool:
+        """Put no bound on long attempts."""
+        return True
+
+    def note_dispatch(self, attempt: Attempt) -> None:
+        """Do nothing."""
+
+    def note_end(self, attempt: Attempt) -> None:
+        """Do nothing."""
+
     def observe_first_token(self, attempt: Attempt, elapsed_ms: float) -> None:
         """Keep the last value."""
         self.first_token_ms = elapsed_ms
 
-    def observe_tokens(self, attempt: Attempt, tokens: int, elapsed_ms: float) -> None:
+    def observe_tokens(self, attempt: Attempt, tokens: int, elapsed_ms: float) -> bool:
         """Keep the last rate."""
         if elapsed_ms > 0:
             self.decode_tokens_per_s = tokens * 1000 / elapsed_ms
+        return False
 
 
 def create_fixed_window(size: int) -> DispatchWindow:
--- a/guavawalk/process/sidecar_daemon.py
+++ b/guavawalk/process/sidecar_daemon.py
@@ -31,13 +31,15 @@
     server_tls_context,
 )
 from guavawalk.process.shutdown import watch_signals
+from guavawalk.process.sidecar.adaptive_window import create_adaptive_window
 from guavawalk.process.sidecar.admission import start_leaving
 from guavawalk.process.sidecar.drain import create_drain_rate
+from guavawalk.process.sidecar.lengths import create_length_book
 from guavawalk.process.sidecar.link_ledger import create_link_ledger
 from guavawalk.process.sidecar.queue import create_tier_queue
 from guavawalk.process.sidecar.records import create_records
 from guavawalk.process.sidecar.state import Sidecar, SidecarLimits, create_attempt_table
-from guavawalk.process.sidecar.window import create_fixed_window
+from guavawalk.process.sidecar.window import DispatchWindow, create_fixed_window
 from guavawalk.version.held import HeldVersion, create_held_version
 
 __all__ = [
@@ -90,8 +92,9 @@
         held=held,
         target=target,
         queue=create_tier_queue(settings.queue_slots),
-        window=create_fixed_window(settings.window_slots),
+        window=_create_window(settings, held, clock),
         drain=create_drain_rate(),
+        lengths=create_length_book(),
         records=create_records(settings.target, incarnation, settings.record_slots),
         attempts=create_attempt_table(limits),
         links=create_link_ledger(limits.closed_links),
@@ -102,6 +105,14 @@
     )
 
 
+def _create_window(settings: SidecarSettings, held: HeldVersion, clock: Clock) -> DispatchWindow:
+    if settings.window == "fixed" or settings.target_kind == "service":
+        return create_fixed_window(settings.window_slots)
+    return create_adaptive_window(
+        settings.window_slots, clock, lambda: held.configuration, settings.target
+    )
+
+
 async def serve_sidecar(
     sidecar: Sidecar,
     network: Network,
--- a/guavawalk/request/attempt.py
+++ b/guavawalk/request/attempt.py
@@ -30,6 +30,8 @@
         On this process's monotonic clock.
     is_long : bool
         Whether it costs far more than most; set before it queues.
+    cached_tokens : int
+        Prompt tokens that the target is believed to hold in its cache; set before it queues.
     turn : anyio.Event
         Set when the attempt may be dispatched, or has ended before that.
     joined : bool
@@ -50,6 +52,7 @@
         self.detail = ""
         self.usage = Usage()
         self.is_long = False
+        self.cached_tokens = 0
         self.cancel_requested = False
         self.joined = False
         self.readers = 0
--- a/tests/process/sidecar/test_admission_overload.py
+++ b/tests/process/sidecar/test_admission_overload.py
@@ -73,13 +73,12 @@
         async def story(fleet, sidecar):
             sidecar.queue.capacity = 2
             await fill_window(sidecar, rank=2)
-            late, _ = admit_offer(sidecar, make_offer("late", 0, deadline_ms=1))
-            queued = AttemptState.QUEUED
-            waiting = [a for a in sidecar.attempts.live.values() if a.state is queued]
+            waiting = sidecar.queue.peek()
+            late, _ = admit_offer(sidecar, make_offer("late", 2, deadline_ms=1))
             await anyio.sleep(0.002)
-            admit_offer(sidecar, make_offer("high", 0))
-            return late, [a for a in waiting if a is not late]
+            newcomer, _ = admit_offer(sidecar, make_offer("next", 2))
+            return waiting, late, newcomer
 
-        late, others = with_sidecar(story)
+        waiting, late, newcomer = with_sidecar(story)
         assert late.code is ResultCode.DEADLINE_PASSED
-        assert [a.state for a in others] == [AttemptState.QUEUED]
+        assert waiting.state is newcomer.state is AttemptState.QUEUED
--- a/tests/process/sidecar/test_queue.py
+++ b/tests/process/sidecar/test_queue.py
@@ -8,30 +8,14 @@
 from guavawalk.process.sidecar import lane
 from guavawalk.process.sidecar.backlog import TierBacklog
 from guavawalk.process.sidecar.queue import MAX_RANKS, create_tier_queue
-from guavawalk.request.attempt import create_attempt
 from guavawalk.request.cost import offer_cost_tokens
-from guavawalk.request.types import Offer
+from tests.process.sidecar.making import WEIGHTS, make_attempt
 
-WEIGHTS = {"a": 1.0, "b": 2.0, "c": 0.5}
 CAPACITY = 16
 CAPACITY_TOKENS = 60_000
 SLACK_TOKENS = 1_000
 
 
-def make_attempt(workspace="a", rank=0, deadline_ms=1_000, prompt=100, output=0, is_long=False):
-    offer = Offer(
-        workspace=workspace,
-        tier_rank=rank,
-        deadline_ms=deadline_ms,
-        prompt_tokens=prompt,
-        expected_output_tokens=output,
-        workspace_weight=WEIGHTS.get(workspace, 1.0),
-    )
-    attempt = create_attempt(offer, 0.0, 1_000)
-    attempt.is_long = is_long
-    return attempt
-
-
 class NaiveLane:
     def __init__(self):
         self.virtual = 0.0
