Limit workspaces and retries without a shared counter; derive target groups once a version

Change: token buckets by workspace with a share by entries, bounded table, honest retry hints; retry budget of a tenth of requests and a reserve, full jitter; a full queue is left alone as long as it asks; how many targets are asked follows the age of the reports. A version derives its groups of targets once; placement looks at 10 of many; rendezvous hashing is weighted by speed.

--- a/guavawalk/connection/tasks/carry.py
+++ b/guavawalk/connection/tasks/carry.py
@@ -10,10 +10,11 @@
 from guavawalk.connection.caller import Caller
 from guavawalk.connection.tasks.offer import Progress, abandon_offer, offer_work
 from guavawalk.exception import LinkRefused, RequestError
-from guavawalk.process.entry.choice import Choice, choose_target
+from guavawalk.process.entry.choice import OVERLOAD_CODES, Choice, choose_target
 from guavawalk.process.entry.observed import note_outcome
 from guavawalk.request.ticket import code_for_key, read_ticket
 from guavawalk.request.types import Outcome, Work
+from guavawalk.version.types import Target
 
 if TYPE_CHECKING:
     from guavawalk.process.entry.state import Entry
@@ -23,6 +24,7 @@
 ASK_TRIES = 3
 ASK_PAUSE_S = 0.2
 UNREACHABLE_RETRY_MS = 1_000
+FULL_CODES = (ResultCode.QUEUE_FULL, ResultCode.SHED)
 CRASH_CODES = (ResultCode.TARGET_CRASHED, ResultCode.TARGET_LOST)
 
 
@@ -73,6 +75,7 @@
 
 
 async def _carry_admitted(entry: Entry, work: Work, caller: Caller, progress: Progress) -> Outcome:
+    work = entry.view.lengths.sized(work)
     try:
         if entry.gauge.draining:
             raise RequestError(ResultCode.DRAINING)
@@ -133,9 +136,9 @@
 async def _try_targets(entry: Entry, work: Work, caller: Caller, progress: Progress) -> Outcome:
     tried: set[str] = set()
     last = Outcome(ResultCode.NO_TARGET)
-    work = entry.view.lengths.sized(work)
+    refusals = 0
     while True:
-        choice = _choose(entry, work, tried, progress)
+        choice = _choose(entry, work, tried, refusals, progress)
         if choice is None:
             return last
         target = choice.target
@@ -149,15 +152,23 @@
         try:
             last = await offer_work(entry, work, caller, progress, target)
         except LinkRefused as error:
-            last = Outcome(ResultCode.TARGET_UNREACHABLE, str(error), target=target.name)
+            last = _unreachable(target, str(error), progress.attempts)
         _note_attempt(entry, work, choice, last)
+        refusals += last.code in OVERLOAD_CODES
         if code_class(last.code) is not CodeClass.NOT_RUN:
             return last
 
 
-def _choose(entry: Entry, work: Work, tried: set[str], progress: Progress) -> Choice | None:
+def _unreachable(target: Target, detail: str, attempts: int) -> Outcome:
+    code = ResultCode.TARGET_UNREACHABLE
+    return Outcome(code, detail, target=target.name, attempts=attempts)
+
+
+def _choose(
+    entry: Entry, work: Work, tried: set[str], refusals: int, progress: Progress
+) -> Choice | None:
     try:
-        return choose_target(entry, work, tried)
+        return choose_target(entry, work, tried, refusals)
     except RequestError:
         if progress.attempts:
             return None
@@ -170,3 +181,5 @@
         entry.view.note_completed(name, work, outcome, choice.cached_tokens)
     elif outcome.code in CRASH_CODES:
         entry.view.note_crash(name)
+    elif outcome.code in FULL_CODES:
+        entry.view.note_full(name, work, outcome.retry_after_ms)
--- a/guavawalk/process/entry/cached.py
+++ b/guavawalk/process/entry/cached.py
@@ -62,6 +62,9 @@
         found: dict[str, int] = {}
         for index in range(len(prefix_hashes) - 1, -1, -1):
             targets = self._targets_of.get(prefix_hashes[index], ())
+            # Who was sent a longer prefix was sent this one too.
+            if len(targets) <= len(found):
+                continue
             for name in targets:
                 if name not in found:
                     found[name] = int((index + 1) * BLOCK_TOKENS * self._trust.get(name, 1.0))
--- a/guavawalk/process/entry/choice.py
+++ b/guavawalk/process/entry/choice.py
@@ -14,10 +14,16 @@
 if TYPE_CHECKING:
     from guavawalk.process.entry.state import Entry
 
-__all__ = ["Choice", "choose_target", "deadline_margin"]
-
-TOP_MARGIN = 0.4
-LOWEST_MARGIN = 1.0
+__all__ = ["OVERLOAD_CODES", "Choice", "asks_allowed", "choose_target", "deadline_margin"]
+
+OVERLOAD_CODES = (ResultCode.QUEUE_FULL, ResultCode.SHED, ResultCode.DEADLINE_UNREACHABLE)
+TOP_MARGIN = 0.8
+LOWEST_MARGIN = 1.1
+FRESH_S = 0.5
+STALE_S = 2.0
+ASKS_FRESH = 2
+ASKS_BETWEEN = 3
+ASKS_STALE = 4
 MIN_RETRY_MS = 100
 MAX_RETRY_MS = 30_000
 
@@ -29,8 +35,15 @@
     cached_tokens: int
 
 
-def choose_target(entry: Entry, work: Work, tried: Collection[str]) -> Choice | None:
-    """Return the best target not yet tried; None if there is none.
+def choose_target(
+    entry: Entry, work: Work, tried: Collection[str], refusals: int = 0
+) -> Choice | None:
+    """Return the best target not yet tried; None if there is none that is worth asking.
+
+    Parameters
+    ----------
+    refusals : int
+        How many targets have said that they are too full for this request.
 
     Raises
     ------
@@ -48,9 +61,23 @@
     timely = _first_in_time(ranked, remaining_s, deadline_margin(work))
     if timely is None:
         raise _unreachable(ranked, remaining_s)
+    if refusals and refusals >= asks_allowed(views[timely.target.name].report_age_s):
+        return None
     return Choice(timely.target, views.cached.get(timely.target.name, 0))
 
 
+def asks_allowed(report_age_s: float) -> int:
+    """Return how many targets may be asked, the next one's report being so old.
+
+    Notes
+    -----
+    What fresh reports show as full need not be asked; a stale one may be wrong.
+    """
+    if report_age_s < FRESH_S:
+        return ASKS_FRESH
+    return ASKS_BETWEEN if report_age_s < STALE_S else ASKS_STALE
+
+
 def deadline_margin(work: Work) -> float:
     """Return the part of its expected time that must fit before the deadline.
 
--- a/guavawalk/process/entry/view.py
+++ b/guavawalk/process/entry/view.py
@@ -13,6 +13,7 @@
 __all__ = ["FleetView", "WorkViews", "create_fleet_view"]
 
 LEAVING_FOR_S = 30.0
+MAX_FULL_S = 5.0
 UNSEEN = TargetView(report_age_s=float("inf"))
 
 
@@ -23,6 +24,8 @@
         self.load = LoadReport()
         self.reported_s = 0.0
         self.leaving_until_s = 0.0
+        self.full_until_s = 0.0
+        self.full_rank = 0
         self.quarantine = create_quarantine()
         self.own_running = 0
         self.own_long = 0
@@ -40,13 +43,14 @@
         Length of the prefix believed cached, for the targets that have one.
     """
 
-    def __init__(self, fleet: "FleetView", cached: Mapping[str, int]) -> None:
+    def __init__(self, fleet: "FleetView", rank: int, cached: Mapping[str, int]) -> None:
         self.cached = cached
+        self._rank = rank
         self._fleet = fleet
 
     def __getitem__(self, name: str) -> TargetView:
         """Return the view of a target."""
-        return self._fleet.of(name, self.cached.get(name, 0))
+        return self._fleet.of(name, self._rank, self.cached.get(name, 0))
 
 
 class FleetView:
@@ -60,15 +64,23 @@
 
     def for_work(self, work: Work) -> WorkViews:
         """Return the views of all targets for one request."""
-        return WorkViews(self, self.cached.cached_tokens(work.prefix_hashes))
+        return WorkViews(self, work.tier.rank, self.cached.cached_tokens(work.prefix_hashes))
 
-    def of(self, name: str, cached_tokens: int) -> TargetView:
-        """Return the view of a target that is believed to hold a prefix of so many tokens."""
+    def of(self, name: str, rank: int, cached_tokens: int) -> TargetView:
+        """Return the view of a target for a request of a tier.
+
+        Parameters
+        ----------
+        cached_tokens : int
+            Length of the request's prefix that is believed cached there.
+        """
         belief = self._beliefs.get(name)
         if belief is None:
             return UNSEEN
         now_s = self._clock.now_s()
         free = belief.leaving_until_s <= now_s
+        if belief.full_until_s > now_s and rank >= belief.full_rank:
+            free = False
         lengths = self.lengths
         return TargetView(
             belief.load,
@@ -117,6 +129,16 @@
         if load.leaving:
             belief.leaving_until_s = belief.reported_s + LEAVING_FOR_S
 
+    def note_full(self, name: str, work: Work, retry_after_ms: int) -> None:
+        """Keep requests of this tier and lower ones away for as long as the target asked."""
+        belief = self._belief(name)
+        now_s = self._clock.now_s()
+        rank = work.tier.rank
+        if belief.full_until_s > now_s:
+            rank = min(rank, belief.full_rank)
+        belief.full_rank = rank
+        belief.full_until_s = now_s + min(retry_after_ms / 1000, MAX_FULL_S)
+
     def note_unreachable(self, name: str) -> None:
         """Avoid a target for a while, longer for each failure in a row."""
         self._belief(name).quarantine.note_failure(self._clock.now_s())
--- a/guavawalk/process/entry_daemon.py
+++ b/guavawalk/process/entry_daemon.py
@@ -16,10 +16,14 @@
 from guavawalk.connection.tcp import create_tcp_network
 from guavawalk.exception import RequestError
 from guavawalk.process.clock import Clock, create_clock
-from guavawalk.process.entry.limits import create_no_limiter
+from guavawalk.process.entry.limits import (
+    EntryCount,
+    create_fixed_entry_count,
+    create_share_limiter,
+)
 from guavawalk.process.entry.links import create_link_pool
 from guavawalk.process.entry.observed import note_invalid
-from guavawalk.process.entry.retry import create_attempt_cap
+from guavawalk.process.entry.retry import create_retry_budget
 from guavawalk.process.entry.state import Entry, EntryLimits, create_request_gauge
 from guavawalk.process.entry.view import create_fleet_view
 from guavawalk.process.http_server import serve_asgi
@@ -49,12 +53,22 @@
     clock: Clock,
     log: EventLog,
     placement: Placement | None = None,
+    entry_count: EntryCount | None = None,
 ) -> Entry:
-    """Assemble an entry from its settings and the things it meets."""
+    """Assemble an entry from its settings and the things it meets.
+
+    Parameters
+    ----------
+    placement : Placement, optional
+        The policy; the one that the settings name without it.
+    entry_count : EntryCount, optional
+        How many entries share the limits; the number in the settings without it.
+    """
     secret = settings.fleet_secret.encode()
     identity = Identity(
         "entry", settings.instance, create_incarnation(), secret, lambda: held.stamp
     )
+    count = entry_count or create_fixed_entry_count(settings.entry_instances)
     return Entry(
         identity=identity,
         data_centre=settings.data_centre,
@@ -63,8 +77,8 @@
         links=create_link_pool(network, identity, clock),
         view=create_fleet_view(clock),
         placement=placement or create_placement(settings.placement, random.getrandbits(SEED_BITS)),
-        limiter=create_no_limiter(),
-        retries=create_attempt_cap(),
+        limiter=create_share_limiter(clock, count),
+        retries=create_retry_budget(random.getrandbits(SEED_BITS)),
         gauge=create_request_gauge(),
         limits=EntryLimits(
             body_bytes=settings.body_limit_bytes,
--- a/guavawalk/process/settings.py
+++ b/guavawalk/process/settings.py
@@ -55,6 +55,8 @@
         Whether to run without a secret and without TLS.
     placement : str
         Name of the policy that chooses targets, one of `PLACEMENTS`.
+    entry_instances : int
+        How many entries share the workspaces' limits.
     """
 
     instance: str
@@ -69,6 +71,7 @@
     head_timeout_ms: int = 10_000
     body_timeout_ms: int = 30_000
     placement: str = DEFAULT_PLACEMENT
+    entry_instances: int = 1
     log_level: str = "INFO"
     statsd: StatsdSettings = StatsdSettings()
     tls: TlsSettings = TlsSettings()
--- a/guavawalk/request/affinity.py
+++ b/guavawalk/request/affinity.py
@@ -3,6 +3,7 @@
 import heapq
 from collections.abc import Sequence
 from functools import lru_cache
+from math import log
 
 import xxhash
 
@@ -34,27 +35,36 @@
 
 
 @lru_cache(maxsize=ORDERS_KEPT)
-def affinity_order(key: int, names: tuple[str, ...]) -> tuple[str, ...]:
-    """Return the first targets for a key by rendezvous hashing.
+def affinity_order(key: int, names: tuple[str, ...], weights: tuple[float, ...]) -> tuple[str, ...]:
+    """Return the first targets for a key by weighted rendezvous hashing.
+
+    Parameters
+    ----------
+    weights : tuple of float
+        A target is first for a share of the keys that is in proportion to its weight.
 
     Notes
     -----
     A target that goes moves only the keys that were its own. Every entry that knows the same
-    names gets the same order.
+    names and weights gets the same order.
 
     Examples
     --------
-    >>> order = affinity_order(7, ("a", "b", "c"))
+    >>> order = affinity_order(7, ("a", "b", "c"), (1.0, 1.0, 1.0))
     >>> rest = tuple(name for name in ("a", "b", "c") if name != order[0])
-    >>> affinity_order(7, rest) == order[1:]
+    >>> affinity_order(7, rest, (1.0, 1.0)) == order[1:]
     True
     """
-    return tuple(heapq.nlargest(AFFINITY_TARGETS, names, key=lambda name: _score(name, key)))
+    scores = [weight / -log(_uniform(name, key)) for name, weight in zip(names, weights)]
+    places = heapq.nlargest(AFFINITY_TARGETS, range(len(names)), key=scores.__getitem__)
+    return tuple(names[place] for place in places)
 
 
-def _score(name: str, key: int) -> int:
+def _uniform(name: str, key: int) -> float:
+    """Return a number between 0 and 1, both excluded."""
     mixed = ((_seed(name) ^ key) * _FIRST_FACTOR) & _MASK
-    return ((mixed ^ (mixed >> 29)) * _SECOND_FACTOR) & _MASK
+    mixed = ((mixed ^ (mixed >> 29)) * _SECOND_FACTOR) & _MASK
+    return ((mixed >> 12) + 0.5) / (1 << 52)
 
 
 @lru_cache(maxsize=NAMES_KEPT)
--- a/guavawalk/request/expected_cost.py
+++ b/guavawalk/request/expected_cost.py
@@ -5,11 +5,12 @@
 from typing import NamedTuple
 
 from guavawalk.request.affinity import affinity_key, affinity_order, affinity_tokens
-from guavawalk.request.placement import Candidate, TargetViews
+from guavawalk.request.placement import Candidate, TargetViews, group_of
 from guavawalk.request.prompt import BLOCK_CHARS, CHARS_PER_TOKEN
 from guavawalk.request.target_view import TargetView
 from guavawalk.request.types import Work
-from guavawalk.version.types import Configuration, Generation, Target
+from guavawalk.version.group import create_target_group
+from guavawalk.version.types import Crossing, Generation, Target, TargetGroup
 
 __all__ = ["CostParts", "ExpectedCost", "cost_parts", "create_expected_cost", "is_long"]
 
@@ -22,11 +23,12 @@
 AFFINITY_LOAD_BOUND = 1.25
 DRAIN_SHARE = 0.5
 IDLE_BATCH_SPEEDUP = 0.5
-MAX_SCANNED = 14
-SCANNED_NEAR = 4
+MAX_SCANNED = 10
+SCANNED_NEAR = 3
 CALL_S = 0.05
 BLOCK_TOKENS = BLOCK_CHARS // CHARS_PER_TOKEN
 SERVICE_SPEED = Generation("", 1e9, 1e9, 8)
+NO_CROSSING = Crossing("", "", 0.0)
 
 
 class CostParts(NamedTuple):
@@ -38,26 +40,17 @@
         In the sidecar's queue and the engine's.
     prefill_s : float
         Of the part of the prompt that is not cached.
+    finish_s : float
+        Until the answer is whole, with generation and the crossing.
     penalty_s : float
         Price of the crossing, weight of the prefill, and long work over its share.
     """
 
     wait_s: float
     prefill_s: float
-    decode_s: float
-    crossing_s: float
+    finish_s: float
     penalty_s: float
 
-    @property
-    def finish_s(self) -> float:
-        """Expected time until the answer is whole."""
-        return self.wait_s + self.prefill_s + self.decode_s + self.crossing_s
-
-    @property
-    def cost_s(self) -> float:
-        """What placement minimises."""
-        return self.finish_s + self.penalty_s
-
 
 def is_long(work: Work) -> bool:
     """Say whether an answer is expected to hold a slot for long."""
@@ -78,21 +71,26 @@
     """
     configuration = work.configuration
     generation = configuration.generations.get(target.generation, SERVICE_SPEED)
+    _, prefill_rate, decode_rate, slots, _ = generation
     load = view.load
-    slots = min(load.window, generation.batch_slots) if load.window else generation.batch_slots
-    rate = slots * generation.decode_tokens_per_s
-    cached = max(view.cached_tokens, credit_tokens if _has_room(view, slots) else 0)
-    uncached = work.prompt_tokens - cached
-    prefill_s = max(uncached, 0) / generation.prefill_tokens_per_s
-    crossing_s, price = _crossing(configuration, here, target.data_centre)
-    filled = min(1.0, (load.running + 1) / slots)
-    speedup = 1.0 - IDLE_BATCH_SPEEDUP * (1.0 - filled)
-    decode_s = work.expected_output_tokens / generation.decode_tokens_per_s * speedup
-    penalty_s = PREFILL_WEIGHT * prefill_s + PRICE_S * price
+    if 0 < load.window < slots:
+        slots = load.window
+    cached = view.cached_tokens
+    if credit_tokens > cached and _has_room(view, slots):
+        cached = credit_tokens
+    prefill_s = max(work.prompt_tokens - cached, 0) / prefill_rate
+    speedup = IDLE_BATCH_SPEEDUP * max(0.0, 1.0 - (load.running + 1) / slots)
+    decode_s = work.expected_output_tokens / decode_rate * (1.0 - speedup)
+    wait_s = _wait_s(work, view, slots, slots * decode_rate)
+    finish_s = wait_s + prefill_s + decode_s
+    penalty_s = PREFILL_WEIGHT * prefill_s
+    if here != target.data_centre:
+        crossing = configuration.crossings.get((here, target.data_centre), NO_CROSSING)
+        finish_s += 2 * crossing.delay_ms / 1000
+        penalty_s += PRICE_S * crossing.price
     if is_long(work) and view.own_long >= max(1.0, LONG_SHARE_OF_SLOTS * slots):
         penalty_s += LONG_PENALTY_S
-    wait_s = _wait_s(work, view, slots, rate)
-    return CostParts(wait_s, prefill_s, decode_s, crossing_s, penalty_s)
+    return CostParts(wait_s, prefill_s, finish_s, penalty_s)
 
 
 def _has_room(view: TargetView, slots: int) -> bool:
@@ -100,13 +98,6 @@
     return load.running + sum(load.queued_by_rank) + view.own_new < AFFINITY_LOAD_BOUND * slots
 
 
-def _crossing(configuration: Configuration, here: str, there: str) -> tuple[float, float]:
-    if here == there:
-        return 0.0, 0.0
-    crossing = configuration.crossings.get((here, there))
-    return (2 * crossing.delay_ms / 1000, crossing.price) if crossing else (0.0, 0.0)
-
-
 def _wait_s(work: Work, view: TargetView, slots: int, rate: float) -> float:
     """Return the time until a slot is free, by the tokens that go before this request."""
     load = view.load
@@ -148,26 +139,30 @@
         self, work: Work, here: str, targets: Sequence[Target], views: TargetViews
     ) -> list[Candidate]:
         """Order targets by cost, the sampled ones only."""
+        group = group_of(work, work.configuration)
+        if targets is not group.targets:
+            group = create_target_group(targets, work.configuration.generations)
         key = affinity_key(work.prefix_hashes)
-        order = affinity_order(key, tuple([t.name for t in targets])) if key else ()
-        credit = int(AFFINITY_CREDIT * affinity_tokens(work.prefix_hashes, BLOCK_TOKENS))
+        order = affinity_order(key, group.names, group.weights) if key else ()
         first = order[0] if order else ""
+        credit = int(AFFINITY_CREDIT * affinity_tokens(work.prefix_hashes, BLOCK_TOKENS))
         if len(targets) > MAX_SCANNED:
-            targets = self._sample(here, targets, {*order[:2], *views.cached})
+            targets = self._sample(here, group, {*order[:2], *views.cached})
         ranked = []
         for target in targets:
             view = views[target.name]
             if view.usable:
                 parts = cost_parts(work, here, target, view, credit if target.name == first else 0)
-                ranked.append(Candidate(target, parts.cost_s * 1000, parts.finish_s))
+                cost_s = parts.finish_s + parts.penalty_s
+                ranked.append(Candidate(target, cost_s * 1000, parts.finish_s))
         ranked.sort(key=_cost)
         return ranked
 
-    def _sample(self, here: str, targets: Sequence[Target], wanted: set[str]) -> list[Target]:
-        chosen = [target for target in targets if target.name in wanted]
-        near = [target for target in targets if target.data_centre == here]
-        chosen += self._draw(near, SCANNED_NEAR, wanted)
-        return chosen + self._draw(targets, MAX_SCANNED - len(chosen), wanted)
+    def _sample(self, here: str, group: TargetGroup, wanted: set[str]) -> list[Target]:
+        index = group.index
+        chosen = [group.targets[index[name]] for name in wanted if name in index]
+        chosen += self._draw(group.near.get(here, ()), SCANNED_NEAR, wanted)
+        return chosen + self._draw(group.targets, MAX_SCANNED - len(chosen), wanted)
 
     def _draw(self, targets: Sequence[Target], count: int, taken: set[str]) -> list[Target]:
         drawn = []
--- a/guavawalk/request/placement.py
+++ b/guavawalk/request/placement.py
@@ -7,7 +7,7 @@
 
 from guavawalk.request.target_view import TargetView
 from guavawalk.request.types import LoadReport, Work
-from guavawalk.version.types import Configuration, Target
+from guavawalk.version.types import Configuration, Target, TargetGroup
 
 __all__ = [
     "Candidate",
@@ -17,9 +17,13 @@
     "create_least_reported_load",
     "create_random_of_two",
     "create_round_robin",
+    "group_of",
 ]
 
 
+EMPTY_GROUP = TargetGroup()
+
+
 class Candidate(NamedTuple):
     """A target with its expected cost; lower is better.
 
@@ -72,30 +76,28 @@
         ...
 
 
-def capable_targets(work: Work, configuration: Configuration) -> list[Target]:
+def capable_targets(work: Work, configuration: Configuration) -> Sequence[Target]:
     """Return the targets whose configuration and the workspace's rules let them serve a request.
 
     Notes
     -----
-    Targets that the configuration marks as leaving are left out.
+    Targets that the configuration marks as leaving are left out. Without an adapter or rules the
+    version's own tuple is returned.
     """
-    if work.model:
-        names = configuration.targets_of_model.get(work.model, ())
-    else:
-        names = configuration.targets_of_service.get(work.service_path, ())
-    targets = (configuration.targets[name] for name in names)
-    return [target for target in targets if _may_serve(target, work)]
-
-
-def _may_serve(target: Target, work: Work) -> bool:
-    if target.leaving:
-        return False
-    if work.adapter and work.adapter not in target.desired.adapters:
-        return False
-    if work.model and target.desired.role == "prefill":
-        return False
+    targets = group_of(work, configuration).targets
+    if work.adapter:
+        targets = [target for target in targets if work.adapter in target.desired.adapters]
     allowed = work.workspace.data_centres
-    return not allowed or target.data_centre in allowed
+    if allowed:
+        targets = [target for target in targets if target.data_centre in allowed]
+    return targets
+
+
+def group_of(work: Work, configuration: Configuration) -> TargetGroup:
+    """Return the version's group of targets for a request's model or service."""
+    if work.model:
+        return configuration.groups_of_model.get(work.model, EMPTY_GROUP)
+    return configuration.groups_of_service.get(work.service_path, EMPTY_GROUP)
 
 
 class RoundRobin:
--- a/guavawalk/version/build.py
+++ b/guavawalk/version/build.py
@@ -16,6 +16,7 @@
     check_workspaces,
 )
 from guavawalk.version.documents import VersionDocuments, digest_bytes, read_root
+from guavawalk.version.group import groups_of_targets
 from guavawalk.version.shards import (
     ALL_KINDS,
     NAMED_KINDS,
@@ -34,6 +35,9 @@
 ]
 
 
+GROUP_KINDS = {"targets", "generations"}
+
+
 class BuiltVersion(NamedTuple):
     """A version with the parsed shards that it consists of, by digest in the root's order."""
 
@@ -179,12 +183,19 @@
     else:
         by_model = _targets_of_model(named["targets"].values())
         by_service = _targets_of_service(named["targets"].values())
+    if same >= GROUP_KINDS:
+        model_groups, service_groups = old["groups_of_model"], old["groups_of_service"]
+    else:
+        model_groups = groups_of_targets(by_model, named["targets"], named["generations"])
+        service_groups = groups_of_targets(by_service, named["targets"], named["generations"])
     return Configuration(
         stamp=stamp,
         workspace_of_key=keys,
         crossings=_crossings(parts),
         targets_of_model=by_model,
         targets_of_service=by_service,
+        groups_of_model=model_groups,
+        groups_of_service=service_groups,
         **named,
     )
 
--- /dev/null
+++ b/guavawalk/version/group.py
@@ -0,0 +1,59 @@
+"""Grouping a version's targets by what they may serve."""
+
+from collections.abc import Iterable, Mapping
+
+from guavawalk.version.types import Generation, Target, TargetGroup
+
+__all__ = ["create_target_group", "groups_of_targets"]
+
+
+def create_target_group(
+    targets: Iterable[Target], generations: Mapping[str, Generation]
+) -> TargetGroup:
+    """Create a group of targets.
+
+    Examples
+    --------
+    >>> group = create_target_group([Target("a", "service", "victoria", "127.0.0.1:1")], {})
+    >>> group.names, group.weights, group.index
+    (('a',), (1.0,), {'a': 0})
+    """
+    held = tuple(targets)
+    near: dict[str, list[Target]] = {}
+    for target in held:
+        near.setdefault(target.data_centre, []).append(target)
+    return TargetGroup(
+        targets=held,
+        names=tuple(target.name for target in held),
+        weights=tuple(_weight(target, generations) for target in held),
+        index={target.name: place for place, target in enumerate(held)},
+        near={centre: tuple(members) for centre, members in near.items()},
+    )
+
+
+def groups_of_targets(
+    names_of: Mapping[str, Iterable[str]],
+    targets: Mapping[str, Target],
+    generations: Mapping[str, Generation],
+) -> dict[str, TargetGroup]:
+    """Group the targets that take requests, by model or service.
+
+    Parameters
+    ----------
+    names_of : mapping of str to iterable of str
+        Names of the targets that hold each model or service.
+    """
+    return {
+        key: create_target_group(_serving(names, targets), generations)
+        for key, names in names_of.items()
+    }
+
+
+def _serving(names: Iterable[str], targets: Mapping[str, Target]) -> list[Target]:
+    found = [targets[name] for name in names]
+    return [target for target in found if not target.leaving and target.desired.role != "prefill"]
+
+
+def _weight(target: Target, generations: Mapping[str, Generation]) -> float:
+    generation = generations.get(target.generation)
+    return generation.decode_tokens_per_s * generation.batch_slots if generation else 1.0
--- a/guavawalk/version/types.py
+++ b/guavawalk/version/types.py
@@ -16,6 +16,7 @@
     "Model",
     "Service",
     "Target",
+    "TargetGroup",
     "Tier",
     "VersionStamp",
     "Workspace",
@@ -167,8 +168,36 @@
     limits: WorkspaceLimits = WorkspaceLimits()
 
 
+class TargetGroup(NamedTuple):
+    """Targets that may serve the same model or service, with what placement needs of them all.
+
+    Attributes
+    ----------
+    names : tuple of str
+        Their names, in the same order.
+    weights : tuple of float
+        Tokens that each generates in a second with a full batch; 1 for a plain service.
+    index : mapping of str to int
+        Place of each name.
+    near : mapping of str to tuple of Target
+        Those of each data centre.
+    """
+
+    targets: tuple[Target, ...] = ()
+    names: tuple[str, ...] = ()
+    weights: tuple[float, ...] = ()
+    index: Mapping[str, int] = {}
+    near: Mapping[str, tuple[Target, ...]] = {}
+
+
 class Configuration(NamedTuple):
-    """A whole version, with the look-ups that every request needs."""
+    """A whole version, with the look-ups that every request needs.
+
+    Attributes
+    ----------
+    groups_of_model, groups_of_service : mapping of str to TargetGroup
+        Targets that neither leave nor only fill caches.
+    """
 
     stamp: VersionStamp
     tiers: Mapping[str, Tier]
@@ -182,3 +211,5 @@
     crossings: Mapping[tuple[str, str], Crossing]
     targets_of_model: Mapping[str, tuple[str, ...]]
     targets_of_service: Mapping[str, tuple[str, ...]]
+    groups_of_model: Mapping[str, TargetGroup] = {}
+    groups_of_service: Mapping[str, TargetGroup] = {}
--- /dev/null
+++ b/tests/process/entry/test_retry.py
@@ -0,0 +1,112 @@
+"""Retry budgets and back-off; a whole data centre cut off."""
+
+import anyio
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from guavawalk.process.entry.retry import (
+    MAX_ATTEMPTS,
+    MAX_BACKOFF_S,
+    PROCESS_RESERVE,
+    RETRY_SHARE,
+    create_attempt_cap,
+    create_retry_budget,
+)
+from guavawalk.process.fleet import run_fleet
+from guavawalk.process.plan import kestrel_lane_plan
+from tests.virtual import run_virtually
+
+
+def retries_when_all_fails(budget, workspaces):
+    taken = 0
+    for workspace in workspaces:
+        budget.note_request(workspace)
+        attempts = 1
+        while budget.take(workspace, attempts):
+            attempts += 1
+            taken += 1
+    return taken
+
+
+class TestBudget:
+    @given(st.lists(st.sampled_from("abcdef"), max_size=300))
+    def test_retries_are_a_share_of_requests(self, workspaces):
+        taken = retries_when_all_fails(create_retry_budget(1), workspaces)
+        assert taken <= RETRY_SHARE * len(workspaces) + PROCESS_RESERVE
+
+    def test_one_workspace_does_not_spend_the_reserve_of_all(self):
+        budget = create_retry_budget(1)
+        retries_when_all_fails(budget, ["a"] * 5)
+        budget.note_request("b")
+        assert budget.take("b", 1)
+
+    @given(st.lists(st.integers(0, 400), max_size=300))
+    def test_bounded_table_gives_no_more(self, numbers):
+        budget = create_retry_budget(1, max_workspaces=5)
+        taken = retries_when_all_fails(budget, [str(number) for number in numbers])
+        assert taken <= RETRY_SHARE * len(numbers) + PROCESS_RESERVE
+        assert len(budget) <= 5
+
+    def test_one_request_is_capped(self):
+        assert not create_retry_budget(1).take("a", MAX_ATTEMPTS)
+
+
+class TestBackoff:
+    @given(st.integers(1, 40))
+    def test_jitter_covers_the_whole_range_up_to_the_bound(self, attempts):
+        budget = create_retry_budget(7)
+        drawn = [budget.backoff_s(attempts) for _ in range(200)]
+        assert 0 <= min(drawn) < 0.2 * max(drawn)
+        assert max(drawn) <= MAX_BACKOFF_S
+
+    def test_first_attempt_does_not_wait(self):
+        assert create_retry_budget(7).backoff_s(0) == 0.0
+
+
+async def offers_while_cut(budget, quarantine) -> tuple[int, int, int]:
+    """Send through one entry while all it may use refuses links; return requests and tries."""
+    plan = kestrel_lane_plan()
+    async with run_fleet(plan) as fleet:
+        node = "entry-victoria"
+        entry = fleet.entry("victoria")
+        if budget is not None:
+            process = fleet.processes[node]
+            fleet.processes[node] = process._replace(entry=entry._replace(retries=budget))
+        if not quarantine:
+            entry.view.note_unreachable = lambda name: None
+        for target in plan.targets:
+            fleet.fabric.cut(node, f"sidecar-{target.name}")
+        callers = []
+
+        async def send(index):
+            work = fleet.work("harbour", "onsite", f"glaze {index}?", model="quill")
+            callers.append(await fleet.send("victoria", work))
+
+        async with anyio.create_task_group() as tasks:
+            for index in range(200):
+                tasks.start_soon(send, index)
+                await anyio.sleep(0.02)
+        await anyio.sleep(60)
+        work = fleet.work("harbour", "onsite", "after?", model="quill")
+        fleet.fabric.heal()
+        healed = await fleet.send("victoria", work)
+        attempts = sum(caller.outcome.attempts for caller in callers)
+        return len(callers), attempts, int(healed.outcome.code)
+
+
+def assert_no_storm(requests, attempts):
+    assert attempts <= requests * (1 + RETRY_SHARE) + PROCESS_RESERVE
+
+
+class TestStorm:
+    @pytest.mark.parametrize("quarantine", [True, False])
+    def test_a_cut_data_centre_draws_no_storm_and_heals(self, quarantine):
+        requests, attempts, code = run_virtually(offers_while_cut, None, quarantine)
+        assert_no_storm(requests, attempts)
+        assert code == 0
+
+    def test_the_bound_catches_a_budget_without_a_share(self):
+        requests, attempts, _ = run_virtually(offers_while_cut, create_attempt_cap(), False)
+        with pytest.raises(AssertionError):
+            assert_no_storm(requests, attempts)
--- a/tests/process/entry/test_view.py
+++ b/tests/process/entry/test_view.py
@@ -105,17 +105,17 @@
         clock = FakeClock()
         view = create_fleet_view(clock)
         view.note_load(NAME, LoadReport(leaving=True))
-        assert not view.of(NAME, 0).usable
+        assert not view.of(NAME, 1, 0).usable
         clock.s += LEAVING_FOR_S
-        assert view.of(NAME, 0).usable
+        assert view.of(NAME, 1, 0).usable
 
     def test_own_offers_count_until_the_next_report(self):
         view = create_fleet_view(FakeClock())
         view.note_offer(NAME, WORK)
-        assert view.of(NAME, 0).own_new == 1
+        assert view.of(NAME, 1, 0).own_new == 1
         view.note_load(NAME, LoadReport(running=1))
-        assert view.of(NAME, 0).own_new == 0
-        assert view.of(NAME, 0).own_running == 1
+        assert view.of(NAME, 1, 0).own_new == 0
+        assert view.of(NAME, 1, 0).own_running == 1
 
     def test_a_crash_loses_the_cache(self):
         view = create_fleet_view(FakeClock())
@@ -123,3 +123,12 @@
         assert NAME in view.for_work(WORK).cached
         view.note_crash(NAME)
         assert NAME not in view.for_work(WORK).cached
+
+    def test_a_full_queue_is_avoided_by_its_tier_and_lower_ones_as_long_as_it_asked(self):
+        clock = FakeClock()
+        view = create_fleet_view(clock)
+        view.note_load(NAME, LoadReport())
+        view.note_full(NAME, WORK, 300)
+        assert [view.of(NAME, rank, 0).usable for rank in (0, 1, 2)] == [True, False, False]
+        clock.s += 0.3
+        assert view.of(NAME, 1, 0).usable
--- a/tests/request/test_expected_cost.py
+++ b/tests/request/test_expected_cost.py
@@ -12,13 +12,26 @@
 from guavawalk.request.placement import capable_targets
 from guavawalk.request.target_view import StaticViews, TargetView
 from guavawalk.request.types import LoadReport
+from guavawalk.version.build import build_configuration
+from guavawalk.version.publish import render_documents
 
 SEEDS = st.integers(0, 10_000)
 
 
+def parts_of(configuration):
+    kinds = ("tiers", "data_centres", "generations", "models", "workspaces")
+    return {kind: getattr(configuration, kind).values() for kind in kinds}
+
+
+def total_s(parts):
+    return parts.finish_s + parts.penalty_s
+
+
 def full_scan(work, here, targets, views):
     usable = [target for target in targets if views[target.name].usable]
-    return min(usable, key=lambda t: cost_parts(work, here, t, views[t.name]).cost_s, default=None)
+    return min(
+        usable, key=lambda t: total_s(cost_parts(work, here, t, views[t.name])), default=None
+    )
 
 
 def random_views(targets, rng):
@@ -52,7 +65,7 @@
             views = random_views(targets, rng)
             found = policy.rank(work, here, targets, views)[0]
             best = full_scan(work, here, targets, views)
-            best_s = cost_parts(work, here, best, views[best.name]).cost_s
+            best_s = total_s(cost_parts(work, here, best, views[best.name]))
             ratios.append(found.cost_ms / 1000 / best_s)
         assert sum(ratios) / len(ratios) < 1.5
 
@@ -68,7 +81,13 @@
 class TestAffinity:
     @given(st.integers(-(2**63), 2**63 - 1), st.permutations([f"t{i}" for i in range(8)]))
     def test_order_does_not_hang_on_the_order_of_names(self, key, names):
-        assert affinity_order(key, tuple(names)) == affinity_order(key, tuple(sorted(names)))
+        weights = (1.0,) * len(names)
+        order = affinity_order(key, tuple(names), weights)
+        assert order == affinity_order(key, tuple(sorted(names)), weights)
+
+    def test_share_of_keys_follows_the_weight(self):
+        firsts = [affinity_order(key, ("a", "b"), (1.0, 3.0))[0] for key in range(2_000)]
+        assert 0.70 < firsts.count("b") / 2_000 < 0.80
 
     def test_two_entries_agree_without_talking(self):
         work, here, targets = placement_scene(30, 30, 5)
@@ -118,14 +137,13 @@
         work, _, targets = placement_scene(8, 8, 0)
         leaving = targets[0]._replace(leaving=True)
         prefill = targets[1]._replace(desired=targets[1].desired._replace(role="prefill"))
-        changed = {leaving.name: leaving, prefill.name: prefill}
-        configuration = work.configuration._replace(
-            targets={**work.configuration.targets, **changed}
-        )
+        others = [*targets[2:], leaving, prefill]
+        documents = render_documents(1, {**parts_of(work.configuration), "targets": others})
+        configuration = build_configuration(documents)
         centre = targets[2].data_centre
         workspace = work.workspace._replace(data_centres=(centre,))
-        work = work._replace(configuration=configuration, workspace=workspace)
-        found = capable_targets(work, configuration)
+        found = capable_targets(work._replace(workspace=workspace), configuration)
+        changed = {leaving.name, prefill.name}
         assert found
-        assert not {t.name for t in found} & set(changed)
+        assert not {t.name for t in found} & changed
         assert {t.data_centre for t in found} == {centre}
