Explain placement by the policy in force

Cause: config explain showed the least reported load baseline, which entries no longer use. Change: it takes the policy by name, the default one without. Each policy can be explained. Conclusion: the order shown is that of an entry that knows nothing of loads.

--- a/guavawalk/process/commands/config.py
+++ b/guavawalk/process/commands/config.py
@@ -9,7 +9,7 @@
 
 from guavawalk.exception import ConfigurationError
 from guavawalk.request.explain import explain_placement
-from guavawalk.request.placement import create_least_reported_load
+from guavawalk.request.policies import DEFAULT_PLACEMENT, PLACEMENTS, create_placement
 from guavawalk.request.types import Work
 from guavawalk.version.authoring import (
     describe_changes,
@@ -22,6 +22,8 @@
 
 __all__ = ["config_app", "request_of"]
 
+EXPLAIN_SEED = 0
+
 config_app = App(name="config", help="Render, check and compare configurations.")
 
 Version = Annotated[int, Parameter(help="Number of the version, above the one in force.")]
@@ -74,6 +76,7 @@
     prompt_tokens: int = 100,
     output_tokens: int = 0,
     here: str = "",
+    policy: str = DEFAULT_PLACEMENT,
 ) -> int:
     """Say which targets may serve a request, in what order and why.
 
@@ -81,8 +84,11 @@
     ----------
     here : str
         Data centre of the entry that the request comes to.
+    policy : str
+        Name of the placement policy.
     """
     configuration = load_configuration(file)
+    _check_defined("--policy", policy, PLACEMENTS)
     if here:
         _check_defined("--here", here, configuration.data_centres)
     work = request_of(configuration, workspace, tier, model, service)
@@ -91,7 +97,7 @@
         adapter=adapter, prompt_tokens=prompt_tokens, expected_output_tokens=expected_tokens
     )
     table = Table("order", "target", "why")
-    for row in explain_placement(work, here, create_least_reported_load()):
+    for row in explain_placement(work, here, create_placement(policy, EXPLAIN_SEED)):
         table.add_row(str(row.order or "-"), row.target, row.reason)
     Console().print(table)
     print("all targets taken as idle and reachable")
--- a/tests/request/test_explain.py
+++ b/tests/request/test_explain.py
@@ -5,6 +5,7 @@
 from guavawalk.process.commands.config import request_of
 from guavawalk.request.explain import explain_placement
 from guavawalk.request.placement import capable_targets, create_least_reported_load
+from guavawalk.request.policies import PLACEMENTS, create_placement
 from guavawalk.version.authoring import check_draft
 from tests.version.authoring.test_draft import add_engine, small_draft
 
@@ -19,6 +20,13 @@
 
 
 class TestExplanation:
+    @pytest.mark.parametrize("policy", PLACEMENTS)
+    def test_every_policy_can_be_explained(self, policy):
+        work = request_of(check_draft(small_draft()), "harbour", "", "quill", "")
+        (first, *others) = explain_placement(work, "victoria", create_placement(policy, 1))
+        assert (first.target, first.order) == ("engine-0", 1)
+        assert [row.order for row in others] == [0]
+
     def test_capable_target_gives_its_speed(self):
         found = reasons(small_draft(), prompt_tokens=4_000, expected_output_tokens=120)
         assert "in victoria, the entry's data centre" in found["engine-0"]
