Give operators an administration API, its client and a live view

Cause: operators saw logs only, and could act on a process by signals only. Change: each process answers for itself on an address of its own, off by default; keys as digests, roles, scope by workspace, audited actions, OpenAPI from the typed data; guavawalk admin and top. A settings error about a secret field shows its type, not its value: fleet_secret of a wrong type was printed before. Conclusion: no shared state and no control process needed.

--- a/guavawalk/connection/http_answer.py
+++ b/guavawalk/connection/http_answer.py
@@ -17,14 +17,11 @@
 Receive = Callable[[], Awaitable[dict[str, Any]]]
 
 
-class ErrorDocument(TypedDict):
-    """What a caller is told of a request that did not complete."""
-
-    number: int
-    name: str
-    # `class` is a keyword, so the functional key is set in `error_body`.
-    message: str
-    retry_after_ms: int | None
+# What a caller is told of a request that did not complete; `class` can't be written as a field.
+ErrorDocument = TypedDict(
+    "ErrorDocument",
+    {"number": int, "name": str, "class": str, "message": str, "retry_after_ms": int | None},
+)
 
 
 class ErrorBody(TypedDict):
--- a/guavawalk/events.py
+++ b/guavawalk/events.py
@@ -26,6 +26,10 @@
 
 EVENTS: dict[str, Event] = {}
 
+# Above every level that a log can be set to, so that no setting hides what operators did.
+AUDIT = 60
+logging.addLevelName(AUDIT, "AUDIT")
+
 
 def _event(number: int, name: str, level: int, message: str) -> Event:
     event = Event(number, name, level, message)
@@ -56,3 +60,14 @@
 PLATFORM_UNAVAILABLE = _event(
     4004, "platform_unavailable", logging.WARNING, "the platform's service gave no answer"
 )
+
+ADMIN_DRAINED = _event(7001, "admin_drained", AUDIT, "an operator let the target leave")
+ADMIN_ADMITTING_STOPPED = _event(
+    7002, "admin_admitting_stopped", AUDIT, "an operator let the entry admit no more"
+)
+ADMIN_LOG_LEVEL_SET = _event(
+    7003, "admin_log_level_set", AUDIT, "an operator set the level of the log"
+)
+ADMIN_REFUSED = _event(
+    7004, "admin_refused", logging.WARNING, "a request for administration was refused"
+)
--- a/guavawalk/exception.py
+++ b/guavawalk/exception.py
@@ -3,6 +3,7 @@
 from guavawalk.codes import CodeClass, ResultCode, code_class, describe_code
 
 __all__ = [
+    "AdminError",
     "ConfigurationError",
     "DamagedValue",
     "GuavawalkError",
@@ -43,6 +44,10 @@
         self.problem = problem
 
 
+class AdminError(GuavawalkError):
+    """An answer of the administration API that is an error, or none."""
+
+
 class ConfigurationError(GuavawalkError):
     """A published configuration that can't be taken.
 
--- /dev/null
+++ b/guavawalk/process/admin/access.py
@@ -0,0 +1,64 @@
+"""Who may use the administration API, and for what."""
+
+from collections.abc import Sequence
+from typing import NamedTuple
+
+from guavawalk.codes import ResultCode
+from guavawalk.exception import RequestError
+from guavawalk.process.settings import ADMIN_ROLES, AdminKeySettings
+from guavawalk.version.documents import digest_bytes
+
+__all__ = ["AdminCaller", "find_caller", "require_role", "require_whole_process"]
+
+
+class AdminCaller(NamedTuple):
+    """An operator, known by a key.
+
+    Attributes
+    ----------
+    name : str
+        Name of the key, for the audit log.
+    role : str
+        One of `ADMIN_ROLES`.
+    workspaces : frozenset of str or None
+        Workspaces that the key is limited to; None for all.
+    """
+
+    name: str
+    role: str
+    workspaces: frozenset[str] | None
+
+    def may_see(self, workspace: str) -> bool:
+        """Say whether the key covers a workspace."""
+        return self.workspaces is None or workspace in self.workspaces
+
+
+def find_caller(keys: Sequence[AdminKeySettings], authorization: str) -> AdminCaller:
+    """Return the operator whose key an `Authorization` header carries.
+
+    Raises
+    ------
+    RequestError
+        `UNAUTHENTICATED` if there is none.
+    """
+    scheme, _, key = authorization.partition(" ")
+    if scheme.lower() != "bearer" or not key.strip():
+        raise RequestError(ResultCode.UNAUTHENTICATED, "send Authorization: Bearer KEY")
+    digest = digest_bytes(key.strip().encode())
+    for known in keys:
+        if known.key_digest == digest:
+            scope = frozenset(known.workspaces) if known.workspaces else None
+            return AdminCaller(known.name, known.role, scope)
+    raise RequestError(ResultCode.UNAUTHENTICATED)
+
+
+def require_role(caller: AdminCaller, role: str) -> None:
+    """Refuse a caller below a role, as `NOT_ALLOWED`."""
+    if ADMIN_ROLES.index(caller.role) < ADMIN_ROLES.index(role):
+        raise RequestError(ResultCode.NOT_ALLOWED, f"the key's role is {caller.role}, not {role}")
+
+
+def require_whole_process(caller: AdminCaller) -> None:
+    """Refuse a caller limited to some workspaces, as `NOT_ALLOWED`."""
+    if caller.workspaces is not None:
+        raise RequestError(ResultCode.NOT_ALLOWED, "the key is limited to some workspaces")
--- /dev/null
+++ b/guavawalk/process/admin/documents.py
@@ -0,0 +1,152 @@
+"""The documents of the administration API."""
+
+from typing import TypedDict
+
+__all__ = [
+    "ActionDocument",
+    "ConfigurationDocument",
+    "HistogramDocument",
+    "HistogramsDocument",
+    "LogLevelRequest",
+    "QueueDocument",
+    "QueuesDocument",
+    "RefusalCountDocument",
+    "RefusalDocument",
+    "RefusalsDocument",
+    "StateDocument",
+    "StopRequest",
+    "TargetDocument",
+    "TargetsDocument",
+]
+
+
+class StateDocument(TypedDict):
+    """What a process is and does now; the incarnation is in hexadecimal."""
+
+    role: str
+    instance: str
+    incarnation: str
+    version: int
+    digest: str
+    stopping: bool
+    running: int
+    queued: int
+    window: int | None
+    uptime_s: float
+    resident_bytes: int
+    log_level: str
+
+
+class ConfigurationDocument(TypedDict):
+    """The version in force and what it holds."""
+
+    version: int
+    digest: str
+    shards: int
+    tiers: list[str]
+    targets: int
+    workspaces: int
+
+
+class TargetDocument(TypedDict):
+    """A target, as this process last heard of it; null where it never has."""
+
+    name: str
+    kind: str
+    data_centre: str
+    leaving: bool
+    usable: bool
+    running: int
+    window: int
+    queued: int
+    own_running: int
+    report_age_s: float | None
+
+
+class TargetsDocument(TypedDict):
+    """Targets by name."""
+
+    targets: list[TargetDocument]
+
+
+class QueueDocument(TypedDict):
+    """Attempts of one workspace and tier at this sidecar."""
+
+    workspace: str
+    tier: str
+    queued: int
+    running: int
+    oldest_queued_s: float
+
+
+class QueuesDocument(TypedDict):
+    """Attempts that wait or run, by workspace and tier."""
+
+    queues: list[QueueDocument]
+
+
+class RefusalCountDocument(TypedDict):
+    """Refusals of one code, of those kept."""
+
+    number: int
+    name: str
+    count: int
+
+
+class RefusalDocument(TypedDict):
+    """One request that was not run."""
+
+    age_s: float
+    number: int
+    name: str
+    workspace: str
+    tier: str
+    trace_id: str
+    target: str
+
+
+class RefusalsDocument(TypedDict):
+    """The last refusals, the newest first, and their number by code."""
+
+    counts: list[RefusalCountDocument]
+    recent: list[RefusalDocument]
+
+
+class HistogramDocument(TypedDict):
+    """Figures of one histogram; an empty workspace stands for all that are not kept apart."""
+
+    workspace: str
+    tier: str
+    measure: str
+    count: int
+    mean: float
+    p50: float
+    p95: float
+    p99: float
+    highest: float
+
+
+class HistogramsDocument(TypedDict):
+    """Histograms of the busiest workspaces and tiers, and of the rest."""
+
+    histograms: list[HistogramDocument]
+
+
+class StopRequest(TypedDict):
+    """Why a process is to take no more work."""
+
+    reason: str
+
+
+class LogLevelRequest(TypedDict):
+    """A level: DEBUG, INFO, WARNING or ERROR."""
+
+    level: str
+
+
+class ActionDocument(TypedDict):
+    """What an action did."""
+
+    action: str
+    changed: bool
+    running: int
--- /dev/null
+++ b/guavawalk/process/admin/entry_node.py
@@ -0,0 +1,88 @@
+"""An entry, as the administration API sees it."""
+
+import math
+
+from guavawalk.process.admin.access import AdminCaller
+from guavawalk.process.admin.documents import QueueDocument, StateDocument, TargetDocument
+from guavawalk.process.admin.node import AdminNode
+from guavawalk.process.entry.state import Entry
+from guavawalk.process.observe.memory import resident_bytes
+from guavawalk.request.target_view import TargetView
+from guavawalk.version.types import Target
+
+__all__ = ["create_entry_node"]
+
+
+# `usable` is told for the most urgent tier, and `cached_tokens` is not told.
+TOP_RANK = 0
+
+
+class EntryNode:
+    """The parts of an entry that operators see."""
+
+    role = "entry"
+
+    def __init__(self, entry: Entry) -> None:
+        self._entry = entry
+        self._started_s = entry.clock.now_s()
+        self.clock = entry.clock
+        self.held = entry.held
+        self.log = entry.log
+        self.observed = entry.observed
+
+    def state(self) -> StateDocument:
+        """Return what the entry is and does now."""
+        entry = self._entry
+        return StateDocument(
+            role=self.role,
+            instance=entry.identity.instance,
+            incarnation=f"{entry.identity.incarnation:x}",
+            version=entry.held.stamp.version,
+            digest=entry.held.stamp.digest,
+            stopping=entry.gauge.draining,
+            running=entry.gauge.running,
+            queued=0,
+            window=None,
+            uptime_s=round(entry.clock.now_s() - self._started_s, 1),
+            resident_bytes=resident_bytes(),
+            log_level=entry.log.level,
+        )
+
+    def targets(self) -> list[TargetDocument]:
+        """Return the beliefs about all targets of the version in force."""
+        configuration = self.held.configuration
+        targets = sorted(configuration.targets.values()) if configuration else ()
+        return [
+            _target(target, self._entry.view.of(target.name, TOP_RANK, 0)) for target in targets
+        ]
+
+    def queues(self, caller: AdminCaller) -> list[QueueDocument]:
+        """Return nothing: requests wait at the sidecars."""
+        return []
+
+    def stop(self) -> bool:
+        """Admit no more requests."""
+        changed = not self._entry.gauge.draining
+        self._entry.gauge.draining = True
+        return changed
+
+
+def _target(target: Target, view: TargetView) -> TargetDocument:
+    known = math.isfinite(view.report_age_s)
+    return TargetDocument(
+        name=target.name,
+        kind=target.kind,
+        data_centre=target.data_centre,
+        leaving=target.leaving or view.load.leaving,
+        usable=view.usable,
+        running=view.load.running,
+        window=view.load.window,
+        queued=sum(view.load.queued_by_rank),
+        own_running=view.own_running,
+        report_age_s=round(view.report_age_s, 3) if known else None,
+    )
+
+
+def create_entry_node(entry: Entry) -> AdminNode:
+    """Create the operators' view of an entry."""
+    return EntryNode(entry)
--- /dev/null
+++ b/guavawalk/process/admin/operations.py
@@ -0,0 +1,223 @@
+"""The operations of the administration API, apart from how they are carried."""
+
+from collections import Counter
+from collections.abc import Awaitable, Callable
+from typing import Any, NamedTuple
+
+import anyio.lowlevel
+
+from guavawalk import events
+from guavawalk.codes import ResultCode
+from guavawalk.events import Event
+from guavawalk.exception import RequestError
+from guavawalk.process.admin.access import AdminCaller, require_whole_process
+from guavawalk.process.admin.documents import (
+    ActionDocument,
+    ConfigurationDocument,
+    HistogramDocument,
+    HistogramsDocument,
+    LogLevelRequest,
+    QueuesDocument,
+    RefusalCountDocument,
+    RefusalDocument,
+    RefusalsDocument,
+    StateDocument,
+    StopRequest,
+    TargetsDocument,
+)
+from guavawalk.process.admin.node import AdminNode
+from guavawalk.process.observe.histograms import HistogramSummary
+from guavawalk.process.observe.log import LOG_LEVELS
+from guavawalk.process.observe.refusals import Refusal
+
+__all__ = ["OPERATIONS", "Operation"]
+
+MAX_REASON_CHARS = 200
+
+Run = Callable[[AdminNode, AdminCaller, Any], Awaitable[Any]]
+
+
+class Operation(NamedTuple):
+    """One operation.
+
+    Attributes
+    ----------
+    access : str
+        Role that the caller's key needs.
+    node_roles : tuple of str
+        Processes that have it.
+    body : type or None
+        Document that the caller sends.
+    """
+
+    name: str
+    method: str
+    path: str
+    access: str
+    summary: str
+    run: Run
+    answer: type
+    body: type | None = None
+    node_roles: tuple[str, ...] = ("entry", "sidecar")
+
+
+async def read_state(node: AdminNode, caller: AdminCaller, body: None) -> StateDocument:
+    """Return what the process is and does now."""
+    return node.state()
+
+
+async def read_configuration(
+    node: AdminNode, caller: AdminCaller, body: None
+) -> ConfigurationDocument:
+    """Return the version in force; `NO_CONFIGURATION` before the first."""
+    configuration = node.held.configuration
+    if configuration is None:
+        raise RequestError(ResultCode.NO_CONFIGURATION)
+    tiers = sorted(configuration.tiers.values(), key=lambda tier: tier.rank)
+    documents = node.held.documents
+    return ConfigurationDocument(
+        version=configuration.stamp.version,
+        digest=configuration.stamp.digest,
+        shards=len(documents.shards) if documents else 0,
+        tiers=[tier.name for tier in tiers],
+        targets=len(configuration.targets),
+        workspaces=len(configuration.workspaces),
+    )
+
+
+async def read_targets(node: AdminNode, caller: AdminCaller, body: None) -> TargetsDocument:
+    """Return the targets."""
+    return TargetsDocument(targets=node.targets())
+
+
+async def read_queues(node: AdminNode, caller: AdminCaller, body: None) -> QueuesDocument:
+    """Return what waits and runs."""
+    return QueuesDocument(queues=node.queues(caller))
+
+
+async def read_refusals(node: AdminNode, caller: AdminCaller, body: None) -> RefusalsDocument:
+    """Return the last refusals that the caller may see."""
+    kept = node.observed.refusals.recent(caller.workspaces)
+    counts = sorted(Counter(refusal.code for refusal in kept).items())
+    now_s = node.clock.now_s()
+    return RefusalsDocument(
+        counts=[
+            RefusalCountDocument(number=int(code), name=code.name, count=count)
+            for code, count in counts
+        ],
+        recent=[_refusal(refusal, now_s) for refusal in kept],
+    )
+
+
+def _refusal(refusal: Refusal, now_s: float) -> RefusalDocument:
+    return RefusalDocument(
+        age_s=round(now_s - refusal.at_s, 3),
+        number=int(refusal.code),
+        name=refusal.code.name,
+        workspace=refusal.workspace,
+        tier=refusal.tier,
+        trace_id=refusal.trace_id,
+        target=refusal.target,
+    )
+
+
+async def read_histograms(node: AdminNode, caller: AdminCaller, body: None) -> HistogramsDocument:
+    """Return the histograms that the caller may see, and leave time for others between them."""
+    found = []
+    for summary in node.observed.histograms.summaries(caller.workspaces):
+        found.append(_histogram(summary))
+        await anyio.lowlevel.checkpoint()
+    return HistogramsDocument(histograms=found)
+
+
+def _histogram(summary: HistogramSummary) -> HistogramDocument:
+    figures = summary._asdict()
+    key = figures.pop("key")
+    return HistogramDocument(workspace=key.workspace, tier=key.tier, **figures)
+
+
+async def drain_sidecar_target(
+    node: AdminNode, caller: AdminCaller, body: StopRequest
+) -> ActionDocument:
+    """Let the sidecar leave."""
+    return _stop(node, caller, body, "drain", events.ADMIN_DRAINED)
+
+
+async def stop_admitting(node: AdminNode, caller: AdminCaller, body: StopRequest) -> ActionDocument:
+    """Let the entry admit no more."""
+    return _stop(node, caller, body, "stop-admitting", events.ADMIN_ADMITTING_STOPPED)
+
+
+def _stop(
+    node: AdminNode, caller: AdminCaller, body: StopRequest, action: str, event: Event
+) -> ActionDocument:
+    require_whole_process(caller)
+    reason = body["reason"].strip()
+    if not reason or len(reason) > MAX_REASON_CHARS or not reason.isprintable():
+        detail = f"reason: allowed are 1 to {MAX_REASON_CHARS} printable characters"
+        raise RequestError(ResultCode.BAD_REQUEST, detail)
+    changed = node.stop()
+    node.log.emit(event, key_name=caller.name, reason=reason, changed=changed)
+    return ActionDocument(action=action, changed=changed, running=node.state()["running"])
+
+
+async def set_log_level(
+    node: AdminNode, caller: AdminCaller, body: LogLevelRequest
+) -> ActionDocument:
+    """Set the level of the process's log."""
+    require_whole_process(caller)
+    level = body["level"]
+    if level not in LOG_LEVELS:
+        detail = f"level: found {level!r:.40}, allowed is one of {', '.join(LOG_LEVELS)}"
+        raise RequestError(ResultCode.BAD_REQUEST, detail)
+    before = node.log.level
+    node.log.level = level
+    node.log.emit(events.ADMIN_LOG_LEVEL_SET, key_name=caller.name, before=before, after=level)
+    running = node.state()["running"]
+    return ActionDocument(action="log-level", changed=before != level, running=running)
+
+
+def _read(path: str, summary: str, run: Run, answer: type) -> Operation:
+    return Operation(run.__name__, "GET", path, "read", summary, run, answer)
+
+
+OPERATIONS = (
+    _read("/v1/state", "What the process is and does now", read_state, StateDocument),
+    _read("/v1/configuration", "The version in force", read_configuration, ConfigurationDocument),
+    _read("/v1/targets", "What the process knows of targets", read_targets, TargetsDocument),
+    _read("/v1/queues", "What waits and runs", read_queues, QueuesDocument),
+    _read("/v1/refusals", "The last refusals", read_refusals, RefusalsDocument),
+    _read("/v1/histograms", "Times and waste", read_histograms, HistogramsDocument),
+    Operation(
+        "drain_sidecar_target",
+        "POST",
+        "/v1/drain",
+        "operate",
+        "Let this target leave: no new work, what runs goes on",
+        drain_sidecar_target,
+        ActionDocument,
+        StopRequest,
+        ("sidecar",),
+    ),
+    Operation(
+        "stop_admitting",
+        "POST",
+        "/v1/stop-admitting",
+        "operate",
+        "Admit no more requests here; those under way go on",
+        stop_admitting,
+        ActionDocument,
+        StopRequest,
+        ("entry",),
+    ),
+    Operation(
+        "set_log_level",
+        "POST",
+        "/v1/log-level",
+        "operate",
+        "Set the log level",
+        set_log_level,
+        ActionDocument,
+        LogLevelRequest,
+    ),
+)
--- /dev/null
+++ b/guavawalk/process/admin/sidecar_node.py
@@ -0,0 +1,108 @@
+"""A sidecar, as the administration API sees it."""
+
+from collections.abc import Iterable
+from typing import NamedTuple
+
+from guavawalk.process.admin.access import AdminCaller
+from guavawalk.process.admin.documents import QueueDocument, StateDocument, TargetDocument
+from guavawalk.process.admin.node import AdminNode
+from guavawalk.process.observe.memory import resident_bytes
+from guavawalk.process.sidecar.admission import start_leaving
+from guavawalk.process.sidecar.observed import tier_name
+from guavawalk.process.sidecar.state import Sidecar
+from guavawalk.request.attempt import Attempt, AttemptState
+
+__all__ = ["create_sidecar_node"]
+
+
+class QueueKey(NamedTuple):
+    """Whose attempts."""
+
+    workspace: str
+    tier: str
+
+
+class SidecarNode:
+    """The parts of a sidecar that operators see."""
+
+    role = "sidecar"
+
+    def __init__(self, sidecar: Sidecar) -> None:
+        self._sidecar = sidecar
+        self._started_s = sidecar.clock.now_s()
+        self.clock = sidecar.clock
+        self.held = sidecar.held
+        self.log = sidecar.log
+        self.observed = sidecar.observed
+
+    def state(self) -> StateDocument:
+        """Return what the sidecar is and does now."""
+        sidecar = self._sidecar
+        return StateDocument(
+            role=self.role,
+            instance=sidecar.identity.instance,
+            incarnation=f"{sidecar.identity.incarnation:x}",
+            version=sidecar.held.stamp.version,
+            digest=sidecar.held.stamp.digest,
+            stopping=sidecar.attempts.leaving,
+            running=sidecar.attempts.running,
+            queued=len(sidecar.queue),
+            window=sidecar.window.size,
+            uptime_s=round(sidecar.clock.now_s() - self._started_s, 1),
+            resident_bytes=resident_bytes(),
+            log_level=sidecar.log.level,
+        )
+
+    def targets(self) -> list[TargetDocument]:
+        """Return its one target."""
+        sidecar = self._sidecar
+        configuration = sidecar.held.configuration
+        target = configuration.targets.get(sidecar.target_name) if configuration else None
+        leaving = sidecar.attempts.leaving or (target is not None and target.leaving)
+        document = TargetDocument(
+            name=sidecar.target_name,
+            kind=target.kind if target else "",
+            data_centre=target.data_centre if target else "",
+            leaving=leaving,
+            usable=not leaving,
+            running=sidecar.attempts.running,
+            window=sidecar.window.size,
+            queued=len(sidecar.queue),
+            own_running=sidecar.attempts.running,
+            report_age_s=0.0,
+        )
+        return [document]
+
+    def queues(self, caller: AdminCaller) -> list[QueueDocument]:
+        """Return what waits and runs, by workspace and tier."""
+        live = self._sidecar.attempts.live.values()
+        seen = [attempt for attempt in live if caller.may_see(attempt.offer.workspace)]
+        groups: dict[QueueKey, list[Attempt]] = {}
+        for attempt in seen:
+            tier = tier_name(self.held, attempt.offer.tier_rank)
+            groups.setdefault(QueueKey(attempt.offer.workspace, tier), []).append(attempt)
+        now_s = self.clock.now_s()
+        return [_queue(key, groups[key], now_s) for key in sorted(groups)]
+
+    def stop(self) -> bool:
+        """Leave: refuse offers, hand back what waits, let what runs go on."""
+        changed = not self._sidecar.attempts.leaving
+        start_leaving(self._sidecar)
+        return changed
+
+
+def _queue(key: QueueKey, attempts: Iterable[Attempt], now_s: float) -> QueueDocument:
+    waiting = [attempt for attempt in attempts if attempt.state <= AttemptState.QUEUED]
+    oldest_s = max((now_s - attempt.offered_s for attempt in waiting), default=0.0)
+    return QueueDocument(
+        workspace=key.workspace,
+        tier=key.tier,
+        queued=len(waiting),
+        running=len(list(attempts)) - len(waiting),
+        oldest_queued_s=round(oldest_s, 3),
+    )
+
+
+def create_sidecar_node(sidecar: Sidecar) -> AdminNode:
+    """Create the operators' view of a sidecar."""
+    return SidecarNode(sidecar)
--- a/guavawalk/process/commands/app.py
+++ b/guavawalk/process/commands/app.py
@@ -10,9 +10,11 @@
 
 from guavawalk.exception import GuavawalkError
 from guavawalk.process.commands import bench_relay  # noqa: F401
+from guavawalk.process.commands.admin import admin_app
 from guavawalk.process.commands.bench import bench_app
 from guavawalk.process.commands.config import config_app
 from guavawalk.process.commands.standin import standin_app
+from guavawalk.process.commands.top import top
 from guavawalk.process.commands.trace import trace
 from guavawalk.process.event_loop import run_tasks
 
@@ -25,7 +27,9 @@
 app.command(settings_app)
 app.command(bench_app)
 app.command(config_app)
+app.command(admin_app)
 app.command(standin_app)
+app.command(top)
 app.command(trace)
 
 SettingsFile = Annotated[Path, Parameter(name="--settings", help="JSON with comments.")]
--- /dev/null
+++ b/guavawalk/process/commands/documents.py
@@ -0,0 +1,59 @@
+"""Tables of the administration API's documents."""
+
+from collections.abc import Iterable, Mapping, Sequence
+from typing import Any
+
+from rich.table import Table
+from rich.text import Text
+
+__all__ = ["document_tables", "rows_table"]
+
+REST_NAME = "(rest)"
+UNBROKEN = ("instance", "name", "workspace")
+
+
+def document_tables(document: Mapping[str, Any]) -> list[Table]:
+    """Return one table for the plain fields, and one for each list of documents."""
+    plain = {name: value for name, value in document.items() if not _is_rows(value)}
+    tables = [_fields_table(plain)] if plain else []
+    for name, value in document.items():
+        if _is_rows(value):
+            tables.append(rows_table(name, value))
+    return tables
+
+
+def _is_rows(value: Any) -> bool:
+    return isinstance(value, list) and all(isinstance(row, dict) for row in value)
+
+
+def _fields_table(fields: Mapping[str, Any]) -> Table:
+    table = Table("field", "value")
+    for name, value in fields.items():
+        table.add_row(name, _text(name, value))
+    return table
+
+
+def rows_table(title: str, rows: Sequence[Mapping[str, Any]], columns: Iterable[str] = ()) -> Table:
+    """Return a table of documents, with some columns or all."""
+    names = tuple(columns) or tuple(rows[0] if rows else ())
+    table = Table(title=title)
+    for name in names:
+        table.add_column(name, no_wrap=name in UNBROKEN)
+    for row in rows:
+        table.add_row(*(_text(name, row[name]) for name in names))
+    return table
+
+
+def _text(name: str, value: Any) -> Text:
+    # What came over the network is shown as plain text, never as markup or control characters.
+    if value is None:
+        shown = "-"
+    elif isinstance(value, bool):
+        shown = "yes" if value else "no"
+    elif name == "workspace" and value == "":
+        shown = REST_NAME
+    elif isinstance(value, list):
+        shown = ", ".join(map(str, value))
+    else:
+        shown = str(value)
+    return Text("".join(c if c.isprintable() else "�" for c in shown))
--- a/guavawalk/process/entry_daemon.py
+++ b/guavawalk/process/entry_daemon.py
@@ -11,10 +11,12 @@
 from guavawalk.connection.handshake import Identity
 from guavawalk.connection.link import Network
 from guavawalk.connection.platform import Platform, create_http_platform
+from guavawalk.connection.tasks.admin import serve_admin
 from guavawalk.connection.tasks.follow_platform import follow_platform
 from guavawalk.connection.tasks.front import create_front
 from guavawalk.connection.tcp import create_tcp_network
 from guavawalk.exception import RequestError
+from guavawalk.process.admin.entry_node import create_entry_node
 from guavawalk.process.clock import Clock, create_clock
 from guavawalk.process.entry.limits import (
     EntryCount,
@@ -165,6 +167,8 @@
 
         await tasks.start(watch_signals, partial(tasks.start_soon, drain), force)
         tasks.start_soon(serve_entry, entry, platform, settings.listen)
+        admin = create_entry_node(entry)
+        tasks.start_soon(serve_admin, admin, settings.admin_keys, settings.admin_listen)
         tasks.start_soon(report_gauges, entry.metrics, partial(_read_gauges, entry))
         await drained.wait()
         tasks.cancel_scope.cancel()
--- a/guavawalk/process/observe/log.py
+++ b/guavawalk/process/observe/log.py
@@ -8,11 +8,22 @@
 
 from guavawalk.events import Event
 
-__all__ = ["EventLog", "create_event_log", "create_null_log"]
+__all__ = ["LOG_LEVELS", "EventLog", "create_event_log", "create_null_log"]
+
+
+LOG_LEVELS = ("DEBUG", "INFO", "WARNING", "ERROR")
 
 
 class EventLog(Protocol):
-    """Where events go."""
+    """Where events go.
+
+    Attributes
+    ----------
+    level : str
+        Events below it are dropped, one of `LOG_LEVELS`; those of level AUDIT never are.
+    """
+
+    level: str
 
     def emit(self, event: Event, **fields: Any) -> None:
         """Log one event with its fields."""
@@ -26,6 +37,15 @@
         self._logger = logger
         self._common = common
 
+    @property
+    def level(self) -> str:
+        """Level below which events are dropped."""
+        return logging.getLevelName(self._logger.level)
+
+    @level.setter
+    def level(self, level: str) -> None:
+        self._logger.setLevel(level)
+
     def emit(self, event: Event, **fields: Any) -> None:
         """Log one line."""
         if not self._logger.isEnabledFor(event.level):
@@ -37,6 +57,9 @@
 class NullLog:
     """Nowhere."""
 
+    def __init__(self) -> None:
+        self.level = "ERROR"
+
     def emit(self, event: Event, **fields: Any) -> None:
         """Drop the event."""
 
--- a/guavawalk/process/settings.py
+++ b/guavawalk/process/settings.py
@@ -1,17 +1,21 @@
 """Settings of the daemons: JSON with comments, every field checked."""
 
+import re
 import ssl
 from pathlib import Path
-from typing import NamedTuple, TypeVar, get_type_hints
+from typing import NamedTuple, TypeVar, get_args, get_origin, get_type_hints
 
 import json5
 import msgspec
 
 from guavawalk.exception import SettingsError
+from guavawalk.process.observe.log import LOG_LEVELS
 from guavawalk.process.sidecar.window import DEFAULT_WINDOW, WINDOWS
 from guavawalk.request.policies import DEFAULT_PLACEMENT, PLACEMENTS
 
 __all__ = [
+    "ADMIN_ROLES",
+    "AdminKeySettings",
     "EntrySettings",
     "SidecarSettings",
     "StatsdSettings",
@@ -23,6 +27,10 @@
 ]
 
 S = TypeVar("S")
+DIGEST_PATTERN = re.compile("[0-9a-f]{64}")
+
+# Each role includes those before it.
+ADMIN_ROLES = ("read", "operate")
 SETTINGS_ROLES = ("entry", "sidecar")
 
 
@@ -42,6 +50,27 @@
     authority_file: str = ""
 
 
+class AdminKeySettings(NamedTuple):
+    """A key of the administration API.
+
+    Attributes
+    ----------
+    name : str
+        Name of its holder, for the audit log.
+    key_digest : str
+        Hex BLAKE2b-256 digest of the key.
+    role : str
+        `read` or `operate`.
+    workspaces : tuple of str
+        Workspaces that it is limited to; empty for all.
+    """
+
+    name: str
+    key_digest: str
+    role: str = "read"
+    workspaces: tuple[str, ...] = ()
+
+
 class EntrySettings(NamedTuple):
     """Settings of `guavawalk entry`.
 
@@ -57,6 +86,8 @@
         Name of the policy that chooses targets, one of `PLACEMENTS`.
     entry_instances : int
         How many entries share the workspaces' limits.
+    admin_listen : str
+        Address of the administration API, `IP:port`; empty for none.
     """
 
     instance: str
@@ -72,6 +103,8 @@
     body_timeout_ms: int = 30_000
     placement: str = DEFAULT_PLACEMENT
     entry_instances: int = 1
+    admin_listen: str = ""
+    admin_keys: tuple[AdminKeySettings, ...] = ()
     log_level: str = "INFO"
     statsd: StatsdSettings = StatsdSettings()
     tls: TlsSettings = TlsSettings()
@@ -111,6 +144,8 @@
     queue_slots: int = 1_000
     answer_limit_bytes: int = 4 * 1024 * 1024
     record_slots: int = 100_000
+    admin_listen: str = ""
+    admin_keys: tuple[AdminKeySettings, ...] = ()
     log_level: str = "INFO"
     statsd: StatsdSettings = StatsdSettings()
     tls: TlsSettings = TlsSettings()
@@ -178,10 +213,19 @@
 def _convert(source: str, path: str, value: object, part: type) -> object:
     if hasattr(part, "_fields"):
         return _build(source, path, value, part)
+    item = get_args(part)[0] if get_origin(part) is tuple else None
+    if hasattr(item, "_fields") and isinstance(value, list):
+        return tuple(_build(source, f"{path}[{i}]", v, item) for i, v in enumerate(value))
     try:
         return msgspec.convert(value, part)
     except msgspec.ValidationError as error:
-        raise SettingsError(source, path, f"found {value!r}; {error}") from error
+        shown = type(value).__name__ if _is_secret(path) else f"{value!r:.80}"
+        raise SettingsError(source, path, f"found {shown}; {error}") from error
+
+
+def _is_secret(path: str) -> bool:
+    name = path.rpartition(".")[2]
+    return "secret" in name or "digest" in name
 
 
 def _check_values(source: str, settings) -> None:
@@ -190,9 +234,10 @@
         if isinstance(value, int) and not isinstance(value, bool) and value < 1:
             raise SettingsError(source, path, f"found {value}, allowed is 1 or more")
     _check_address(source, "$.listen", settings.listen)
-    if settings.log_level not in ("DEBUG", "INFO", "WARNING", "ERROR"):
-        allowed = "DEBUG, INFO, WARNING or ERROR"
-        raise SettingsError(source, "$.log_level", f"found {settings.log_level!r}, {allowed}")
+    _check_admin(source, settings)
+    if settings.log_level not in LOG_LEVELS:
+        problem = f"found {settings.log_level!r}, allowed is one of {', '.join(LOG_LEVELS)}"
+        raise SettingsError(source, "$.log_level", problem)
     placement = getattr(settings, "placement", DEFAULT_PLACEMENT)
     if placement not in PLACEMENTS:
         problem = f"found {placement!r}, allowed is {', '.join(PLACEMENTS)}"
@@ -209,6 +254,25 @@
         raise SettingsError(source, "$.fleet_secret", problem)
 
 
+def _check_admin(source: str, settings) -> None:
+    if settings.admin_listen:
+        _check_address(source, "$.admin_listen", settings.admin_listen)
+        if not settings.admin_keys:
+            raise SettingsError(source, "$.admin_keys", "allowed is one key or more")
+    digests = set()
+    for index, key in enumerate(settings.admin_keys):
+        path = f"$.admin_keys[{index}]"
+        if not DIGEST_PATTERN.fullmatch(key.key_digest):
+            problem = f"found {len(key.key_digest)} characters, allowed are 64 hex digits"
+            raise SettingsError(source, f"{path}.key_digest", problem)
+        if key.key_digest in digests:
+            raise SettingsError(source, f"{path}.key_digest", "the key stands twice")
+        digests.add(key.key_digest)
+        if key.role not in ADMIN_ROLES:
+            problem = f"found {key.role!r:.80}, allowed is {' or '.join(ADMIN_ROLES)}"
+            raise SettingsError(source, f"{path}.role", problem)
+
+
 def _check_address(source: str, path: str, address: str) -> None:
     host, _, port = address.rpartition(":")
     if not host or not port.isdigit() or int(port) > 65_535:
--- a/guavawalk/process/sidecar_daemon.py
+++ b/guavawalk/process/sidecar_daemon.py
@@ -12,9 +12,11 @@
 from guavawalk.connection.link import Network
 from guavawalk.connection.platform import Platform, create_http_platform
 from guavawalk.connection.target import TargetClient
+from guavawalk.connection.tasks.admin import serve_admin
 from guavawalk.connection.tasks.entry_link import serve_entry_link
 from guavawalk.connection.tasks.follow_platform import follow_platform
 from guavawalk.connection.tcp import create_tcp_network
+from guavawalk.process.admin.sidecar_node import create_sidecar_node
 from guavawalk.process.clock import Clock, create_clock
 from guavawalk.process.observe.gauges import GaugeValues, report_gauges
 from guavawalk.process.observe.log import EventLog, create_event_log
@@ -168,6 +170,8 @@
         await tasks.start(watch_signals, partial(_begin_drain, sidecar, drained), forced)
         platform = create_http_platform(settings.platform_url)
         await tasks.start(serve_sidecar, sidecar, network, platform, settings.listen)
+        admin = create_sidecar_node(sidecar)
+        tasks.start_soon(serve_admin, admin, settings.admin_keys, settings.admin_listen)
         tasks.start_soon(report_gauges, sidecar.metrics, partial(_read_gauges, sidecar))
         await drained.wait()
         tasks.cancel_scope.cancel()
--- /dev/null
+++ b/tests/process/test_secrets.py
@@ -0,0 +1,68 @@
+"""Secrets are in no log line and in no answer."""
+
+import io
+import json
+
+import anyio
+import httpcore
+
+from guavawalk.connection.tasks.admin import create_admin_app
+from guavawalk.process.admin.entry_node import create_entry_node
+from guavawalk.process.embedded import run_embedded
+from guavawalk.process.observe.log import create_event_log
+from guavawalk.process.plan import kestrel_lane_plan
+from tests.asgi import ask_asgi
+from tests.process.admin.keys import KEYS, OPERATOR, READER
+
+API_KEY = "key-harbour"
+WRONG_KEY = "key-that-nobody-has"
+BODY_SECRET = "sponsor card 4000-1234"
+QUERY_SECRET = "token=q-s3cret"
+SECRETS = (API_KEY, WRONG_KEY, BODY_SECRET, QUERY_SECRET, OPERATOR, READER)
+READS = ("state", "configuration", "targets", "queues", "refusals", "histograms")
+
+CHAT = {"model": "quill", "messages": [{"role": "user", "content": BODY_SECRET}], "max_tokens": 4}
+REQUESTS = (
+    ("POST", "/v1/chat/completions", API_KEY, json.dumps(CHAT).encode()),
+    ("POST", "/v1/chat/completions", API_KEY, BODY_SECRET.encode()),
+    ("POST", "/v1/chat/completions", WRONG_KEY, json.dumps(CHAT).encode()),
+    ("POST", f"/booking/jobs?{QUERY_SECRET}", API_KEY, json.dumps({"x": BODY_SECRET}).encode()),
+    ("POST", f"/nothing/jobs?{QUERY_SECRET}", API_KEY, BODY_SECRET.encode()),
+    ("POST", "/v1/tickets", API_KEY, BODY_SECRET.encode()),
+    ("GET", f"/booking/jobs?{QUERY_SECRET}", WRONG_KEY, b""),
+)
+
+
+async def exercise(logged: io.StringIO) -> list[str]:
+    log = create_event_log("test", "test", "DEBUG", logged)
+    answers = []
+    async with run_embedded(kestrel_lane_plan(), log) as deployment:
+        url = f"http://{deployment.entry_addresses['victoria']}"
+        async with httpcore.AsyncConnectionPool() as pool:
+            for method, path, key, body in REQUESTS:
+                headers = {"Authorization": f"Bearer {key}", "Idempotency-Key": ""}
+                answer = await pool.request(method, url + path, headers=headers, content=body)
+                answers.append(str(answer.headers) + answer.content.decode())
+        app = create_admin_app(create_entry_node(deployment.entries["victoria"]), KEYS)
+        for path in READS:
+            for key in (READER, WRONG_KEY):
+                answers.append(str(await ask_asgi(app, "GET", f"/v1/{path}", key)))
+    return answers
+
+
+class TestSecretsAreKept:
+    def test_no_log_line_and_no_answer_has_one(self):
+        logged = io.StringIO()
+        answers = anyio.run(exercise, logged)
+        lines = logged.getvalue()
+        assert "request_ended" in lines
+        assert "request_invalid" in lines
+        for secret in SECRETS:
+            assert secret not in lines
+            assert not [answer for answer in answers if secret in answer]
+
+    def test_digests_of_keys_are_not_told_either(self):
+        logged = io.StringIO()
+        answers = anyio.run(exercise, logged)
+        for key in KEYS:
+            assert key.key_digest not in logged.getvalue() + "".join(answers)
--- a/tests/process/test_settings.py
+++ b/tests/process/test_settings.py
@@ -1,10 +1,16 @@
 """Settings files: what is taken, and what is refused with which words."""
 
+from pathlib import Path
+
 import pytest
 
 from guavawalk.exception import SettingsError
+from guavawalk.process.commands.app import app
 from guavawalk.process.settings import EntrySettings, SidecarSettings, read_role, read_settings
 
+EXAMPLES = Path(__file__).parents[2] / "examples" / "settings"
+DIGEST = "d" * 64
+
 ENTRY = """{
   // where this instance stands
   role: "entry", instance: "entry-1", data_centre: "victoria",
@@ -71,3 +77,58 @@
     def test_no_file(self, tmp_path):
         with pytest.raises(SettingsError):
             read_settings(tmp_path / "none.json", EntrySettings)
+
+
+class TestAdminKeys:
+    def test_taken(self, tmp_path):
+        keys = f"[{{name: 'ana', key_digest: '{DIGEST}', workspaces: ['harbour']}}]"
+        extra = f"admin_listen: '127.0.0.1:7500', admin_keys: {keys}"
+        (key,) = read_settings(write(tmp_path, ENTRY % extra), EntrySettings).admin_keys
+        assert (key.name, key.role, key.workspaces) == ("ana", "read", ("harbour",))
+
+    @pytest.mark.parametrize(
+        ("keys", "path", "words"),
+        [
+            ("3", "$.admin_keys", "found 3"),
+            ("[3]", "$.admin_keys[0]", "found int, allowed is an object"),
+            ("[{name: 'a'}]", "$.admin_keys[0].key_digest", "missing"),
+            ("[{name: 'a', key_digest: 'sesame'}]", "$.admin_keys[0].key_digest", "64 hex digits"),
+            ("[{name: 'a', key_digest: 7777777}]", "$.admin_keys[0].key_digest", "found int"),
+            ("[{name: 'a', key_digest: D, role: 'root'}]", "$.admin_keys[0].role", "operate"),
+            ("[{name: 'a', key_digest: D, rolle: 1}]", "$.admin_keys[0].rolle", "unknown field"),
+            ("[{name: 'a', key_digest: D}, {name: 'b', key_digest: D}]", None, "stands twice"),
+            ("[]", "$.admin_keys", "allowed is one key or more"),
+        ],
+    )
+    def test_refusal_names_the_key_and_shows_no_secret(self, tmp_path, keys, path, words):
+        extra = f"admin_listen: '127.0.0.1:7500', admin_keys: {keys.replace('D', repr(DIGEST))}"
+        with pytest.raises(SettingsError, match=words) as caught:
+            read_settings(write(tmp_path, ENTRY % extra), EntrySettings)
+        assert caught.value.path == (path or "$.admin_keys[1].key_digest")
+        for secret in ("sesame", "7777777", DIGEST):
+            assert secret not in str(caught.value)
+
+    def test_address(self, tmp_path):
+        extra = "admin_listen: 'nowhere'"
+        with pytest.raises(SettingsError, match="allowed is IP:port") as caught:
+            read_settings(write(tmp_path, ENTRY % extra), EntrySettings)
+        assert caught.value.path == "$.admin_listen"
+
+
+class TestSecrets:
+    def test_secret_of_the_wrong_type_is_not_shown(self, tmp_path):
+        with pytest.raises(SettingsError, match="found int") as caught:
+            read_settings(write(tmp_path, ENTRY % "fleet_secret: 7777777"), EntrySettings)
+        assert "7777777" not in str(caught.value)
+
+
+class TestExamples:
+    @pytest.mark.parametrize("file", sorted(EXAMPLES.iterdir()), ids=lambda file: file.name)
+    def test_are_fine(self, file, capsys):
+        done = app(["settings", "check", str(file)], result_action="return_value")
+        assert done == 0
+        assert "fine for guavawalk" in capsys.readouterr().out
+
+    def test_cover_both_roles_and_kinds(self):
+        roles = [read_role(file) for file in EXAMPLES.iterdir()]
+        assert set(roles) == {"entry", "sidecar"}
--- a/tests/request/test_explain.py
+++ b/tests/request/test_explain.py
@@ -23,7 +23,7 @@
     @pytest.mark.parametrize("policy", PLACEMENTS)
     def test_every_policy_can_be_explained(self, policy):
         work = request_of(check_draft(small_draft()), "harbour", "", "quill", "")
-        (first, *others) = explain_placement(work, "victoria", create_placement(policy, 1))
+        first, *others = explain_placement(work, "victoria", create_placement(policy, 1))
         assert (first.target, first.order) == ("engine-0", 1)
         assert [row.order for row in others] == [0]
 
