Spread versions by a few watchers and the peers under them

Cause: every process watched the platform: 2,430 nodes would make a burst of some 7,300 reads at each change, over a budget of 2,000 a second, and a restarted node obeyed a stale platform. Change: nodes of a data centre stand in one order; three watch, the rest wait at two peers each; nodes that can't reach the watchers stand in for them, the slower the more they miss. A restarted node asks its peers first. Messages that name a newer version make the receiver ask. A process that was paused notices it by its clock and asks again.

--- a/guavawalk/codes.py
+++ b/guavawalk/codes.py
@@ -67,6 +67,7 @@
     NO_CONFIGURATION = 217
     WRONG_INCARNATION = 218
     MODEL_NOT_LOADED = 219
+    PEER_BUSY = 260
     INTERNAL_ERROR = 220
     NOT_RUN_OTHER = 230
 
@@ -159,6 +160,7 @@
     ResultCodeInfo(ResultCode.MODEL_NOT_LOADED, 503, "the target has not loaded this model"),
     ResultCodeInfo(ResultCode.INTERNAL_ERROR, 500, "an error before it was offered"),
     ResultCodeInfo(ResultCode.NOT_RUN_OTHER, 503, "not run, for a reason not known here"),
+    ResultCodeInfo(ResultCode.PEER_BUSY, 503, "too many peers wait at this one"),
     ResultCodeInfo(ResultCode.OUTCOME_UNKNOWN, 502, "it can't be known whether this ran"),
     ResultCodeInfo(ResultCode.LINK_LOST, 504, "the target's sidecar can't be asked any more"),
     ResultCodeInfo(ResultCode.INCARNATION_GONE, 502, "the process that knew was replaced"),
--- a/guavawalk/connection/handshake.py
+++ b/guavawalk/connection/handshake.py
@@ -33,6 +33,8 @@
         Shared by the processes of a fleet; empty for none.
     stamp : callable
         Returns the stamp of the version in force.
+    peer_address : callable
+        Returns where this process takes links from peers.
     """
 
     role: str
@@ -40,6 +42,7 @@
     incarnation: int
     secret: bytes
     stamp: Callable[[], VersionStamp]
+    peer_address: Callable[[], str] = str
 
 
 async def greet(link: Link, me: Identity) -> Hello:
@@ -93,6 +96,7 @@
         version=stamp.version,
         digest=stamp.digest,
         nonce=secrets.token_bytes(NONCE_BYTES),
+        peer_address=me.peer_address(),
     )
 
 
--- a/guavawalk/connection/messages.py
+++ b/guavawalk/connection/messages.py
@@ -33,7 +33,13 @@
 
 
 class Hello(NamedTuple):
-    """First message of either end of a link."""
+    """First message of either end of a link.
+
+    Attributes
+    ----------
+    peer_address : str
+        Where the sender takes links from peers; empty if it takes none.
+    """
 
     protocol_version: int = 0
     role: str = ""
@@ -42,6 +48,7 @@
     version: int = 0
     digest: str = ""
     nonce: bytes = b""
+    peer_address: str = ""
 
 
 class Proof(NamedTuple):
@@ -159,7 +166,7 @@
 
 
 class VersionOffer(NamedTuple):
-    """A version's root; `version` 0 when there is none above the one asked for."""
+    """The version in force; `root` is deflated, and empty if it isn't above the one asked for."""
 
     version: int = 0
     digest: str = ""
@@ -174,7 +181,7 @@
 
 
 class Shard(NamedTuple):
-    """One shard; an empty value when it isn't held."""
+    """One shard, deflated; empty when it isn't held."""
 
     digest: str = ""
     value: bytes = b""
--- /dev/null
+++ b/guavawalk/connection/noting.py
@@ -0,0 +1,77 @@
+"""A network whose links report the configuration version that each message carries."""
+
+from collections.abc import Callable
+
+from anyio.abc import TaskStatus
+
+from guavawalk.connection.link import Link, LinkHandler, Network
+from guavawalk.connection.messages import Hello, Message
+
+__all__ = ["create_noting_network"]
+
+VersionHeard = Callable[[int, str], None]
+
+
+class NotingLink:
+    """A link that reports what it hears."""
+
+    def __init__(self, link: Link, heard: VersionHeard) -> None:
+        self.peer = Hello()
+        self.handle = b""
+        self._link = link
+        self._heard = heard
+
+    @property
+    def peer_version(self) -> int:
+        """Version on the last message received."""
+        return self._link.peer_version
+
+    async def send(self, message: Message) -> None:
+        """Send a message."""
+        await self._link.send(message)
+
+    async def receive(self) -> Message:
+        """Receive a message and report its version, once the peer is known."""
+        message = await self._link.receive()
+        if self.peer.peer_address:
+            self._heard(self._link.peer_version, self.peer.peer_address)
+        return message
+
+    async def aclose(self) -> None:
+        """Close the link."""
+        await self._link.aclose()
+
+
+class NotingNetwork:
+    """A network of noting links over another network."""
+
+    def __init__(self, network: Network, heard: VersionHeard) -> None:
+        self._network = network
+        self._heard = heard
+
+    async def connect(self, address: str) -> Link:
+        """Open a link."""
+        return NotingLink(await self._network.connect(address), self._heard)
+
+    async def serve(
+        self, address: str, handler: LinkHandler, *, task_status: TaskStatus[str]
+    ) -> None:
+        """Take links."""
+
+        async def serve_link(link: Link) -> None:
+            await handler(NotingLink(link, self._heard))
+
+        await self._network.serve(address, serve_link, task_status=task_status)
+
+
+def create_noting_network(network: Network, heard: VersionHeard) -> Network:
+    """Create a network that reports versions.
+
+    Parameters
+    ----------
+    network : Network
+        Where the links come from.
+    heard : callable
+        Takes a version and the address at which its holder takes links.
+    """
+    return NotingNetwork(network, heard)
--- a/guavawalk/connection/tasks/entry_link.py
+++ b/guavawalk/connection/tasks/entry_link.py
@@ -26,6 +26,7 @@
     Withdrawn,
 )
 from guavawalk.connection.tasks.dispatch import run_attempt
+from guavawalk.connection.tasks.peer_link import answer_peer
 from guavawalk.exception import LinkBroken, RequestError
 from guavawalk.process.sidecar.admission import admit_offer, withdraw_attempt
 from guavawalk.process.sidecar.link_ledger import Exchange
@@ -73,7 +74,7 @@
         case LoadRequest():
             await link.send(load_report(sidecar))
         case _:
-            await link.send(Failure(ResultCode.BAD_FRAME, f"unexpected {type(message).__name__}"))
+            await answer_peer(sidecar.held, link, message)
 
 
 async def _serve_offer(sidecar: Sidecar, link: Link, offer: Offer) -> None:
--- a/guavawalk/connection/tasks/follow_platform.py
+++ b/guavawalk/connection/tasks/follow_platform.py
@@ -1,55 +1,83 @@
 """The task of the connection to the platform: it brings new versions into force."""
 
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
 import anyio
 
 from guavawalk import events
-from guavawalk.connection.platform import Platform
+from guavawalk.connection.platform import Platform, PublishedValue
+from guavawalk.connection.tasks.take_version import take_version
 from guavawalk.exception import ConfigurationError, PlatformUnavailable
-from guavawalk.process.observe.log import EventLog
-from guavawalk.version.build import stamp_of_root
-from guavawalk.version.documents import ROOT_KEY, VersionDocuments, read_root, shard_key
-from guavawalk.version.held import HeldVersion, Taken
+from guavawalk.version.documents import ROOT_KEY, shard_key
+
+if TYPE_CHECKING:
+    from guavawalk.process.spread.state import Spread
 
 __all__ = ["follow_platform"]
 
-WATCH_S = 10.0
-PAUSE_S = 0.5
+WATCH_S = 25.0
+ANY_REVISION = -1
+STAND_IN_PAUSE_S = 1.0
+RECHECK_S = 5.0
+
+
+class PlatformShards:
+    """Shards from the configuration service, at this node's pace."""
+
+    def __init__(self, spread: Spread) -> None:
+        self._platform: Platform = spread.platform
+        self._pace = spread.pace
+
+    async def shard(self, digest: str) -> bytes:
+        """Read a shard; `PlatformUnavailable` if it isn't there."""
+        await self._pace.wait_turn()
+        found = await self._platform.read(shard_key(digest))
+        if found is None:
+            raise PlatformUnavailable(f"shard {digest[:12]} is not published")
+        return found.value
+
 
+async def follow_platform(spread: Spread) -> None:
+    """Watch the root while this node is a watcher, and take each newer version.
 
-async def follow_platform(platform: Platform, held: HeldVersion, log: EventLog) -> None:
-    """Watch the root and take each newer version, for as long as the process lives."""
-    revision = 0
+    Notes
+    -----
+    A wait that ends without news is followed by a read of whatever is published, so that a
+    service that lost its revisions is noticed.
+    """
+    revision = ANY_REVISION
     while True:
+        burden = spread.members.roster.watch_burden()
+        if burden is None:
+            await _wait_for_news_of_nodes(spread)
+            continue
         try:
-            found = await platform.watch(ROOT_KEY, revision, WATCH_S)
-            if found is None:
-                continue
-            await take_published(platform, held, log, found.value)
-            revision = found.revision
+            found = await _next_root(spread, burden, revision)
+            revision = ANY_REVISION if found is None else found.revision
+            if found is not None:
+                await take_version(spread, found.value, PlatformShards(spread))
+            spread.pace.note_success()
         except PlatformUnavailable as error:
-            log.emit(events.PLATFORM_UNAVAILABLE, reason=str(error))
-            await anyio.sleep(PAUSE_S)
+            revision = ANY_REVISION
+            spread.log.emit(events.PLATFORM_UNAVAILABLE, reason=str(error))
+            await spread.pace.back_off()
         except ConfigurationError as error:
-            log.emit(events.VERSION_INVALID, reason=str(error))
-            await anyio.sleep(PAUSE_S)
-
-
-async def take_published(
-    platform: Platform, held: HeldVersion, log: EventLog, root: bytes
-) -> Taken:
-    """Read the shards of a root that is newer than the one held, and take the version."""
-    stamp = stamp_of_root(root)
-    verdict = held.judge(stamp)
-    if verdict is Taken.CONFLICT:
-        log.emit(events.VERSION_CONFLICT, version=stamp.version, digest=stamp.digest)
-    if verdict is not Taken.IN_FORCE:
-        return verdict
-    shards = []
-    for reference in read_root(root)["shards"]:
-        found = await platform.read(shard_key(reference["digest"]))
-        if found is None:
-            raise PlatformUnavailable(f"shard {reference['digest'][:12]} is not published")
-        shards.append(found.value)
-    verdict = held.take(VersionDocuments(stamp, root, tuple(shards)))
-    log.emit(events.VERSION_IN_FORCE, version=stamp.version, digest=stamp.digest)
-    return verdict
+            revision = ANY_REVISION
+            spread.log.emit(events.VERSION_INVALID, reason=str(error))
+            await spread.pace.back_off()
+
+
+async def _next_root(spread: Spread, burden: int, revision: int) -> PublishedValue | None:
+    await spread.pace.wait_turn()
+    if burden == 0:
+        return await spread.platform.watch(ROOT_KEY, revision, WATCH_S)
+    pause_s = STAND_IN_PAUSE_S * burden
+    await anyio.sleep(spread.rng.uniform(pause_s / 2, pause_s))
+    return await spread.platform.read(ROOT_KEY)
+
+
+async def _wait_for_news_of_nodes(spread: Spread) -> None:
+    with anyio.move_on_after(RECHECK_S):
+        await spread.members.roster.wait_changed()
--- /dev/null
+++ b/guavawalk/connection/tasks/peer_link.py
@@ -0,0 +1,71 @@
+"""Answering peers that ask for versions: on links of their own, or on a sidecar's."""
+
+from __future__ import annotations
+
+import zlib
+from typing import TYPE_CHECKING
+
+import anyio
+
+from guavawalk import events
+from guavawalk.codes import ResultCode
+from guavawalk.connection.handshake import greet
+from guavawalk.connection.link import Link
+from guavawalk.connection.messages import (
+    Failure,
+    Message,
+    Shard,
+    ShardRequest,
+    VersionOffer,
+    VersionRequest,
+)
+from guavawalk.exception import LinkBroken, RequestError
+from guavawalk.version.held import HeldVersion
+
+if TYPE_CHECKING:
+    from guavawalk.process.spread.state import Spread
+
+__all__ = ["answer_peer", "serve_peer_link"]
+
+MAX_WAIT_S = 30.0
+MAX_WAITING_PEERS = 64
+PACK_LEVEL = 6
+
+
+async def serve_peer_link(spread: Spread, link: Link) -> None:
+    """Serve a link from a peer until it breaks."""
+    try:
+        await greet(link, spread.identity)
+        while True:
+            await answer_peer(spread.held, link, await link.receive())
+    except LinkBroken as error:
+        spread.log.emit(events.LINK_BROKEN, peer=link.peer.instance, reason=str(error))
+    except RequestError as error:
+        spread.log.emit(events.LINK_REJECTED, code=int(error.code), reason=str(error))
+
+
+async def answer_peer(held: HeldVersion, link: Link, message: Message) -> None:
+    """Answer one question about versions; any other message is a bad frame."""
+    match message:
+        case VersionRequest():
+            await _offer_version(held, link, message)
+        case ShardRequest():
+            value = held.shard(message.digest) or b""
+            await link.send(Shard(message.digest, zlib.compress(value, PACK_LEVEL)))
+        case _:
+            await link.send(Failure(ResultCode.BAD_FRAME, f"unexpected {type(message).__name__}"))
+
+
+async def _offer_version(held: HeldVersion, link: Link, request: VersionRequest) -> None:
+    if held.waiting >= MAX_WAITING_PEERS:
+        await link.send(Failure(ResultCode.PEER_BUSY))
+        return
+    held.waiting += 1
+    try:
+        with anyio.move_on_after(min(max(request.wait_ms, 0) / 1000, MAX_WAIT_S)):
+            await held.wait_newer(request.above)
+    finally:
+        held.waiting -= 1
+    stamp = held.stamp
+    root = held.documents.root if stamp.version > request.above else b""
+    await link.send(VersionOffer(stamp.version, stamp.digest, zlib.compress(root, PACK_LEVEL)))
--- a/guavawalk/connection/wire.thrift
+++ b/guavawalk/connection/wire.thrift
@@ -8,6 +8,7 @@
   5: i64 version
   6: string digest
   7: binary nonce
+  60: string peer_address
 }
 
 struct Proof {
--- a/guavawalk/events.py
+++ b/guavawalk/events.py
@@ -71,3 +71,9 @@
 ADMIN_REFUSED = _event(
     7004, "admin_refused", logging.WARNING, "a request for administration was refused"
 )
+
+PEER_UNREACHABLE = _event(5001, "peer_unreachable", logging.INFO, "a peer could not be asked")
+MEMBER_RESTARTED = _event(5002, "member_restarted", logging.INFO, "a peer is a new incarnation")
+PROCESS_WAS_PAUSED = _event(
+    5003, "process_was_paused", logging.WARNING, "this process was paused and looks again"
+)
--- a/guavawalk/process/entry/state.py
+++ b/guavawalk/process/entry/state.py
@@ -3,6 +3,7 @@
 from typing import NamedTuple
 
 from guavawalk.connection.handshake import Identity
+from guavawalk.connection.link import Network
 from guavawalk.process.clock import Clock
 from guavawalk.process.entry.limits import Limiter
 from guavawalk.process.entry.links import LinkPool
@@ -11,6 +12,7 @@
 from guavawalk.process.observe.log import EventLog
 from guavawalk.process.observe.metrics import Metrics
 from guavawalk.process.observe.observations import Observations
+from guavawalk.process.spread.members import Members
 from guavawalk.request.placement import Placement
 from guavawalk.version.held import HeldVersion
 
@@ -58,6 +60,8 @@
     log: EventLog
     metrics: Metrics
     observed: Observations
+    network: Network
+    members: Members
 
 
 def create_request_gauge() -> RequestGauge:
--- a/guavawalk/process/entry_daemon.py
+++ b/guavawalk/process/entry_daemon.py
@@ -10,17 +10,18 @@
 from guavawalk.codes import ResultCode
 from guavawalk.connection.handshake import Identity
 from guavawalk.connection.link import Network
+from guavawalk.connection.noting import create_noting_network
 from guavawalk.connection.platform import Platform, create_http_platform
 from guavawalk.connection.tasks.admin import serve_admin
-from guavawalk.connection.tasks.follow_platform import follow_platform
 from guavawalk.connection.tasks.front import create_front
+from guavawalk.connection.tasks.peer_link import serve_peer_link
+from guavawalk.connection.tasks.spread import run_spread
 from guavawalk.connection.tcp import create_tcp_network
 from guavawalk.exception import RequestError
 from guavawalk.process.admin.entry_node import create_entry_node
 from guavawalk.process.clock import Clock, create_clock
 from guavawalk.process.entry.limits import (
     EntryCount,
-    create_fixed_entry_count,
     create_share_limiter,
 )
 from guavawalk.process.entry.links import create_link_pool
@@ -32,14 +33,18 @@
 from guavawalk.process.observe.gauges import GaugeValues, report_gauges
 from guavawalk.process.observe.log import EventLog, create_event_log
 from guavawalk.process.observe.observations import create_observations
+from guavawalk.process.pauses import Nap
 from guavawalk.process.settings import EntrySettings, client_tls_context, server_tls_context
 from guavawalk.process.shutdown import watch_signals
 from guavawalk.process.sidecar_daemon import create_incarnation, create_metrics
+from guavawalk.process.spread.members import create_members
+from guavawalk.process.spread.ranking import Node
+from guavawalk.process.spread.state import create_spread
 from guavawalk.request.placement import Placement
 from guavawalk.request.policies import create_placement
 from guavawalk.version.held import HeldVersion, create_held_version
 
-__all__ = ["create_entry", "drain_entry", "run_entry", "serve_entry"]
+__all__ = ["create_entry", "drain_entry", "run_entry", "serve_entry", "serve_entry_peers"]
 
 DRAIN_CHECK_S = 0.05
 IDLE_SWEEP_S = 5.0
@@ -64,13 +69,21 @@
     placement : Placement, optional
         The policy; the one that the settings name without it.
     entry_count : EntryCount, optional
-        How many entries share the limits; the number in the settings without it.
+        How many entries share the limits; those on the platform's list without it.
     """
     secret = settings.fleet_secret.encode()
+    own = Node("", settings.data_centre, "entry")
+    members = create_members(settings.instance, own, settings.peers, clock)
+    network = create_noting_network(network, members.news.post)
     identity = Identity(
-        "entry", settings.instance, create_incarnation(), secret, lambda: held.stamp
+        "entry",
+        settings.instance,
+        create_incarnation(),
+        secret,
+        lambda: held.stamp,
+        lambda: members.roster.own.address,
     )
-    count = entry_count or create_fixed_entry_count(settings.entry_instances)
+    listed_count = partial(members.roster.live_entries, settings.entry_instances)
     return Entry(
         identity=identity,
         data_centre=settings.data_centre,
@@ -79,7 +92,7 @@
         links=create_link_pool(network, identity, clock),
         view=create_fleet_view(clock),
         placement=placement or create_placement(settings.placement, random.getrandbits(SEED_BITS)),
-        limiter=create_share_limiter(clock, count),
+        limiter=create_share_limiter(clock, entry_count or listed_count),
         retries=create_retry_budget(random.getrandbits(SEED_BITS)),
         gauge=create_request_gauge(),
         limits=EntryLimits(
@@ -91,6 +104,8 @@
         log=log,
         metrics=create_metrics(settings.statsd),
         observed=create_observations(),
+        network=network,
+        members=members,
     )
 
 
@@ -98,12 +113,14 @@
     entry: Entry,
     platform: Platform,
     address: str,
+    peer_address: str = "",
+    start_jitter_s: float = 0.0,
     *,
     task_status: TaskStatus[str] = anyio.TASK_STATUS_IGNORED,
 ) -> None:
-    """Serve callers and follow the platform until cancelled."""
+    """Serve callers and keep the configuration in force until cancelled."""
     async with anyio.create_task_group() as tasks:
-        tasks.start_soon(follow_platform, platform, entry.held, entry.log)
+        await tasks.start(serve_entry_peers, entry, platform, peer_address, start_jitter_s)
         tasks.start_soon(_sweep_idle_links, entry)
         bound = await tasks.start(
             serve_asgi,
@@ -122,6 +139,36 @@
     note_invalid(entry, RequestError(code, "no readable request"), "", "")
 
 
+async def serve_entry_peers(
+    entry: Entry,
+    platform: Platform,
+    peer_address: str = "",
+    start_jitter_s: float = 0.0,
+    nap: Nap = anyio.sleep,
+    *,
+    task_status: TaskStatus[None] = anyio.TASK_STATUS_IGNORED,
+) -> None:
+    """Keep the configuration in force, and serve peers where there is an address for them."""
+    spread = create_spread(
+        entry.identity,
+        entry.held,
+        entry.members,
+        entry.network,
+        platform,
+        entry.clock,
+        entry.log,
+        nap,
+        start_jitter_s,
+    )
+    async with anyio.create_task_group() as tasks:
+        if peer_address:
+            handler = partial(serve_peer_link, spread)
+            bound = await tasks.start(entry.network.serve, peer_address, handler)
+            entry.members.roster.set_address(bound)
+        tasks.start_soon(run_spread, spread)
+        task_status.started()
+
+
 async def _sweep_idle_links(entry: Entry) -> None:
     while True:
         await anyio.sleep(IDLE_SWEEP_S)
@@ -166,10 +213,13 @@
             drained.set()
 
         await tasks.start(watch_signals, partial(tasks.start_soon, drain), force)
-        tasks.start_soon(serve_entry, entry, platform, settings.listen)
         admin = create_entry_node(entry)
         tasks.start_soon(serve_admin, admin, settings.admin_keys, settings.admin_listen)
         tasks.start_soon(report_gauges, entry.metrics, partial(_read_gauges, entry))
+        jitter_s = settings.start_jitter_ms / 1000
+        tasks.start_soon(
+            serve_entry, entry, platform, settings.listen, settings.peer_listen, jitter_s
+        )
         await drained.wait()
         tasks.cancel_scope.cancel()
     return 1 if entry.gauge.running else 0
--- a/guavawalk/process/fleet.py
+++ b/guavawalk/process/fleet.py
@@ -5,16 +5,16 @@
 
 import random
 from contextlib import asynccontextmanager
+from functools import partial
 from typing import NamedTuple
 
 import anyio
 from anyio.abc import TaskGroup
 
 from guavawalk.connection.tasks.carry import carry_request
-from guavawalk.connection.tasks.follow_platform import follow_platform
 from guavawalk.process.clock import create_clock
 from guavawalk.process.entry.state import Entry
-from guavawalk.process.entry_daemon import create_entry
+from guavawalk.process.entry_daemon import create_entry, serve_entry_peers
 from guavawalk.process.observe.log import create_null_log
 from guavawalk.process.plan import Plan, PlannedTarget, plan_parts
 from guavawalk.process.settings import EntrySettings, SidecarSettings
@@ -89,6 +89,29 @@
         names = [target.name for target in self.plan.targets]
         return {name: f"10.0.0.{index + 1}:7000" for index, name in enumerate(names)}
 
+    def entry_addresses(self) -> dict[str, str]:
+        """Return the address at which each entry takes links from peers."""
+        centres = self.plan.entries
+        return {centre: f"10.1.0.{index + 1}:7100" for index, centre in enumerate(centres)}
+
+    def list_instances(self) -> None:
+        """Put all processes that run on the platform's list."""
+        sidecars, entries = self.addresses(), self.entry_addresses()
+        rows = [
+            {"name": f"sidecar-{t.name}", "role": "sidecar", "address": sidecars[t.name]}
+            | {"data_centre": t.data_centre}
+            for t in self.plan.targets
+        ]
+        rows += [
+            {"name": f"entry-{c}", "role": "entry", "address": entries[c], "data_centre": c}
+            for c in self.plan.entries
+        ]
+        self.books.instances = [row for row in rows if row["name"] in self.processes]
+
+    async def _nap(self, node: str, delay_s: float) -> None:
+        await anyio.sleep(delay_s)
+        await self.fabric.gate(node)
+
     def entry(self, centre: str) -> Entry:
         """Return the entry of a data centre."""
         return self.processes[f"entry-{centre}"].entry
@@ -181,7 +204,10 @@
                 )
                 platform = MemoryPlatform(self.books, lambda: self.fabric.gate(node))
                 self.processes[node] = RunningProcess(scope, sidecar=sidecar)
-                await tasks.start(serve_sidecar, sidecar, network, platform, settings.listen)
+                nap = partial(self._nap, node)
+                await tasks.start(
+                    serve_sidecar, sidecar, network, platform, settings.listen, 0.0, nap
+                )
                 task_status.started()
 
     def _target_client(self, target: PlannedTarget, node: str):
@@ -221,7 +247,9 @@
                 entry = create_entry(settings, network, held, create_clock(), log, self._placement)
                 platform = MemoryPlatform(self.books, lambda: self.fabric.gate(node))
                 self.processes[node] = RunningProcess(scope, entry=entry)
-                tasks.start_soon(follow_platform, platform, held, log)
+                nap = partial(self._nap, node)
+                address = self.entry_addresses()[centre]
+                await tasks.start(serve_entry_peers, entry, platform, address, 0.0, nap)
                 await held.wait_newer(0)
                 task_status.started()
 
--- a/guavawalk/process/settings.py
+++ b/guavawalk/process/settings.py
@@ -78,6 +78,12 @@
     ----------
     listen : str
         Address for callers, `IP:port`.
+    peer_listen : str
+        Address for peers, `IP:port`; empty to take no links.
+    peers : tuple of str
+        Addresses of peers to ask for the configuration when nothing else is known.
+    start_jitter_ms : int
+        Longest wait before the first read of the platform.
     fleet_secret : str
         Shared by all processes of the fleet.
     allow_open : bool
@@ -85,7 +91,7 @@
     placement : str
         Name of the policy that chooses targets, one of `PLACEMENTS`.
     entry_instances : int
-        How many entries share the workspaces' limits.
+        How many entries share the workspaces' limits while the platform lists none.
     admin_listen : str
         Address of the administration API, `IP:port`; empty for none.
     """
@@ -95,6 +101,9 @@
     listen: str
     platform_url: str
     role: str = "entry"
+    peer_listen: str = ""
+    peers: tuple[str, ...] = ()
+    start_jitter_ms: int = 2_000
     fleet_secret: str = ""
     allow_open: bool = False
     body_limit_bytes: int = 8 * 1024 * 1024
@@ -127,6 +136,8 @@
         `adaptive`, which follows the engine, or `fixed`; a plain service's is always fixed.
     window_slots : int
         Most attempts that run at the target at once.
+    peers, start_jitter_ms
+        As for an entry.
     """
 
     instance: str
@@ -137,6 +148,8 @@
     target_kind: str
     target_url: str
     role: str = "sidecar"
+    peers: tuple[str, ...] = ()
+    start_jitter_ms: int = 2_000
     fleet_secret: str = ""
     allow_open: bool = False
     window: str = DEFAULT_WINDOW
@@ -238,6 +251,10 @@
     if settings.log_level not in LOG_LEVELS:
         problem = f"found {settings.log_level!r}, allowed is one of {', '.join(LOG_LEVELS)}"
         raise SettingsError(source, "$.log_level", problem)
+    if getattr(settings, "peer_listen", ""):
+        _check_address(source, "$.peer_listen", settings.peer_listen)
+    for index, address in enumerate(settings.peers):
+        _check_address(source, f"$.peers[{index}]", address)
     placement = getattr(settings, "placement", DEFAULT_PLACEMENT)
     if placement not in PLACEMENTS:
         problem = f"found {placement!r}, allowed is {', '.join(PLACEMENTS)}"
--- a/guavawalk/process/sidecar/state.py
+++ b/guavawalk/process/sidecar/state.py
@@ -18,6 +18,7 @@
 from guavawalk.process.sidecar.queue import Queue
 from guavawalk.process.sidecar.records import Records
 from guavawalk.process.sidecar.window import DispatchWindow
+from guavawalk.process.spread.members import Members
 from guavawalk.request.attempt import Attempt
 from guavawalk.request.types import LoadReport
 from guavawalk.version.held import HeldVersion
@@ -108,6 +109,7 @@
     metrics: Metrics
     observed: Observations
     tasks: TaskGroup
+    members: Members
 
 
 def create_attempt_table(limits: SidecarLimits = SidecarLimits()) -> AttemptTable:
--- a/guavawalk/process/sidecar_daemon.py
+++ b/guavawalk/process/sidecar_daemon.py
@@ -10,11 +10,12 @@
 from guavawalk.connection.handshake import Identity
 from guavawalk.connection.http_target import create_http_engine, create_http_service
 from guavawalk.connection.link import Network
+from guavawalk.connection.noting import create_noting_network
 from guavawalk.connection.platform import Platform, create_http_platform
 from guavawalk.connection.target import TargetClient
 from guavawalk.connection.tasks.admin import serve_admin
 from guavawalk.connection.tasks.entry_link import serve_entry_link
-from guavawalk.connection.tasks.follow_platform import follow_platform
+from guavawalk.connection.tasks.spread import run_spread
 from guavawalk.connection.tcp import create_tcp_network
 from guavawalk.process.admin.sidecar_node import create_sidecar_node
 from guavawalk.process.clock import Clock, create_clock
@@ -26,6 +27,7 @@
     create_statsd_metrics,
 )
 from guavawalk.process.observe.observations import create_observations
+from guavawalk.process.pauses import Nap
 from guavawalk.process.settings import (
     SidecarSettings,
     StatsdSettings,
@@ -42,7 +44,11 @@
 from guavawalk.process.sidecar.records import create_records
 from guavawalk.process.sidecar.state import Sidecar, SidecarLimits, create_attempt_table
 from guavawalk.process.sidecar.window import DispatchWindow, create_fixed_window
+from guavawalk.process.spread.members import create_members
+from guavawalk.process.spread.ranking import Node
+from guavawalk.process.spread.state import create_spread
 from guavawalk.version.held import HeldVersion, create_held_version
+from guavawalk.version.shards import SIDECAR_KINDS
 
 __all__ = [
     "create_incarnation",
@@ -79,12 +85,15 @@
 ) -> Sidecar:
     """Assemble a sidecar from its settings and the things it meets."""
     incarnation = create_incarnation()
+    own = Node("", settings.data_centre, "sidecar")
+    members = create_members(settings.instance, own, settings.peers, clock)
     identity = Identity(
         "sidecar",
         settings.instance,
         incarnation,
         settings.fleet_secret.encode(),
         lambda: held.stamp,
+        lambda: members.roster.own.address,
     )
     limits = SidecarLimits(answer_bytes=settings.answer_limit_bytes)
     return Sidecar(
@@ -104,6 +113,7 @@
         metrics=create_metrics(settings.statsd),
         observed=create_observations(),
         tasks=tasks,
+        members=members,
     )
 
 
@@ -120,14 +130,30 @@
     network: Network,
     platform: Platform,
     address: str,
+    start_jitter_s: float = 0.0,
+    nap: Nap = anyio.sleep,
     *,
     task_status: TaskStatus[str] = anyio.TASK_STATUS_IGNORED,
 ) -> None:
-    """Serve links and follow the platform until cancelled."""
+    """Serve links and keep the configuration in force until cancelled."""
+    members = sidecar.members
+    noting = create_noting_network(network, members.news.post)
+    spread = create_spread(
+        sidecar.identity,
+        sidecar.held,
+        members,
+        noting,
+        platform,
+        sidecar.clock,
+        sidecar.log,
+        nap,
+        start_jitter_s,
+    )
     async with anyio.create_task_group() as tasks:
-        tasks.start_soon(follow_platform, platform, sidecar.held, sidecar.log)
         handler = partial(serve_entry_link, sidecar)
-        bound = await tasks.start(network.serve, address, handler)
+        bound = await tasks.start(noting.serve, address, handler)
+        members.roster.set_address(bound)
+        tasks.start_soon(run_spread, spread)
         sidecar.log.emit(events.PROCESS_READY, address=bound)
         task_status.started(bound)
 
@@ -153,7 +179,7 @@
 async def run_sidecar(settings: SidecarSettings) -> int:
     """Run the sidecar daemon until it is told to stop; return its exit code."""
     log = create_event_log("sidecar", settings.instance, settings.log_level)
-    held = create_held_version()
+    held = create_held_version(SIDECAR_KINDS)
     network = create_tcp_network(
         lambda: held.stamp.version,
         server_tls_context(settings.tls),
@@ -169,10 +195,11 @@
         forced = partial(_force, sidecar, drained)
         await tasks.start(watch_signals, partial(_begin_drain, sidecar, drained), forced)
         platform = create_http_platform(settings.platform_url)
-        await tasks.start(serve_sidecar, sidecar, network, platform, settings.listen)
         admin = create_sidecar_node(sidecar)
         tasks.start_soon(serve_admin, admin, settings.admin_keys, settings.admin_listen)
         tasks.start_soon(report_gauges, sidecar.metrics, partial(_read_gauges, sidecar))
+        jitter_s = settings.start_jitter_ms / 1000
+        await tasks.start(serve_sidecar, sidecar, network, platform, settings.listen, jitter_s)
         await drained.wait()
         tasks.cancel_scope.cancel()
     return 1 if sidecar.attempts.live else 0
--- /dev/null
+++ b/guavawalk/process/spread/members.py
@@ -0,0 +1,26 @@
+"""What a process holds of its fellows, from its start on."""
+
+from typing import NamedTuple
+
+from guavawalk.process.clock import Clock
+from guavawalk.process.pauses import PauseGauge, create_pause_gauge
+from guavawalk.process.spread.news import NewsBoard, create_news_board
+from guavawalk.process.spread.ranking import Node
+from guavawalk.process.spread.roster import Roster, create_roster
+
+__all__ = ["Members", "create_members"]
+
+
+class Members(NamedTuple):
+    """The nodes known, the versions heard of, and whether this process has been awake."""
+
+    roster: Roster
+    news: NewsBoard
+    pauses: PauseGauge
+
+
+def create_members(name: str, own: Node, seeds: tuple[str, ...], clock: Clock) -> Members:
+    """Create what a process knows of others before it has met any."""
+    return Members(
+        create_roster(name, own, seeds, clock), create_news_board(), create_pause_gauge(clock)
+    )
--- /dev/null
+++ b/guavawalk/process/spread/state.py
@@ -0,0 +1,76 @@
+"""The parts of a process that bring versions to it and pass them on."""
+
+from random import Random
+from typing import NamedTuple
+
+import anyio
+
+from guavawalk.connection.handshake import Identity
+from guavawalk.connection.link import Network
+from guavawalk.connection.platform import Platform
+from guavawalk.process.clock import Clock
+from guavawalk.process.observe.log import EventLog
+from guavawalk.process.pauses import Nap
+from guavawalk.process.spread.members import Members
+from guavawalk.process.spread.pace import ReadPace, create_read_pace
+from guavawalk.version.held import HeldVersion
+
+__all__ = ["Spread", "create_spread"]
+
+
+class Spread(NamedTuple):
+    """What the tasks share that keep the configuration in force.
+
+    Attributes
+    ----------
+    fetching : anyio.Lock
+        Held while the shards of a version are fetched, by one task at a time.
+    spare : dict of str to bytes
+        Shards of a version that is not whole yet, by digest.
+    start_jitter_s : float
+        Longest wait before the first read of the platform.
+    """
+
+    identity: Identity
+    held: HeldVersion
+    members: Members
+    network: Network
+    platform: Platform
+    clock: Clock
+    rng: Random
+    pace: ReadPace
+    fetching: anyio.Lock
+    spare: dict[str, bytes]
+    nap: Nap
+    start_jitter_s: float
+    log: EventLog
+
+
+def create_spread(
+    identity: Identity,
+    held: HeldVersion,
+    members: Members,
+    network: Network,
+    platform: Platform,
+    clock: Clock,
+    log: EventLog,
+    nap: Nap = anyio.sleep,
+    start_jitter_s: float = 0.0,
+) -> Spread:
+    """Assemble the parts; random choices are seeded by the incarnation."""
+    rng = Random(identity.incarnation)
+    return Spread(
+        identity=identity,
+        held=held,
+        members=members,
+        network=network,
+        platform=platform,
+        clock=clock,
+        rng=rng,
+        pace=create_read_pace(members.roster, clock, rng),
+        fetching=anyio.Lock(),
+        spare={},
+        nap=nap,
+        start_jitter_s=start_jitter_s,
+        log=log,
+    )
--- a/guavawalk/process/standins/memory_targets.py
+++ b/guavawalk/process/standins/memory_targets.py
@@ -174,6 +174,8 @@
         await self._enter()
         found = await self.books.wait(key, after_revision, wait_s)
         await self._gate()
+        if self.books.down:
+            raise PlatformUnavailable("down")
         return PublishedValue(*found) if found else None
 
     async def instances(self) -> tuple[Instance, ...]:
--- a/guavawalk/process/standins/platform.py
+++ b/guavawalk/process/standins/platform.py
@@ -26,6 +26,7 @@
         self.revision = 0
         self.reads = 0
         self.down = False
+        self._first: dict[str, tuple[bytes, int]] | None = None
         self._frozen: dict[str, tuple[bytes, int]] | None = None
         self._changed = anyio.Event()
 
@@ -34,12 +35,23 @@
         for key, value in values.items():
             self.revision += 1
             self.values[key] = (value, self.revision)
-        self._changed.set()
-        self._changed = anyio.Event()
+        if self._first is None:
+            self._first = dict(self.values)
+        self._wake()
 
     def set_stale(self, stale: bool) -> None:
         """Freeze what readers see, or show the present again."""
         self._frozen = dict(self.values) if stale else None
+        self._wake()
+
+    def show_first(self) -> None:
+        """Show readers what was published first, as a replica restored from an old copy does."""
+        self._frozen = self._first
+        self._wake()
+
+    def _wake(self) -> None:
+        self._changed.set()
+        self._changed = anyio.Event()
 
     def read(self, key: str) -> tuple[bytes, int] | None:
         """Return what a reader sees."""
--- a/guavawalk/version/held.py
+++ b/guavawalk/version/held.py
@@ -30,6 +30,11 @@
 class HeldVersion:
     """The newest version that this process has taken.
 
+    Attributes
+    ----------
+    waiting : int
+        Peers that wait here for a newer version.
+
     Notes
     -----
     A version is taken whole or not at all, and never goes back. The same number with another
@@ -38,6 +43,7 @@
     """
 
     def __init__(self, kinds: frozenset[str]) -> None:
+        self.waiting = 0
         self.configuration: Configuration | None = None
         self.documents: VersionDocuments | None = None
         self._built: BuiltVersion | None = None
