Refuse early what cannot end in time, and account for wasted prefill

Cause: an offer that could not meet its deadline waited until it passed; nobody said what prompt work was thrown away or repeated; Queued.cached_tokens was always 0.

Change: the sidecar estimates wait (measured drain rate of its own lane, own and higher tiers only), prefill and generation (learned median length, never above the offer's) and refuses with DEADLINE_UNREACHABLE and a retry hint, at the offer and again before dispatch. A target that runs nothing takes anything, so that old rates are corrected. A bounded prefix index tells cached and ever-sent prefixes; waste is told by cause, tier and (space-saving, 256 entries) workspace. Finished carries waste and retry_after_ms (40), Offer carries cached_elsewhere_tokens (40).

--- a/guavawalk/connection/messages.py
+++ b/guavawalk/connection/messages.py
@@ -109,6 +109,7 @@
     load: LoadReport = LoadReport()
     suspects: tuple[int, ...] = ()
     first_token_ms: int = 0
+    retry_after_ms: int = 0
 
 
 class Resume(NamedTuple):
--- a/guavawalk/connection/tasks/dispatch.py
+++ b/guavawalk/connection/tasks/dispatch.py
@@ -9,6 +9,7 @@
 from guavawalk.codes import ResultCode
 from guavawalk.connection.target import TargetAnswer
 from guavawalk.exception import RequestError, TargetConnectError, TargetLost
+from guavawalk.process.sidecar.accounting import note_first_token
 from guavawalk.process.sidecar.admission import dispatch_ready
 from guavawalk.process.sidecar.observed import note_attempt_end, note_tokens
 from guavawalk.process.sidecar.state import end_attempt
@@ -91,7 +92,7 @@
         elapsed_ms = (now_s - last_s) * 1000
         if not attempt.first_token_s:
             attempt.stream(now_s)
-            sidecar.window.observe_first_token(attempt, elapsed_ms)
+            note_first_token(sidecar, attempt, elapsed_ms)
             dispatch_ready(sidecar)
         elif part.output_tokens:
             grew = sidecar.window.observe_tokens(attempt, part.output_tokens, elapsed_ms)
--- a/guavawalk/connection/tasks/entry_link.py
+++ b/guavawalk/connection/tasks/entry_link.py
@@ -97,7 +97,8 @@
 
 def _queued(sidecar: Sidecar, attempt: Attempt) -> Queued:
     incarnation = sidecar.identity.incarnation
-    return Queued(attempt.offer.attempt_id, incarnation, load_report(sidecar), 0)
+    attempt_id = attempt.offer.attempt_id
+    return Queued(attempt_id, incarnation, load_report(sidecar), attempt.cached_tokens)
 
 
 def _refused(sidecar: Sidecar, offer: Offer, error: RequestError) -> Refused:
@@ -211,6 +212,9 @@
         prompt_tokens=usage.prompt_tokens,
         cached_tokens=usage.cached_tokens,
         output_tokens=usage.output_tokens,
+        wasted_tokens=attempt.wasted_tokens,
+        waste_cause=attempt.waste[0].cause.value if attempt.waste else "",
+        retry_after_ms=attempt.retry_after_ms,
         load=load_report(sidecar),
         first_token_ms=int(max(first_token_ms, 0)),
     )
--- a/guavawalk/connection/tasks/offer.py
+++ b/guavawalk/connection/tasks/offer.py
@@ -101,7 +101,10 @@
     except LinkRefused:
         entry.view.note_unreachable(target.name)
         raise
-    offer = _offer(entry, work)._replace(incarnation=incarnation or link.peer.incarnation)
+    offer = _offer(entry, work)._replace(
+        incarnation=incarnation or link.peer.incarnation,
+        cached_elsewhere_tokens=entry.view.cached_elsewhere_tokens(target.name, work),
+    )
     entry.view.note_offer(target.name, work)
     try:
         return await _exchange(entry, caller, progress, target, offer, link)
@@ -280,7 +283,7 @@
         raise LinkBroken("the answer is not whole")
     outcome = _outcome(entry, progress, code, done.detail)
     usage = Usage(done.prompt_tokens, done.cached_tokens, done.output_tokens)
-    return outcome._replace(usage=usage)
+    return outcome._replace(usage=usage, retry_after_ms=done.retry_after_ms)
 
 
 def _outcome(entry: Entry, progress: Progress, code: ResultCode, detail: str = "") -> Outcome:
--- a/guavawalk/connection/wire.thrift
+++ b/guavawalk/connection/wire.thrift
@@ -51,6 +51,7 @@
   20: bool idempotent
   21: i64 incarnation
   22: string adapter
+  40: i32 cached_elsewhere_tokens
 }
 
 struct Queued {
@@ -95,6 +96,7 @@
   10: LoadReport load
   11: list<i64> suspects
   12: i32 first_token_ms
+  40: i32 retry_after_ms
 }
 
 struct Resume {
--- a/guavawalk/process/bench/window.py
+++ b/guavawalk/process/bench/window.py
@@ -144,7 +144,7 @@
 
     async def story() -> tuple[list[Sent], int]:
         window = "fixed" if fixed_size else "adaptive"
-        async with run_fleet(window_plan(), window=window) as fleet:
+        async with run_fleet(window_plan(), window=window, placement_name="round_robin") as fleet:
             if fixed_size:
                 fleet.sidecar(ENGINE).window.size = fixed_size
             return await _run(fleet, scenario, duration_s, seed)
--- a/guavawalk/process/entry/view.py
+++ b/guavawalk/process/entry/view.py
@@ -96,6 +96,12 @@
             free and belief.quarantine.admits(now_s, belief.own_running),
         )
 
+    def cached_elsewhere_tokens(self, name: str, work: Work) -> int:
+        """Return the longest prefix that a usable target other than `name` is believed to hold."""
+        found = self.cached.cached_tokens(work.prefix_hashes)
+        others = (tokens for other, tokens in found.items() if other != name)
+        return max(others, default=0)
+
     def note_offer(self, name: str, work: Work) -> None:
         """Count an attempt of this entry."""
         belief = self._belief(name)
--- a/guavawalk/process/sidecar/adaptive_window.py
+++ b/guavawalk/process/sidecar/adaptive_window.py
@@ -54,6 +54,11 @@
         """Attempts that may run at once."""
         return self._pace.size
 
+    @property
+    def prefill_tokens_per_s(self) -> float:
+        """Recent rate of computing prompts."""
+        return self._prefill.tokens_per_s
+
     def admits(self, attempt: Attempt, running: int) -> bool:
         """Admit if a slot is free beside the reserved ones, and the prefill is short enough."""
         self._follow_configuration()
--- a/guavawalk/process/sidecar/admission.py
+++ b/guavawalk/process/sidecar/admission.py
@@ -4,6 +4,8 @@
 
 from guavawalk.codes import ResultCode
 from guavawalk.exception import RequestError
+from guavawalk.process.sidecar.accounting import believed_cached_tokens
+from guavawalk.process.sidecar.refusal import can_meet_deadline
 from guavawalk.process.sidecar.state import Sidecar, end_attempt
 from guavawalk.request.attempt import Attempt, AttemptState, create_attempt
 from guavawalk.request.cost import offer_cost_tokens
@@ -44,6 +46,7 @@
     if offer.deadline_ms <= 0:
         raise RequestError(ResultCode.DEADLINE_PASSED)
     attempt = create_attempt(offer, now_s, table.limits.answer_bytes)
+    attempt.cached_tokens = believed_cached_tokens(sidecar, offer)
     attempt.is_long = sidecar.lengths.note_offer(offer_cost_tokens(offer))
     if offer.idempotency_key:
         sidecar.records.add(attempt, now_s)
@@ -56,21 +59,27 @@
 def _push(sidecar: Sidecar, attempt: Attempt, now_s: float) -> None:
     for expired in sidecar.queue.expire(now_s):
         end_attempt(sidecar, expired, ResultCode.DEADLINE_PASSED)
+    if not can_meet_deadline(sidecar, attempt, now_s, waits=True):
+        _refuse_newcomer(sidecar, attempt, ResultCode.DEADLINE_UNREACHABLE)
     for shed in sidecar.queue.push(attempt):
         if shed is attempt:
-            _refuse_newcomer(sidecar, attempt)
+            _refuse_newcomer(sidecar, attempt, ResultCode.QUEUE_FULL)
+        shed.retry_after_ms = _retry_after_ms(sidecar, shed)
         end_attempt(sidecar, shed, ResultCode.SHED)
     dispatch_ready(sidecar)
 
 
-def _refuse_newcomer(sidecar: Sidecar, attempt: Attempt) -> NoReturn:
+def _retry_after_ms(sidecar: Sidecar, attempt: Attempt) -> int:
+    ahead_tokens = sidecar.queue.cost_ahead_tokens(attempt)
+    return sidecar.drains.of(attempt).retry_after_ms(ahead_tokens)
+
+
+def _refuse_newcomer(sidecar: Sidecar, attempt: Attempt, code: ResultCode) -> NoReturn:
     offer = attempt.offer
     del sidecar.attempts.live[offer.attempt_id]
     if offer.idempotency_key:
         sidecar.records.forget(attempt)
-    ahead_tokens = sidecar.queue.cost_ahead_tokens(offer.tier_rank, attempt.deadline_s)
-    retry_after_ms = sidecar.drain.retry_after_ms(ahead_tokens)
-    raise RequestError(ResultCode.QUEUE_FULL, retry_after_ms=retry_after_ms)
+    raise RequestError(code, retry_after_ms=_retry_after_ms(sidecar, attempt))
 
 
 def dispatch_ready(sidecar: Sidecar) -> None:
@@ -84,11 +93,16 @@
         if attempt.deadline_s <= now_s:
             end_attempt(sidecar, attempt, ResultCode.DEADLINE_PASSED)
             continue
+        if not can_meet_deadline(sidecar, attempt, now_s, waits=False):
+            attempt.retry_after_ms = _retry_after_ms(sidecar, attempt)
+            end_attempt(sidecar, attempt, ResultCode.DEADLINE_UNREACHABLE)
+            continue
         table.running += 1
         attempt.dispatch(now_s)
         sidecar.window.note_dispatch(attempt)
         cost_tokens = offer_cost_tokens(attempt.offer)
-        sidecar.drain.note_dispatch(cost_tokens, now_s, len(sidecar.queue))
+        waiting = sidecar.queue.count_of(attempt.is_long)
+        sidecar.drains.of(attempt).note_dispatch(cost_tokens, now_s, waiting)
 
 
 def _next_ready(sidecar: Sidecar) -> Attempt | None:
--- a/guavawalk/process/sidecar/backlog.py
+++ b/guavawalk/process/sidecar/backlog.py
@@ -33,7 +33,6 @@
     """
 
     def __init__(self) -> None:
-        self.cost_tokens = 0
         self._lanes: tuple[Lane, Lane] = (create_lane(), create_lane())
         self._deadlines: SortedList[Waiting] = SortedList()
         self._shares: dict[str, Share] = {}
@@ -73,12 +72,20 @@
         """Return the attempt with the earliest deadline."""
         return self._deadlines[0] if self._deadlines else None
 
-    def cost_before_tokens(self, deadline_s: float) -> int:
-        """Return about how much of the waiting cost has an earlier deadline."""
+    def count_of(self, is_long: bool) -> int:
+        """Count what waits in one lane."""
+        return self._lanes[is_long].count
+
+    def cost_tokens(self, is_long: bool) -> int:
+        """Return the waiting cost of one lane."""
+        return self._lanes[is_long].cost_tokens
+
+    def cost_before_tokens(self, deadline_s: float, is_long: bool) -> int:
+        """Return about how much of a lane's waiting cost has an earlier deadline."""
         if not self._deadlines:
             return 0
         before = self._deadlines.bisect_left((deadline_s,))
-        return self.cost_tokens * before // len(self._deadlines)
+        return self.cost_tokens(is_long) * before // len(self._deadlines)
 
     def all(self) -> list[Waiting]:
         """Return what waits, by deadline."""
@@ -89,7 +96,6 @@
 
     def _enter(self, waiting: Waiting) -> None:
         self._deadlines.add(waiting)
-        self.cost_tokens += waiting.cost_tokens
         share = self._shares.get(waiting.workspace)
         if share is None:
             share = self._shares[waiting.workspace] = Share(waiting.workspace)
@@ -102,7 +108,6 @@
 
     def _leave(self, waiting: Waiting) -> None:
         self._deadlines.remove(waiting)
-        self.cost_tokens -= waiting.cost_tokens
         share = self._shares[waiting.workspace]
         self._heaviest.remove(share.key)
         share.waiting.remove(waiting)
--- a/guavawalk/process/sidecar/drain.py
+++ b/guavawalk/process/sidecar/drain.py
@@ -1,8 +1,11 @@
 """How fast a sidecar's backlog goes down, as measured."""
 
 from math import exp
+from typing import NamedTuple
 
-__all__ = ["DrainRate", "create_drain_rate"]
+from guavawalk.request.attempt import Attempt
+
+__all__ = ["DrainRate", "DrainRates", "create_drain_rate", "create_drain_rates"]
 
 MEMORY_S = 10.0
 MAX_GAP_S = 5.0
@@ -54,6 +57,22 @@
         return int(min(max(cost_tokens * 1000 / rate, MIN_RETRY_MS), MAX_RETRY_MS))
 
 
+class DrainRates(NamedTuple):
+    """The rates of short and of long attempts, which have separate lanes."""
+
+    short: DrainRate
+    long: DrainRate
+
+    def of(self, attempt: Attempt) -> DrainRate:
+        """Return the rate of an attempt's kind."""
+        return self.long if attempt.is_long else self.short
+
+
 def create_drain_rate() -> DrainRate:
     """Create a rate that has seen nothing."""
     return DrainRate()
+
+
+def create_drain_rates() -> DrainRates:
+    """Create rates that have seen nothing."""
+    return DrainRates(create_drain_rate(), create_drain_rate())
--- a/guavawalk/process/sidecar/lane.py
+++ b/guavawalk/process/sidecar/lane.py
@@ -68,6 +68,7 @@
 
     def __init__(self) -> None:
         self.count = 0
+        self.cost_tokens = 0
         self._virtual = 0.0
         self._total_units = 0
         self._flows: dict[str, Flow] = {}
@@ -87,6 +88,7 @@
         flow.weight_units = waiting.weight_units
         flow.waiting.add(waiting)
         self.count += 1
+        self.cost_tokens += waiting.cost_tokens
         self._index(flow)
 
     def peek(self) -> Waiting | None:
@@ -105,7 +107,7 @@
         flow.waiting.pop(0)
         flow.start += cost / flow.weight_units
         self._virtual += cost / self._total_units
-        self._settle(flow)
+        self._settle(first, flow)
         return first
 
     def remove(self, waiting: Waiting) -> None:
@@ -113,10 +115,11 @@
         flow = self._flows[waiting.workspace]
         self._unindex(flow)
         flow.waiting.remove(waiting)
-        self._settle(flow)
+        self._settle(waiting, flow)
 
-    def _settle(self, flow: Flow) -> None:
+    def _settle(self, taken: Waiting, flow: Flow) -> None:
         self.count -= 1
+        self.cost_tokens -= taken.cost_tokens
         if flow.waiting:
             self._index(flow)
             return
--- a/guavawalk/process/sidecar/observed.py
+++ b/guavawalk/process/sidecar/observed.py
@@ -12,7 +12,6 @@
 from guavawalk.process.observe.refusals import Refusal
 from guavawalk.request.attempt import Attempt
 from guavawalk.request.types import Offer
-from guavawalk.request.waste import wasted_prompt_tokens
 from guavawalk.version.held import HeldVersion
 
 if TYPE_CHECKING:
@@ -84,7 +83,7 @@
         sidecar.metrics.time(f"attempt.{part}.first_token_ms", first_token_ms)
     if attempt.code is ResultCode.COMPLETED:
         histograms.record(*key, Measure.WHOLE, (attempt.ended_s - attempt.offered_s) * 1000)
-    wasted_tokens = wasted_prompt_tokens(attempt)
+    wasted_tokens = attempt.wasted_tokens
     if wasted_tokens:
         histograms.record(*key, Measure.WASTED, wasted_tokens)
         sidecar.metrics.count(f"attempt.{part}.wasted_prompt_tokens", wasted_tokens)
--- a/guavawalk/process/sidecar/queue.py
+++ b/guavawalk/process/sidecar/queue.py
@@ -51,8 +51,12 @@
         """Take out all attempts."""
         ...
 
-    def cost_ahead_tokens(self, rank: int, deadline_s: float) -> int:
-        """Return the waiting cost that would go out before an attempt."""
+    def count_of(self, is_long: bool) -> int:
+        """Count the long attempts that wait, or the others."""
+        ...
+
+    def cost_ahead_tokens(self, attempt: Attempt) -> int:
+        """Return the waiting cost of its length that would go out before an attempt."""
         ...
 
     def totals(self) -> QueueTotals:
@@ -134,12 +138,16 @@
             self._remove(waiting)
         return [waiting.attempt for waiting in drained]
 
-    def cost_ahead_tokens(self, rank: int, deadline_s: float) -> int:
+    def count_of(self, is_long: bool) -> int:
+        """Count the lanes of that length."""
+        return sum(tier.count_of(is_long) for tier in self._tiers)
+
+    def cost_ahead_tokens(self, attempt: Attempt) -> int:
         """Add up the tiers above, and what has an earlier deadline in the same tier."""
-        rank = bounded_rank(rank)
-        ahead = sum(tier.cost_tokens for tier in self._tiers[:rank])
+        rank = bounded_rank(attempt.offer.tier_rank)
+        ahead = sum(tier.cost_tokens(attempt.is_long) for tier in self._tiers[:rank])
         if rank < len(self._tiers):
-            ahead += self._tiers[rank].cost_before_tokens(deadline_s)
+            ahead += self._tiers[rank].cost_before_tokens(attempt.deadline_s, attempt.is_long)
         return ahead
 
     def totals(self) -> QueueTotals:
--- a/guavawalk/process/sidecar/state.py
+++ b/guavawalk/process/sidecar/state.py
@@ -12,14 +12,17 @@
 from guavawalk.process.observe.log import EventLog
 from guavawalk.process.observe.metrics import Metrics
 from guavawalk.process.observe.observations import Observations
-from guavawalk.process.sidecar.drain import DrainRate
+from guavawalk.process.sidecar.accounting import account_end
+from guavawalk.process.sidecar.drain import DrainRates
 from guavawalk.process.sidecar.lengths import LengthBook
 from guavawalk.process.sidecar.link_ledger import LinkLedger
+from guavawalk.process.sidecar.prefix_index import PrefixIndex
 from guavawalk.process.sidecar.queue import Queue
 from guavawalk.process.sidecar.records import Records
+from guavawalk.process.sidecar.waste_totals import WasteTotals
 from guavawalk.process.sidecar.window import DispatchWindow
 from guavawalk.process.spread.members import Members
-from guavawalk.request.attempt import Attempt
+from guavawalk.request.attempt import Attempt, AttemptState
 from guavawalk.request.types import LoadReport
 from guavawalk.version.held import HeldVersion
 
@@ -100,8 +103,10 @@
     target: TargetClient
     queue: Queue
     window: DispatchWindow
-    drain: DrainRate
+    drains: DrainRates
     lengths: LengthBook
+    prefixes: PrefixIndex
+    waste: WasteTotals
     records: Records
     attempts: AttemptTable
     links: LinkLedger
@@ -130,12 +135,15 @@
         first_token_ms=int(window.first_token_ms),
         decode_tokens_per_s=window.decode_tokens_per_s,
         leaving=sidecar.attempts.leaving,
+        warm_prefix_tokens=sidecar.prefixes.held_tokens,
         queued_output_by_rank=totals.output_by_rank,
     )
 
 
 def end_attempt(sidecar: Sidecar, attempt: Attempt, code: ResultCode, detail: str = "") -> None:
     """End an attempt and keep its answer for a while."""
+    if attempt.state is not AttemptState.DONE:
+        account_end(sidecar, attempt, code)
     attempt.finish(code, sidecar.clock.now_s(), detail)
     if not attempt.has_run and attempt.offer.idempotency_key:
         sidecar.records.forget(attempt)
--- a/guavawalk/process/sidecar/window.py
+++ b/guavawalk/process/sidecar/window.py
@@ -21,11 +21,14 @@
         Recent time from dispatch to first token.
     decode_tokens_per_s : float
         Recent rate of one stream.
+    prefill_tokens_per_s : float
+        Recent rate of computing prompts; 0.0 if not known.
     """
 
     size: int
     first_token_ms: float
     decode_tokens_per_s: float
+    prefill_tokens_per_s: float
 
     def admits(self, attempt: Attempt, running: int) -> bool:
         """Say whether an attempt may go out while `running` others run."""
@@ -59,6 +62,7 @@
         self.size = size
         self.first_token_ms = 0.0
         self.decode_tokens_per_s = 0.0
+        self.prefill_tokens_per_s = 0.0
 
     def admits(self, attempt: Attempt, running: int) -> bool:
         """Admit below the size."""
--- a/guavawalk/process/sidecar_daemon.py
+++ b/guavawalk/process/sidecar_daemon.py
@@ -37,12 +37,14 @@
 from guavawalk.process.shutdown import watch_signals
 from guavawalk.process.sidecar.adaptive_window import create_adaptive_window
 from guavawalk.process.sidecar.admission import start_leaving
-from guavawalk.process.sidecar.drain import create_drain_rate
+from guavawalk.process.sidecar.drain import create_drain_rates
 from guavawalk.process.sidecar.lengths import create_length_book
 from guavawalk.process.sidecar.link_ledger import create_link_ledger
+from guavawalk.process.sidecar.prefix_index import create_prefix_index
 from guavawalk.process.sidecar.queue import create_tier_queue
 from guavawalk.process.sidecar.records import create_records
 from guavawalk.process.sidecar.state import Sidecar, SidecarLimits, create_attempt_table
+from guavawalk.process.sidecar.waste_totals import create_waste_totals
 from guavawalk.process.sidecar.window import DispatchWindow, create_fixed_window
 from guavawalk.process.spread.members import create_members
 from guavawalk.process.spread.ranking import Node
@@ -104,8 +106,10 @@
         target=target,
         queue=create_tier_queue(settings.queue_slots),
         window=_create_window(settings, held, clock),
-        drain=create_drain_rate(),
+        drains=create_drain_rates(),
         lengths=create_length_book(),
+        prefixes=create_prefix_index(),
+        waste=create_waste_totals(),
         records=create_records(settings.target, incarnation, settings.record_slots),
         attempts=create_attempt_table(limits),
         links=create_link_ledger(limits.closed_links),
--- a/guavawalk/request/__init__.py
+++ b/guavawalk/request/__init__.py
@@ -13,6 +13,7 @@
     target_view,
     ticket,
     types,
+    waste,
 )
 from guavawalk.request.affinity import *
 from guavawalk.request.answer import *
@@ -26,6 +27,7 @@
 from guavawalk.request.target_view import *
 from guavawalk.request.ticket import *
 from guavawalk.request.types import *
+from guavawalk.request.waste import *
 
 __all__ = [
     *affinity.__all__,
@@ -40,4 +42,5 @@
     *target_view.__all__,
     *ticket.__all__,
     *types.__all__,
+    *waste.__all__,
 ]
--- a/guavawalk/request/attempt.py
+++ b/guavawalk/request/attempt.py
@@ -7,6 +7,7 @@
 from guavawalk.codes import ResultCode
 from guavawalk.request.answer import Answer, create_answer
 from guavawalk.request.types import Offer, Usage
+from guavawalk.request.waste import Waste
 
 __all__ = ["Attempt", "AttemptState", "create_attempt"]
 
@@ -32,6 +33,12 @@
         Whether it costs far more than most; set before it queues.
     cached_tokens : int
         Prompt tokens that the target is believed to hold in its cache; set before it queues.
+    seen_tokens : int
+        Longest prefix sent to the target before; set at the first token.
+    retry_after_ms : int
+        Hint for a caller whose attempt was not run.
+    waste : tuple of Waste
+        Prompt work wasted, largest first; set at the end.
     turn : anyio.Event
         Set when the attempt may be dispatched, or has ended before that.
     joined : bool
@@ -53,6 +60,9 @@
         self.usage = Usage()
         self.is_long = False
         self.cached_tokens = 0
+        self.seen_tokens = 0
+        self.retry_after_ms = 0
+        self.waste: tuple[Waste, ...] = ()
         self.cancel_requested = False
         self.joined = False
         self.readers = 0
@@ -65,6 +75,11 @@
         """Whether the target may have seen it."""
         return self.dispatched_s > 0.0
 
+    @property
+    def wasted_tokens(self) -> int:
+        """Prompt tokens wasted, for all causes."""
+        return sum(waste.tokens for waste in self.waste)
+
     def queue(self) -> None:
         """Go from offered to queued."""
         self.state = AttemptState.QUEUED
--- a/guavawalk/request/types.py
+++ b/guavawalk/request/types.py
@@ -86,7 +86,13 @@
 
 
 class Offer(NamedTuple):
-    """Work offered to a sidecar: one attempt."""
+    """Work offered to a sidecar: one attempt.
+
+    Attributes
+    ----------
+    cached_elsewhere_tokens : int
+        Longest prefix of the prompt that the entry believes another usable target to hold.
+    """
 
     attempt_id: str = ""
     trace_id: str = ""
@@ -110,3 +116,4 @@
     idempotent: bool = False
     incarnation: int = 0
     adapter: str = ""
+    cached_elsewhere_tokens: int = 0
