Keep the window at half or more of its maximum

Cause: on an engine 5 times slower no window reaches the gap target, and a quarter of the slots gave 0.4 of the throughput, so the top tier waited in the queue instead.

--- a/guavawalk/process/sidecar/pace.py
+++ b/guavawalk/process/sidecar/pace.py
@@ -3,7 +3,7 @@
 __all__ = ["Pace", "create_pace"]
 
 START_SHARE = 0.5
-MIN_SHARE = 0.25
+MIN_SHARE = 0.5
 SHRINK_FACTOR = 0.8
 SHRINK_ABOVE = 1.15
 GROW_BELOW = 0.95
