Read a target's answer without a timer for each token

Change: a network backend for the HTTP client whose reads wait without one; one look at all attempts for each 600 s ends those without a byte between two looks (an engine that hangs after dispatch: 402; a service that never answered: 304).

--- a/guavawalk/connection/http_target.py
+++ b/guavawalk/connection/http_target.py
@@ -9,6 +9,7 @@
 
 import httpcore
 
+from guavawalk.connection.http_stream import create_untimed_backend
 from guavawalk.connection.target import (
     AnswerPart,
     CacheEvent,
@@ -26,7 +27,7 @@
 __all__ = ["create_http_engine", "create_http_service"]
 
 CONNECT_TIMEOUT_S = 2.0
-READ_TIMEOUT_S = 600.0
+WRITE_TIMEOUT_S = 60.0
 CONTROL_TIMEOUT_S = 5.0
 MAX_CONNECTIONS = 1_000
 HOP_HEADERS = frozenset(
@@ -40,13 +41,17 @@
     # A connection kept alive may be found closed only once the request is on it, and then it
     # can't be known whether the target saw it; a new one for each dispatch can't be.
     return httpcore.AsyncConnectionPool(
-        max_connections=MAX_CONNECTIONS, max_keepalive_connections=0
+        max_connections=MAX_CONNECTIONS,
+        max_keepalive_connections=0,
+        network_backend=create_untimed_backend(),
     )
 
 
 @asynccontextmanager
-async def _open(pool, method: str, url: str, headers: list, body: bytes, read_timeout_s: float):
-    timeout = {"connect": CONNECT_TIMEOUT_S, "read": read_timeout_s, "write": READ_TIMEOUT_S}
+async def _open(
+    pool, method: str, url: str, headers: list, body: bytes, read_timeout_s: float | None
+):
+    timeout = {"connect": CONNECT_TIMEOUT_S, "read": read_timeout_s, "write": WRITE_TIMEOUT_S}
     try:
         stream = pool.stream(
             method, url, headers=headers, content=body, extensions={"timeout": timeout}
@@ -83,9 +88,7 @@
         """Pass the call through."""
         headers = _pairs(offer.headers)
         url = self._url + offer.path
-        async with _open(
-            self._pool, offer.method, url, headers, offer.body, READ_TIMEOUT_S
-        ) as response:
+        async with _open(self._pool, offer.method, url, headers, offer.body, None) as response:
             parts = _plain_parts(response)
             yield TargetAnswer(response.status, _answer_headers(response), parts)
 
@@ -110,14 +113,14 @@
         """Start a streamed generation under the attempt's id."""
         headers = [*_pairs(offer.headers), ("X-Request-Id", offer.attempt_id)]
         url = self._url + offer.path
-        async with _open(self._pool, "POST", url, headers, offer.body, READ_TIMEOUT_S) as response:
+        async with _open(self._pool, "POST", url, headers, offer.body, None) as response:
             yield TargetAnswer(response.status, _answer_headers(response), _sse_parts(response))
 
     @asynccontextmanager
     async def resume(self, attempt_id: str, offset: int):
         """Take a stream up again at a byte offset."""
         url = f"{self._url}/v1/streams/{attempt_id}?offset={offset}"
-        async with _open(self._pool, "GET", url, [], b"", READ_TIMEOUT_S) as response:
+        async with _open(self._pool, "GET", url, [], b"", None) as response:
             yield TargetAnswer(response.status, _answer_headers(response), _sse_parts(response))
 
     async def cancel(self, attempt_id: str) -> None:
--- a/guavawalk/connection/tasks/dispatch.py
+++ b/guavawalk/connection/tasks/dispatch.py
@@ -47,7 +47,9 @@
             attempt.cancel_scope = scope
             await _run(sidecar, attempt)
         if attempt.cancel_requested:
-            await _cancel(sidecar, attempt)
+            await _cancel(sidecar, attempt, ResultCode.CANCELLED)
+        elif scope.cancelled_caught:
+            await _cancel(sidecar, attempt, _lost_code(attempt))
     finally:
         sidecar.attempts.running -= 1
         sidecar.window.note_end(attempt)
@@ -108,7 +110,7 @@
     end_attempt(sidecar, attempt, code)
 
 
-async def _cancel(sidecar: Sidecar, attempt: Attempt) -> None:
-    end_attempt(sidecar, attempt, ResultCode.CANCELLED)
+async def _cancel(sidecar: Sidecar, attempt: Attempt, code: ResultCode) -> None:
+    end_attempt(sidecar, attempt, code)
     with anyio.move_on_after(CANCEL_TIMEOUT_S, shield=True):
         await sidecar.target.cancel(attempt.offer.attempt_id)
--- a/guavawalk/process/commands/bench_relay.py
+++ b/guavawalk/process/commands/bench_relay.py
@@ -43,6 +43,7 @@
         "target": plan.targets[0].name,
         "target_kind": "model",
         "target_url": ENGINE_URL,
+        "window": "fixed",
         "window_slots": WINDOW_SLOTS,
     }
     (out / "entry.json").write_text(json.dumps(entry))
--- a/guavawalk/process/sidecar_daemon.py
+++ b/guavawalk/process/sidecar_daemon.py
@@ -43,6 +43,7 @@
 from guavawalk.process.sidecar.prefix_index import create_prefix_index
 from guavawalk.process.sidecar.queue import create_tier_queue
 from guavawalk.process.sidecar.records import create_records
+from guavawalk.process.sidecar.stall import watch_stalled
 from guavawalk.process.sidecar.state import Sidecar, SidecarLimits, create_attempt_table
 from guavawalk.process.sidecar.waste_totals import create_waste_totals
 from guavawalk.process.sidecar.window import DispatchWindow, create_fixed_window
@@ -158,6 +159,7 @@
         bound = await tasks.start(noting.serve, address, handler)
         members.roster.set_address(bound)
         tasks.start_soon(run_spread, spread)
+        tasks.start_soon(watch_stalled, sidecar)
         sidecar.log.emit(events.PROCESS_READY, address=bound)
         task_status.started(bound)
 
