Refuse odd values early, in drafts and settings

Cause: a fraction for a whole number, or a list of numbers for texts, passed the draft and failed later without its line; an object that JSON lacks would have ended in a traceback; so did a reader that closed the pipe. Change: whole numbers and texts are checked as they are written; a property test draws odd values. Every settings field is tested with wrong types. Conclusion: what a draft takes can be rendered.

--- a/guavawalk/process/admin/documents.py
+++ b/guavawalk/process/admin/documents.py
@@ -21,7 +21,10 @@
 
 
 class StateDocument(TypedDict):
-    """What a process is and does now; the incarnation is in hexadecimal."""
+    """What a process is and does now.
+
+    The incarnation is in hexadecimal; `records` are the idempotency records that it holds.
+    """
 
     role: str
     instance: str
@@ -32,6 +35,7 @@
     running: int
     queued: int
     window: int | None
+    records: int | None
     uptime_s: float
     resident_bytes: int
     log_level: str
--- a/guavawalk/process/admin/entry_node.py
+++ b/guavawalk/process/admin/entry_node.py
@@ -43,6 +43,7 @@
             running=entry.gauge.running,
             queued=0,
             window=None,
+            records=None,
             uptime_s=round(entry.clock.now_s() - self._started_s, 1),
             resident_bytes=resident_bytes(),
             log_level=entry.log.level,
--- a/guavawalk/process/admin/sidecar_node.py
+++ b/guavawalk/process/admin/sidecar_node.py
@@ -48,6 +48,7 @@
             running=sidecar.attempts.running,
             queued=len(sidecar.queue),
             window=sidecar.window.size,
+            records=len(sidecar.records),
             uptime_s=round(sidecar.clock.now_s() - self._started_s, 1),
             resident_bytes=resident_bytes(),
             log_level=sidecar.log.level,
--- a/guavawalk/process/commands/app.py
+++ b/guavawalk/process/commands/app.py
@@ -1,5 +1,6 @@
 """The `guavawalk` command and its daemons."""
 
+import os
 import sys
 from functools import partial
 from pathlib import Path
@@ -21,6 +22,7 @@
 __all__ = ["app", "main"]
 
 ERROR_EXIT = 2
+BROKEN_PIPE_EXIT = 1
 
 app = App(name="guavawalk", help="A request scheduler for unlike model engines and plain services.")
 settings_app = App(name="settings", help="Work with settings files.")
@@ -89,3 +91,7 @@
     except GuavawalkError as error:
         print(f"guavawalk: {error}", file=sys.stderr)
         sys.exit(ERROR_EXIT)
+    except BrokenPipeError:
+        # Whoever read the output has seen enough; the interpreter's last flush must not fail.
+        os.dup2(os.open(os.devnull, os.O_WRONLY), sys.stdout.fileno())
+        sys.exit(BROKEN_PIPE_EXIT)
--- a/guavawalk/process/commands/config.py
+++ b/guavawalk/process/commands/config.py
@@ -77,6 +77,7 @@
     output_tokens: int = 0,
     here: str = "",
     policy: str = DEFAULT_PLACEMENT,
+    every_target: Annotated[bool, Parameter(negative="")] = False,
 ) -> int:
     """Say which targets may serve a request, in what order and why.
 
@@ -86,6 +87,8 @@
         Data centre of the entry that the request comes to.
     policy : str
         Name of the placement policy.
+    every_target : bool
+        Show also the targets that do not hold the model or serve the service at all.
     """
     configuration = load_configuration(file)
     _check_defined("--policy", policy, PLACEMENTS)
@@ -96,10 +99,13 @@
     work = work._replace(
         adapter=adapter, prompt_tokens=prompt_tokens, expected_output_tokens=expected_tokens
     )
+    rows = explain_placement(work, here, create_placement(policy, EXPLAIN_SEED))
+    shown = [row for row in rows if row.concerned or every_target]
     table = Table("order", "target", "why")
-    for row in explain_placement(work, here, create_placement(policy, EXPLAIN_SEED)):
+    for row in shown:
         table.add_row(str(row.order or "-"), row.target, row.reason)
     Console().print(table)
+    print(f"{len(rows) - len(shown)} other targets do not serve {model or service} at all")
     print("all targets taken as idle and reachable")
     return 0
 
--- a/guavawalk/request/explain.py
+++ b/guavawalk/request/explain.py
@@ -21,11 +21,14 @@
         1 for the target that is asked first; 0 for one that may not serve the request.
     reason : str
         What speaks for or against it.
+    concerned : bool
+        Whether it holds the model, or serves the service, at all.
     """
 
     order: int
     target: str
     reason: str
+    concerned: bool = True
 
 
 def explain_placement(
@@ -54,10 +57,19 @@
     ]
     named = {found.target for found in explained}
     others = (target for target in configuration.targets.values() if target.name not in named)
-    explained += [Explanation(0, t.name, _objection(work, t, t in capable)) for t in others]
+    explained += [
+        Explanation(0, t.name, _objection(work, t, t in capable), _concerned(work, t))
+        for t in others
+    ]
     return explained
 
 
+def _concerned(work: Work, target: Target) -> bool:
+    if work.service_path:
+        return target.service == work.service_path
+    return work.model in {model.partition("@")[0] for model in target.desired.models}
+
+
 def _merit(work: Work, here: str, target: Target, cost_ms: float) -> str:
     configuration = work.configuration
     parts = [_distance(configuration, here, target.data_centre)]
@@ -73,9 +85,11 @@
 def _distance(configuration: Configuration, here: str, there: str) -> str:
     if here == there:
         return f"in {there}, the entry's data centre"
+    if not here:
+        return f"in {there}"
     crossing = configuration.crossings.get((here, there))
     if crossing is None:
-        return f"in {there}, no crossing from {here or 'the entry'} is configured"
+        return f"in {there}, no crossing from {here} is configured"
     return f"in {there}, {crossing.delay_ms:g} ms from {here} at price {crossing.price:g}"
 
 
@@ -83,11 +97,8 @@
     if capable:
         return "may serve it, but the policy leaves it out now"
     wanted = work.model or work.service_path
-    if work.service_path and target.service != work.service_path:
-        return f"does not serve {wanted!r}"
-    names = {model.partition("@")[0] for model in target.desired.models}
-    if work.model and work.model not in names:
-        return f"does not hold model {wanted!r}"
+    if not _concerned(work, target):
+        return f"does not {'hold model' if work.model else 'serve'} {wanted!r}"
     if target.leaving:
         return "is leaving"
     if work.adapter and work.adapter not in target.desired.adapters:
--- a/guavawalk/version/authoring/checks.py
+++ b/guavawalk/version/authoring/checks.py
@@ -12,9 +12,11 @@
 __all__ = [
     "check_address",
     "check_at_least",
+    "check_count",
     "check_fraction",
     "check_known",
     "check_name",
+    "check_texts",
     "digest_keys",
     "names_of",
 ]
@@ -23,6 +25,7 @@
 
 MAX_NAME_CHARS = 64
 MAX_PORT = 65_535
+MAX_COUNT = 2**53
 DIGEST_PATTERN = re.compile("[0-9a-f]{64}")
 NAME_PATTERN = re.compile(r"[A-Za-z0-9][A-Za-z0-9_-]*")
 
@@ -49,11 +52,26 @@
     is_number = isinstance(value, int | float) and not isinstance(value, bool)
     allowed = f"more than {lowest}" if exclusive else f"{lowest} or more"
     if not is_number or not math.isfinite(value) or value < lowest:
-        raise ConfigurationError(place, f"found {value!r}, allowed is {allowed}")
+        raise ConfigurationError(place, f"found {value!r:.80}, allowed is {allowed}")
     if exclusive and value == lowest:
         raise ConfigurationError(place, f"found {value!r}, allowed is {allowed}")
 
 
+def check_count(place: str, value: int, lowest: int) -> None:
+    """Check that a value is a whole number of at least `lowest`."""
+    if not isinstance(value, int) or isinstance(value, bool) or not lowest <= value <= MAX_COUNT:
+        problem = f"found {value!r:.80}, allowed is a whole number of {lowest} or more"
+        raise ConfigurationError(place, problem)
+
+
+def check_texts(place: str, items: Iterable[str]) -> tuple[str, ...]:
+    """Return texts as a tuple; refuse what is no text, or one text in place of several."""
+    found = () if isinstance(items, str) else tuple(items)
+    if isinstance(items, str) or not all(isinstance(item, str) and item for item in found):
+        raise ConfigurationError(place, f"found {items!r:.80}, allowed are several texts")
+    return found
+
+
 def check_fraction(place: str, value: float) -> None:
     """Check that a number lies from 0 to 1."""
     check_at_least(place, value, 0)
@@ -79,7 +97,7 @@
     """Check that each value referred to was added to the same draft."""
     for item in items:
         name = getattr(item, field, item)
-        if known.get(name) != item:
+        if not isinstance(name, str) or known.get(name) != item:
             raise ConfigurationError(place, f"found {name!r:.80}, which is not defined")
 
 
@@ -90,10 +108,22 @@
 
 def digest_keys(place: str, keys: Iterable[str], digests: Iterable[str]) -> tuple[str, ...]:
     """Return the digests of keys, with those given as digests; a message never shows either."""
-    found = [digest_bytes(key.encode()) for key in keys]
-    for digest in digests:
-        if not DIGEST_PATTERN.fullmatch(digest):
-            problem = f"found {len(digest)} characters, allowed are 64 hex digits"
+    found = [_digest_of(f"{place}.keys", key) for key in _several(f"{place}.keys", keys)]
+    for digest in _several(f"{place}.key_digests", digests):
+        if not isinstance(digest, str) or not DIGEST_PATTERN.fullmatch(digest):
+            problem = f"found {len(str(digest))} characters, allowed are 64 hex digits"
             raise ConfigurationError(f"{place}.key_digests", problem)
         found.append(digest)
     return tuple(found)
+
+
+def _several(place: str, items: Iterable[str]) -> Iterable[str]:
+    if isinstance(items, str):
+        raise ConfigurationError(place, "found one text, allowed are several")
+    return items
+
+
+def _digest_of(place: str, key: str) -> str:
+    if not isinstance(key, str) or not key.strip() or key != key.strip():
+        raise ConfigurationError(place, "a key is a text without spaces around it")
+    return digest_bytes(key.encode())
--- a/guavawalk/version/authoring/draft.py
+++ b/guavawalk/version/authoring/draft.py
@@ -7,9 +7,11 @@
 from guavawalk.version.authoring.checks import (
     check_address,
     check_at_least,
+    check_count,
     check_fraction,
     check_known,
     check_name,
+    check_texts,
     digest_keys,
     names_of,
 )
@@ -72,11 +74,11 @@
             0 is the most urgent; `render_draft` refuses a gap.
         """
         place = check_name("tiers", name, self.tiers)
-        check_at_least(f"{place}.deadline_ms", deadline_ms, 1)
-        check_at_least(f"{place}.first_token_ms", first_token_ms, 1)
+        check_count(f"{place}.deadline_ms", deadline_ms, 1)
+        check_count(f"{place}.first_token_ms", first_token_ms, 1)
         check_fraction(f"{place}.reserved_share", reserved_share)
         rank = len(self.tiers) if rank is None else rank
-        check_at_least(f"{place}.rank", rank, 0)
+        check_count(f"{place}.rank", rank, 0)
         tier = Tier(name, rank, deadline_ms, first_token_ms, float(reserved_share))
         self.tiers[name] = tier
         return tier
@@ -119,8 +121,8 @@
         place = check_name("generations", name, self.generations)
         check_at_least(f"{place}.prefill_tokens_per_s", prefill_tokens_per_s, 0, exclusive=True)
         check_at_least(f"{place}.decode_tokens_per_s", decode_tokens_per_s, 0, exclusive=True)
-        check_at_least(f"{place}.batch_slots", batch_slots, 1)
-        check_at_least(f"{place}.cache_tokens", cache_tokens, 0)
+        check_count(f"{place}.batch_slots", batch_slots, 1)
+        check_count(f"{place}.cache_tokens", cache_tokens, 0)
         speeds = (float(prefill_tokens_per_s), float(decode_tokens_per_s))
         generation = Generation(name, *speeds, batch_slots, cache_tokens)
         self.generations[name] = generation
@@ -131,8 +133,8 @@
     ) -> Model:
         """Add a model that callers may name."""
         place = check_name("models", name, self.models)
-        check_at_least(f"{place}.context_tokens", context_tokens, 1)
-        check_at_least(f"{place}.expected_output_tokens", expected_output_tokens, 1)
+        check_count(f"{place}.context_tokens", context_tokens, 1)
+        check_count(f"{place}.expected_output_tokens", expected_output_tokens, 1)
         model = Model(name, context_tokens, expected_output_tokens)
         self.models[name] = model
         return model
@@ -146,8 +148,9 @@
     ) -> Service:
         """Add a plain service; `path` is the first segment of its URLs."""
         place = check_name("services", path, self.services)
-        check_at_least(f"{place}.deadline_ms", deadline_ms, 1)
-        service = Service(path, tuple(idempotent_methods), deadline_ms)
+        check_count(f"{place}.deadline_ms", deadline_ms, 1)
+        methods = check_texts(f"{place}.idempotent_methods", idempotent_methods)
+        service = Service(path, methods, deadline_ms)
         self.services[path] = service
         return service
 
@@ -184,8 +187,10 @@
             data_centre=data_centre,
             sidecar=sidecar,
             generation=generation.name,
-            desired=DesiredState(names_of(models), tuple(adapters), role),
-            checks_fencing=checks_fencing,
+            desired=DesiredState(
+                names_of(models), check_texts(f"{place}.adapters", adapters), role
+            ),
+            checks_fencing=bool(checks_fencing),
         )
         return self._add_target(place, target, data_centre)
 
@@ -252,9 +257,10 @@
         default = default_tier or tiers[0]
         check_known(f"{place}.default_tier", (default,), {tier.name: tier for tier in tiers})
         check_at_least(f"{place}.weight", weight, 0, exclusive=True)
-        limits = WorkspaceLimits(requests_per_s, prompt_tokens_per_s, long_requests)
-        for field, value in limits._asdict().items():
-            check_at_least(f"{place}.limits.{field}", value, 0)
+        check_at_least(f"{place}.limits.requests_per_s", requests_per_s, 0)
+        check_at_least(f"{place}.limits.prompt_tokens_per_s", prompt_tokens_per_s, 0)
+        check_count(f"{place}.limits.long_requests", long_requests, 0)
+        limits = WorkspaceLimits(float(requests_per_s), float(prompt_tokens_per_s), long_requests)
         digests = digest_keys(place, keys, key_digests)
         self._own_keys(place, name, digests)
         workspace = Workspace(
--- a/tests/process/commands/test_config.py
+++ b/tests/process/commands/test_config.py
@@ -51,6 +51,8 @@
         words = ["--workspace", "harbour", "--model", "quill", "--here", "nanaimo"]
         out = run(capsys, "config", "explain", KESTREL, *words)
         assert "engine-4" in out
+        assert "3 other targets do not serve quill at all" in out
+        out = run(capsys, "config", "explain", KESTREL, *words, "--every-target")
         assert "does not hold model" in " ".join(out.split())
 
     @pytest.mark.parametrize(
--- /dev/null
+++ b/tests/process/observe/test_metrics.py
@@ -0,0 +1,46 @@
+"""Metrics as a statsd daemon gets them."""
+
+import socket
+
+import anyio
+import pytest
+
+from guavawalk.process.observe.gauges import GaugeValues, report_gauges
+from guavawalk.process.observe.metrics import create_statsd_metrics
+
+
+@pytest.fixture
+def daemon():
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as daemon:
+        daemon.bind(("127.0.0.1", 0))
+        daemon.settimeout(5.0)
+        yield daemon
+
+
+def received(daemon: socket.socket) -> str:
+    return daemon.recv(1_000).decode()
+
+
+class TestStatsd:
+    def test_names_and_kinds(self, daemon):
+        metrics = create_statsd_metrics(*daemon.getsockname(), "walk")
+        metrics.count("request.onsite.shed")
+        metrics.time("request.onsite.whole_ms", 12.5)
+        metrics.gauge("running", 3)
+        assert received(daemon) == "walk.request.onsite.shed:1|c"
+        assert received(daemon) == "walk.request.onsite.whole_ms:12.500000|ms"
+        assert received(daemon) == "walk.running:3|g"
+
+    def test_gauges_of_a_role(self, daemon):
+        metrics = create_statsd_metrics(*daemon.getsockname(), "walk")
+
+        async def report_once():
+            with anyio.move_on_after(0):
+                await report_gauges(metrics, lambda: GaugeValues(1, 7, queued=2, window=8))
+
+        anyio.run(report_once)
+        found = dict(received(daemon).split(":") for _ in range(5))
+        assert found["walk.version"] == "7|g"
+        assert found["walk.queued"] == "2|g"
+        assert found["walk.window"] == "8|g"
+        assert int(found["walk.resident_bytes"].partition("|")[0]) > 1_000_000
--- a/tests/process/test_settings.py
+++ b/tests/process/test_settings.py
@@ -1,6 +1,7 @@
 """Settings files: what is taken, and what is refused with which words."""
 
 from pathlib import Path
+from typing import get_type_hints
 
 import pytest
 
@@ -132,3 +133,23 @@
     def test_cover_both_roles_and_kinds(self):
         roles = [read_role(file) for file in EXAMPLES.iterdir()]
         assert set(roles) == {"entry", "sidecar"}
+
+
+def wrong_values(kind):
+    for name, part in get_type_hints(kind).items():
+        for value, words in (("[[]]", "$."), ("{z: 1}", "$."), ("null", "$.")):
+            yield pytest.param(kind, name, value, words, id=f"{kind.__name__}-{name}-{value}")
+
+
+class TestEveryField:
+    @pytest.mark.parametrize(
+        ("kind", "name", "value", "words"),
+        [*wrong_values(EntrySettings), *wrong_values(SidecarSettings)],
+    )
+    def test_wrong_type_names_the_field(self, tmp_path, kind, name, value, words):
+        file = write(tmp_path, f"{{{name}: {value}}}")
+        with pytest.raises(SettingsError) as caught:
+            read_settings(file, kind)
+        assert caught.value.source == str(file)
+        assert caught.value.path.startswith(f"{words}{name}")
+        assert "found" in caught.value.problem or "unknown field" in caught.value.problem
--- a/tests/version/authoring/test_draft.py
+++ b/tests/version/authoring/test_draft.py
@@ -1,6 +1,8 @@
 """Early errors of the operator library: each names its place."""
 
 import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 from guavawalk.exception import ConfigurationError
 from guavawalk.version.authoring import Draft, check_draft, create_draft, render_draft
@@ -46,6 +48,9 @@
             ({"name": "e" * 65}, "targets.name"),
             ({"data_centre": DataCentre("sooke", "coast")}, "targets.engine-1.data_centre"),
             ({"data_centre": "victoria"}, "targets.engine-1.data_centre"),
+            ({"data_centre": None}, "targets.engine-1.data_centre"),
+            ({"generation": None}, "targets.engine-1.generation"),
+            ({"generation": []}, "targets.engine-1.generation"),
             ({"generation": Generation("gen-z", 1, 1, 1)}, "targets.engine-1.generation"),
             ({"models": [Model("brush")]}, "targets.engine-1.models"),
             ({"role": "idle"}, "targets.engine-1.role"),
@@ -170,3 +175,62 @@
     def test_version_is_positive(self):
         with pytest.raises(ConfigurationError, match="found 0, allowed is 1 or more"):
             render_draft(small_draft(), 0)
+
+
+ODD = st.one_of(
+    st.none(),
+    st.booleans(),
+    st.integers(),
+    st.floats(),
+    st.text(max_size=8),
+    st.lists(st.integers(), max_size=2),
+    st.builds(object),
+)
+METHODS = {
+    "add_tier": ("name", "deadline_ms", "first_token_ms", "reserved_share", "rank"),
+    "add_generation": ("name", "prefill_tokens_per_s", "decode_tokens_per_s", "batch_slots"),
+    "add_model": ("name", "context_tokens", "expected_output_tokens"),
+    "add_service": ("path", "idempotent_methods", "deadline_ms"),
+    "add_engine": ("name", "data_centre", "sidecar", "generation", "adapters", "role"),
+    "add_workspace": ("name", "default_tier", "keys", "key_digests", "weight", "long_requests"),
+}
+
+
+def good_arguments(draft: Draft, method: str) -> dict:
+    return {
+        "add_tier": {"name": "plan"},
+        "add_generation": {
+            "name": "gen-b",
+            "prefill_tokens_per_s": 1,
+            "decode_tokens_per_s": 1,
+            "batch_slots": 1,
+        },
+        "add_model": {"name": "brush"},
+        "add_service": {"path": "ledger"},
+        "add_engine": {
+            "name": "engine-1",
+            "data_centre": draft.data_centres["victoria"],
+            "sidecar": "10.0.0.3:7000",
+            "generation": draft.generations["gen-a"],
+            "models": [],
+        },
+        "add_workspace": {"name": "council", "tiers": [draft.tiers["onsite"]]},
+    }[method]
+
+
+class TestOddValues:
+    @settings(max_examples=400)
+    @given(st.data())
+    def test_what_is_taken_can_be_rendered(self, data):
+        draft = small_draft()
+        method = data.draw(st.sampled_from(sorted(METHODS)))
+        field = data.draw(st.sampled_from(METHODS[method]))
+        arguments = {**good_arguments(draft, method), field: data.draw(ODD)}
+        try:
+            getattr(draft, method)(**arguments)
+        except (ConfigurationError, TypeError):
+            return
+        try:
+            render_draft(draft, 1)
+        except ConfigurationError as error:
+            assert error.path == "tiers"
