Correct the prefix index by the engine's cache events

Cause: the index only knew what the sidecar had sent; the stand-in's events named the prefix's text where docs/ENGINE.md and the client say prefix_hash, so reading them failed.

--- a/guavawalk/process/sidecar/state.py
+++ b/guavawalk/process/sidecar/state.py
@@ -7,7 +7,7 @@
 
 from guavawalk.codes import ResultCode
 from guavawalk.connection.handshake import Identity
-from guavawalk.connection.target import TargetClient
+from guavawalk.connection.target import EngineClient, TargetClient
 from guavawalk.process.clock import Clock
 from guavawalk.process.observe.log import EventLog
 from guavawalk.process.observe.metrics import Metrics
@@ -92,6 +92,8 @@
 
     Attributes
     ----------
+    engine : EngineClient or None
+        The target, if it is a model engine.
     tasks : TaskGroup
         Where the task of each connection to the target runs.
     """
@@ -101,6 +103,7 @@
     clock: Clock
     held: HeldVersion
     target: TargetClient
+    engine: EngineClient | None
     queue: Queue
     window: DispatchWindow
     drains: DrainRates
--- a/guavawalk/process/sidecar_daemon.py
+++ b/guavawalk/process/sidecar_daemon.py
@@ -15,6 +15,7 @@
 from guavawalk.connection.target import TargetClient
 from guavawalk.connection.tasks.admin import serve_admin
 from guavawalk.connection.tasks.entry_link import serve_entry_link
+from guavawalk.connection.tasks.follow_cache import follow_cache
 from guavawalk.connection.tasks.spread import run_spread
 from guavawalk.connection.tcp import create_tcp_network
 from guavawalk.process.admin.sidecar_node import create_sidecar_node
@@ -105,6 +106,7 @@
         clock=clock,
         held=held,
         target=target,
+        engine=target if settings.target_kind == "model" else None,
         queue=create_tier_queue(settings.queue_slots),
         window=_create_window(settings, held, clock),
         drains=create_drain_rates(),
@@ -160,6 +162,8 @@
         members.roster.set_address(bound)
         tasks.start_soon(run_spread, spread)
         tasks.start_soon(watch_stalled, sidecar)
+        if sidecar.engine is not None:
+            tasks.start_soon(follow_cache, sidecar, sidecar.engine)
         sidecar.log.emit(events.PROCESS_READY, address=bound)
         task_status.started(bound)
 
--- a/guavawalk/process/standins/engine.py
+++ b/guavawalk/process/standins/engine.py
@@ -4,6 +4,7 @@
 from collections.abc import AsyncIterator
 
 import anyio
+import xxhash
 from anyio.abc import TaskGroup
 from starlette.applications import Starlette
 from starlette.requests import Request
@@ -104,7 +105,8 @@
         after = int(request.query_params.get("after", "0"))
         events = [event for event in model.events if event["sequence"] > after]
         oldest = model.events[0]["sequence"] if model.events else 0
-        return JSONResponse({"oldest": oldest, "events": events})
+        documents = [_event_document(event, models[0]) for event in events]
+        return JSONResponse({"oldest": oldest, "events": documents})
 
     async def show_state(request: Request) -> Response:
         return JSONResponse(
@@ -210,3 +212,14 @@
     if not chat:
         return document["prompt"]
     return "\n".join(f"{m['role']}: {m['content']}" for m in document["messages"])
+
+
+def _event_document(event: dict, model_name: str) -> dict:
+    text = f"{model_name}\0{event['prefix']}".encode()
+    signed = int.from_bytes(xxhash.xxh3_64_digest(text), "big", signed=True)
+    return {
+        "sequence": event["sequence"],
+        "stored": event["stored"],
+        "prefix_hash": signed,
+        "tokens": event["tokens"],
+    }
--- a/guavawalk/process/standins/memory_targets.py
+++ b/guavawalk/process/standins/memory_targets.py
@@ -8,6 +8,7 @@
 from guavawalk.connection.platform import Instance, PublishedValue
 from guavawalk.connection.target import (
     AnswerPart,
+    CacheEvent,
     CacheEvents,
     EngineLoad,
     EngineOrder,
@@ -18,6 +19,7 @@
 from guavawalk.process.standins.engine_model import EngineCrash, EngineModel
 from guavawalk.process.standins.platform import PlatformBooks
 from guavawalk.process.standins.service import ServiceBooks
+from guavawalk.request.prompt import prefix_hashes
 from guavawalk.request.types import Offer, Outcome, Usage
 
 __all__ = ["MemoryCaller", "MemoryEngine", "MemoryPlatform", "MemoryService", "mark_output"]
@@ -104,8 +106,15 @@
         return EngineLoad(model.running, len(model.waiting), free, model.cached_tokens)
 
     async def cache_events(self, after: int) -> CacheEvents:
-        """Report nothing."""
-        return CacheEvents(0, ())
+        """Report the engine's events after a sequence number."""
+        await self._gate()
+        events = self.model.events
+        oldest = events[0]["sequence"] if events else 0
+        return CacheEvents(oldest, tuple(self._event(e) for e in events if e["sequence"] > after))
+
+    def _event(self, event: dict) -> CacheEvent:
+        hashes = prefix_hashes(self.held.models[0], event["prefix"])
+        return CacheEvent(event["sequence"], event["stored"], hashes[-1], event["tokens"])
 
     async def state(self) -> EngineState:
         """Return what is held."""
--- a/tests/process/sidecar/test_waste_totals.py
+++ b/tests/process/sidecar/test_waste_totals.py
@@ -152,3 +152,21 @@
         assert attempt.waste[0].cause is WasteCause.CRASH
         assert 900 <= attempt.wasted_tokens <= 1_000
         assert held_tokens == 0
+
+
+class TestCacheEvents:
+    def test_what_the_engine_evicts_is_learned(self):
+        async def story(fleet, sidecar):
+            await anyio.sleep(1)
+            await run_offer(sidecar, offer_of("one", TEXT))
+            engine = fleet.engines["engine-0"]
+            for block in list(engine.cache):
+                del engine.cache[block]
+                engine._note(False, block)
+            await anyio.sleep(2)
+            return sidecar.prefixes, (await run_offer(sidecar, offer_of("two", TEXT)))
+
+        prefixes, attempt = with_sidecar(story)
+        assert prefixes.last_sequence == 32
+        assert attempt.cached_tokens == 0
+        assert attempt.waste == (Waste(WasteCause.EVICTED, 1_024),)
