Tell operators what prompt work was wasted, and why

Cause: sidecars count waste by cause, tier and workspace now, and nobody could read it. Change: /v1/waste of a sidecar and guavawalk admin waste; a key limited to workspaces gets these.

--- a/guavawalk/process/admin/documents.py
+++ b/guavawalk/process/admin/documents.py
@@ -17,6 +17,9 @@
     "StopRequest",
     "TargetDocument",
     "TargetsDocument",
+    "WasteCauseDocument",
+    "WasteDocument",
+    "WorkspaceWasteDocument",
 ]
 
 
@@ -136,6 +139,35 @@
     histograms: list[HistogramDocument]
 
 
+class WasteCauseDocument(TypedDict):
+    """Prompt tokens wasted for one cause in one tier."""
+
+    cause: str
+    tier: str
+    tokens: int
+
+
+class WorkspaceWasteDocument(TypedDict):
+    """Prompt tokens that one workspace wasted, between two bounds."""
+
+    workspace: str
+    least_tokens: int
+    most_tokens: int
+
+
+class WasteDocument(TypedDict):
+    """Prompt tokens computed and wasted since the process started.
+
+    `rest_tokens` belong to no workspace listed for sure. A key limited to some workspaces gets
+    these alone, without causes and totals.
+    """
+
+    computed_tokens: int
+    rest_tokens: int
+    causes: list[WasteCauseDocument]
+    workspaces: list[WorkspaceWasteDocument]
+
+
 class StopRequest(TypedDict):
     """Why a process is to take no more work."""
 
--- a/guavawalk/process/admin/entry_node.py
+++ b/guavawalk/process/admin/entry_node.py
@@ -3,7 +3,12 @@
 import math
 
 from guavawalk.process.admin.access import AdminCaller
-from guavawalk.process.admin.documents import QueueDocument, StateDocument, TargetDocument
+from guavawalk.process.admin.documents import (
+    QueueDocument,
+    StateDocument,
+    TargetDocument,
+    WasteDocument,
+)
 from guavawalk.process.admin.node import AdminNode
 from guavawalk.process.entry.state import Entry
 from guavawalk.process.observe.memory import resident_bytes
@@ -61,6 +66,10 @@
         """Return nothing: requests wait at the sidecars."""
         return []
 
+    def waste(self, caller: AdminCaller) -> WasteDocument:
+        """Return nothing: prompts are computed behind the sidecars."""
+        return WasteDocument(computed_tokens=0, rest_tokens=0, causes=[], workspaces=[])
+
     def stop(self) -> bool:
         """Admit no more requests."""
         changed = not self._entry.gauge.draining
--- a/guavawalk/process/admin/node.py
+++ b/guavawalk/process/admin/node.py
@@ -3,7 +3,12 @@
 from typing import Protocol
 
 from guavawalk.process.admin.access import AdminCaller
-from guavawalk.process.admin.documents import QueueDocument, StateDocument, TargetDocument
+from guavawalk.process.admin.documents import (
+    QueueDocument,
+    StateDocument,
+    TargetDocument,
+    WasteDocument,
+)
 from guavawalk.process.clock import Clock
 from guavawalk.process.observe.log import EventLog
 from guavawalk.process.observe.observations import Observations
@@ -39,6 +44,10 @@
         """Return what waits and runs here, of the workspaces that the caller may see."""
         ...
 
+    def waste(self, caller: AdminCaller) -> WasteDocument:
+        """Return what prompt work was wasted here, as far as the caller may see it."""
+        ...
+
     def stop(self) -> bool:
         """Take no more work; False if it took none already."""
         ...
--- a/guavawalk/process/admin/operations.py
+++ b/guavawalk/process/admin/operations.py
@@ -24,6 +24,7 @@
     StateDocument,
     StopRequest,
     TargetsDocument,
+    WasteDocument,
 )
 from guavawalk.process.admin.node import AdminNode
 from guavawalk.process.observe.histograms import HistogramSummary
@@ -136,6 +137,11 @@
     return HistogramDocument(workspace=key.workspace, tier=key.tier, **figures)
 
 
+async def read_waste(node: AdminNode, caller: AdminCaller, body: None) -> WasteDocument:
+    """Return wasted prompt work."""
+    return node.waste(caller)
+
+
 async def drain_sidecar_target(
     node: AdminNode, caller: AdminCaller, body: StopRequest
 ) -> ActionDocument:
@@ -188,6 +194,16 @@
     _read("/v1/queues", "What waits and runs", read_queues, QueuesDocument),
     _read("/v1/refusals", "The last refusals", read_refusals, RefusalsDocument),
     _read("/v1/histograms", "Times and waste", read_histograms, HistogramsDocument),
+    Operation(
+        "read_waste",
+        "GET",
+        "/v1/waste",
+        "read",
+        "Prompt work that was thrown away or done again",
+        read_waste,
+        WasteDocument,
+        node_roles=("sidecar",),
+    ),
     Operation(
         "drain_sidecar_target",
         "POST",
--- a/guavawalk/process/admin/sidecar_node.py
+++ b/guavawalk/process/admin/sidecar_node.py
@@ -4,7 +4,14 @@
 from typing import NamedTuple
 
 from guavawalk.process.admin.access import AdminCaller
-from guavawalk.process.admin.documents import QueueDocument, StateDocument, TargetDocument
+from guavawalk.process.admin.documents import (
+    QueueDocument,
+    StateDocument,
+    TargetDocument,
+    WasteCauseDocument,
+    WasteDocument,
+    WorkspaceWasteDocument,
+)
 from guavawalk.process.admin.node import AdminNode
 from guavawalk.process.observe.memory import resident_bytes
 from guavawalk.process.sidecar.admission import start_leaving
@@ -85,6 +92,27 @@
         now_s = self.clock.now_s()
         return [_queue(key, groups[key], now_s) for key in sorted(groups)]
 
+    def waste(self, caller: AdminCaller) -> WasteDocument:
+        """Return what prompt work was wasted, by cause and by workspace."""
+        report = self._sidecar.waste.report()
+        whole = caller.workspaces is None
+        rows = report.rows if whole else ()
+        return WasteDocument(
+            computed_tokens=report.computed_tokens if whole else 0,
+            rest_tokens=report.rest_tokens if whole else 0,
+            causes=[
+                WasteCauseDocument(
+                    cause=row.cause, tier=tier_name(self.held, row.rank), tokens=row.tokens
+                )
+                for row in rows
+            ],
+            workspaces=[
+                WorkspaceWasteDocument(**found._asdict())
+                for found in report.workspaces
+                if caller.may_see(found.workspace)
+            ],
+        )
+
     def stop(self) -> bool:
         """Leave: refuse offers, hand back what waits, let what runs go on."""
         changed = not self._sidecar.attempts.leaving
--- a/guavawalk/process/commands/admin.py
+++ b/guavawalk/process/commands/admin.py
@@ -79,6 +79,12 @@
     return _show(address, "/v1/histograms", as_json, key_file)
 
 
+@admin_app.command
+def waste(address: str, *, as_json: AsJson = False, key_file: KeyFile = None) -> int:
+    """Show prompt work wasted behind a sidecar, by cause and workspace."""
+    return _show(address, "/v1/waste", as_json, key_file)
+
+
 @admin_app.command
 def openapi(address: str, *, key_file: KeyFile = None) -> int:
     """Print the OpenAPI description."""
--- a/tests/connection/tasks/test_admin.py
+++ b/tests/connection/tasks/test_admin.py
@@ -12,6 +12,7 @@
 from guavawalk.process.admin.sidecar_node import create_sidecar_node
 from guavawalk.process.fleet import run_fleet
 from guavawalk.process.plan import kestrel_lane_plan
+from guavawalk.request.waste import Waste, WasteCause
 from tests.asgi import ask_asgi
 from tests.process.admin.keys import KEYS, OPERATOR, READER, TEAM, TEAM_OPERATOR
 from tests.virtual import run_virtually
@@ -155,6 +156,27 @@
         assert document["tiers"] == ["onsite", "plan", "tag"]
         assert (document["targets"], document["workspaces"]) == (8, 5)
 
+    def test_waste_and_scope(self):
+        async def story(fleet):
+            totals = fleet.sidecar("engine-0").waste
+            totals.computed_tokens = 100
+            totals.note("harbour", 0, [Waste(WasteCause.CRASH, 30)])
+            totals.note("council", 2, [Waste(WasteCause.CANCEL, 20)])
+            app = sidecar_app(fleet)
+            return [
+                (await ask_asgi(app, "GET", "/v1/waste", key)).document for key in (READER, TEAM)
+            ]
+
+        whole, own = in_fleet(story)
+        assert whole["computed_tokens"] == 100
+        assert {(row["cause"], row["tier"], row["tokens"]) for row in whole["causes"]} == {
+            ("crash", "onsite", 30),
+            ("cancel", "tag", 20),
+        }
+        assert [row["workspace"] for row in whole["workspaces"]] == ["harbour", "council"]
+        assert [row["workspace"] for row in own["workspaces"]] == ["harbour"]
+        assert (own["computed_tokens"], own["causes"]) == (0, [])
+
 
 class TestActions:
     def test_drained_sidecar_refuses_and_the_action_is_audited(self):
