Put load runs side by side on one page

Change: the format of results files, and guavawalk load report, which makes one self-contained page: goodput by tier, waste by cause, latency percentiles, each run over time with its faults. The page was checked by its markup, not looked at in a browser; there is none here. Conclusion: the tool that runs plans has to write these lines.

--- a/guavawalk/exception.py
+++ b/guavawalk/exception.py
@@ -13,6 +13,7 @@
     "LogFileError",
     "PlatformUnavailable",
     "RequestError",
+    "ResultsError",
     "SettingsError",
     "TargetConnectError",
     "TargetError",
@@ -24,6 +25,23 @@
     """Root of every error that guavawalk raises on purpose."""
 
 
+class ResultsError(GuavawalkError):
+    """A results file of load runs that can't be read, or a page of it that can't be written.
+
+    Parameters
+    ----------
+    place : str
+        File with the line, or run.
+    problem : str
+        What was found and what is allowed.
+    """
+
+    def __init__(self, place: str, problem: str) -> None:
+        super().__init__(f"{place}: {problem}")
+        self.place = place
+        self.problem = problem
+
+
 class SettingsError(GuavawalkError):
     """A settings file that can't be obeyed.
 
--- a/guavawalk/process/commands/app.py
+++ b/guavawalk/process/commands/app.py
@@ -14,6 +14,7 @@
 from guavawalk.process.commands.admin import admin_app
 from guavawalk.process.commands.bench import bench_app
 from guavawalk.process.commands.config import config_app
+from guavawalk.process.commands.load import load_app
 from guavawalk.process.commands.standin import standin_app
 from guavawalk.process.commands.top import top
 from guavawalk.process.commands.trace import trace
@@ -30,6 +31,7 @@
 app.command(bench_app)
 app.command(config_app)
 app.command(admin_app)
+app.command(load_app)
 app.command(standin_app)
 app.command(top)
 app.command(trace)
--- /dev/null
+++ b/guavawalk/process/load/results.py
@@ -0,0 +1,134 @@
+"""The results file of load runs: one JSON document a line, each with its kind."""
+
+import json
+from collections.abc import Iterable, Iterator
+from pathlib import Path
+from typing import Any, Literal, TypedDict
+
+import msgspec
+
+from guavawalk.exception import ResultsError
+
+__all__ = [
+    "FaultLine",
+    "PromiseLine",
+    "RequestLine",
+    "ResultLine",
+    "RunLine",
+    "WasteLine",
+    "format_line",
+    "read_results",
+]
+
+
+class RunLine(TypedDict):
+    """The start of a run; the lines after it name it by `run`."""
+
+    kind: Literal["run"]
+    run: str
+    plan: str
+    policy: str
+    deployment: str
+    seed: int
+    duration_s: float
+
+
+class RequestLine(TypedDict):
+    """One request and how it ended.
+
+    `at_s` is its arrival from the start of the run; `in_time` says whether it completed within
+    its deadline. A time that was never reached is 0.
+    """
+
+    kind: Literal["request"]
+    run: str
+    at_s: float
+    workspace: str
+    tier: str
+    code: int
+    in_time: bool
+    attempts: int
+    first_token_ms: float
+    between_tokens_ms: float
+    whole_ms: float
+    prompt_tokens: int
+    output_tokens: int
+    target: str
+
+
+class WasteLine(TypedDict):
+    """Prompt tokens that were computed for nothing, for one cause."""
+
+    kind: Literal["waste"]
+    run: str
+    cause: str
+    prompt_tokens: int
+
+
+class FaultLine(TypedDict):
+    """A fault that the plan made happen."""
+
+    kind: Literal["fault"]
+    run: str
+    at_s: float
+    fault: str
+    node: str
+
+
+class PromiseLine(TypedDict):
+    """A promise that was checked, and how often it was broken."""
+
+    kind: Literal["promise"]
+    run: str
+    promise: str
+    broken: int
+    detail: str
+
+
+ResultLine = RunLine | RequestLine | WasteLine | FaultLine | PromiseLine
+
+KINDS: dict[str, type] = {
+    "run": RunLine,
+    "request": RequestLine,
+    "waste": WasteLine,
+    "fault": FaultLine,
+    "promise": PromiseLine,
+}
+
+
+def format_line(line: ResultLine) -> str:
+    """Return a line of a results file, with its end."""
+    return json.dumps(line, separators=(",", ":")) + "\n"
+
+
+def read_results(files: Iterable[Path]) -> Iterator[ResultLine]:
+    """Read results files, one after the other.
+
+    Raises
+    ------
+    ResultsError
+        Names the file and the line that can't be read.
+    """
+    for file in files:
+        try:
+            with file.open("rb") as lines:
+                for number, content in enumerate(lines, start=1):
+                    if content.strip():
+                        yield _read_line(f"{file}:{number}", content)
+        except OSError as error:
+            raise ResultsError(str(file), error.strerror or "can't be read") from error
+
+
+def _read_line(place: str, content: bytes) -> Any:
+    try:
+        document = msgspec.json.decode(content, type=dict[str, Any])
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raise ResultsError(place, f"no JSON object: {error}") from error
+    kind = document.get("kind")
+    if not isinstance(kind, str) or kind not in KINDS:
+        allowed = ", ".join(KINDS)
+        raise ResultsError(place, f"kind: found {kind!r:.40}, allowed is one of {allowed}")
+    try:
+        return msgspec.convert(document, KINDS[kind])
+    except msgspec.ValidationError as error:
+        raise ResultsError(place, str(error)) from error
