Weigh waits by short and long work, and never hold the top tier up by the long cap

The sidecar calls long what costs 8 times the median; where most work is tiny the ordinary top tier looked long and waited for a long slot. And 324 of 640 of the lowest tier were refused early, since queued long work was counted as before it, though it takes only part of the slots. Change: the top tier is never long. Reports tell whether long work has its share; the wait counts short and long work by the slots each may hold, the measured token rate and first-token time. Lengths fall back to all workspaces until one has seen three answers. The prefill weighs 0.5 for the top tier and 4 below.

--- a/guavawalk/connection/wire.thrift
+++ b/guavawalk/connection/wire.thrift
@@ -26,6 +26,7 @@
   8: bool leaving
   9: i32 warm_prefix_tokens
   50: list<i64> queued_output_by_rank
+  51: bool long_full
 }
 
 struct Offer {
--- a/guavawalk/process/entry/lengths.py
+++ b/guavawalk/process/entry/lengths.py
@@ -8,9 +8,16 @@
 __all__ = ["LengthEstimator", "create_length_estimator"]
 
 STEP = 0.1
-MIN_SAMPLES = 5
+MIN_SAMPLES = 3
 
-LengthKey = tuple[str, str, int, int]
+
+class LengthKey(NamedTuple):
+    """What answers of like length have in common."""
+
+    workspace: str
+    model: str
+    rank: int
+    size: int
 
 
 class Learned(NamedTuple):
@@ -51,8 +58,8 @@
         -----
         The caller's own bound is never passed; it stands alone until enough was seen.
         """
-        learned = self._learned.get(_key(work))
-        if learned is None or learned.samples < MIN_SAMPLES or not work.model:
+        learned = self._find(work)
+        if learned is None:
             return work
         expected = max(1, round(learned.mean_tokens))
         if work.max_output_tokens:
@@ -63,13 +70,25 @@
         """Learn from a completed answer."""
         if not work.model or output_tokens <= 0:
             return
-        key = _key(work)
+        for key in (_key(work), _wide_key(work)):
+            self._note_key(key, output_tokens)
+        while len(self._learned) > self._max_keys:
+            self._learned.popitem(last=False)
+        self._note_all(output_tokens)
+
+    def _find(self, work: Work) -> Learned | None:
+        if not work.model:
+            return None
+        for key in (_key(work), _wide_key(work)):
+            learned = self._learned.get(key)
+            if learned is not None and learned.samples >= MIN_SAMPLES:
+                return learned
+        return None
+
+    def _note_key(self, key: LengthKey, output_tokens: int) -> None:
         samples, mean = self._learned.pop(key, Learned())
         step = max(STEP, 1 / (samples + 1))
         self._learned[key] = Learned(samples + 1, mean + step * (output_tokens - mean))
-        if len(self._learned) > self._max_keys:
-            self._learned.popitem(last=False)
-        self._note_all(output_tokens)
 
     def _note_all(self, output_tokens: int) -> None:
         step = STEP / 10 if self.mean_tokens else 1.0
@@ -79,7 +98,12 @@
 
 def _key(work: Work) -> LengthKey:
     size = work.prompt_tokens.bit_length() // 2
-    return (work.workspace.name, work.model, work.tier.rank, size)
+    return LengthKey(work.workspace.name, work.model, work.tier.rank, size)
+
+
+def _wide_key(work: Work) -> LengthKey:
+    """Return the key that all workspaces share, for one that has seen too few."""
+    return _key(work)._replace(workspace="")
 
 
 def create_length_estimator(max_keys: int = 10_000) -> LengthEstimator:
--- a/guavawalk/process/sidecar/admission.py
+++ b/guavawalk/process/sidecar/admission.py
@@ -5,14 +5,13 @@
 from guavawalk.codes import ResultCode
 from guavawalk.exception import RequestError
 from guavawalk.process.sidecar.accounting import believed_cached_tokens
-from guavawalk.process.sidecar.leaving import LeaveReason
 from guavawalk.process.sidecar.refusal import can_meet_deadline
 from guavawalk.process.sidecar.state import Sidecar, end_attempt
 from guavawalk.request.attempt import Attempt, AttemptState, create_attempt
 from guavawalk.request.cost import offer_cost_tokens
 from guavawalk.request.types import Offer
 
-__all__ = ["admit_offer", "dispatch_ready", "start_leaving", "stop_leaving", "withdraw_attempt"]
+__all__ = ["admit_offer", "dispatch_ready", "start_leaving", "withdraw_attempt"]
 
 
 def admit_offer(sidecar: Sidecar, offer: Offer) -> tuple[Attempt, bool]:
@@ -48,10 +47,11 @@
         raise RequestError(ResultCode.DEADLINE_PASSED)
     attempt = create_attempt(offer, now_s, table.limits.answer_bytes)
     attempt.cached_tokens = believed_cached_tokens(sidecar, offer)
-    attempt.is_long = sidecar.lengths.note_offer(offer_cost_tokens(offer))
+    # Where most work is tiny, ordinary work of the top tier looks long; no cap may hold that up.
+    attempt.is_long = sidecar.lengths.note_offer(offer_cost_tokens(offer)) and offer.tier_rank > 0
     if offer.idempotency_key:
         sidecar.records.add(attempt, now_s)
-    table.add(attempt)
+    table.live[offer.attempt_id] = attempt
     attempt.queue()
     _push(sidecar, attempt, now_s)
     return attempt, True
@@ -77,7 +77,7 @@
 
 def _refuse_newcomer(sidecar: Sidecar, attempt: Attempt, code: ResultCode) -> NoReturn:
     offer = attempt.offer
-    sidecar.attempts.refuse(attempt)
+    del sidecar.attempts.live[offer.attempt_id]
     if offer.idempotency_key:
         sidecar.records.forget(attempt)
     raise RequestError(code, retry_after_ms=_retry_after_ms(sidecar, attempt))
@@ -147,13 +147,8 @@
     return attempt.state, attempt.code
 
 
-def start_leaving(sidecar: Sidecar, reason: LeaveReason = LeaveReason.OPERATOR) -> None:
+def start_leaving(sidecar: Sidecar) -> None:
     """Refuse new work and hand back what waits; what runs goes on."""
-    sidecar.attempts.departure.reasons.add(reason)
+    sidecar.attempts.leaving = True
     for attempt in sidecar.queue.drain():
         end_attempt(sidecar, attempt, ResultCode.TARGET_LEAVING)
-
-
-def stop_leaving(sidecar: Sidecar, reason: LeaveReason) -> None:
-    """Drop a reason to leave; without any, new work is taken again."""
-    sidecar.attempts.departure.reasons.discard(reason)
--- a/guavawalk/request/expected_cost.py
+++ b/guavawalk/request/expected_cost.py
@@ -17,12 +17,16 @@
 LONG_OUTPUT_TOKENS = 200
 LONG_SHARE_OF_SLOTS = 0.5
 LONG_PENALTY_S = 10.0
-PREFILL_WEIGHT = 3.0
+PREFILL_WEIGHT = 4.0
+URGENT_PREFILL_WEIGHT = 0.5
 PRICE_S = 0.002
 AFFINITY_CREDIT = 0.5
 AFFINITY_LOAD_BOUND = 1.25
 DRAIN_SHARE = 0.5
 IDLE_BATCH_SPEEDUP = 0.5
+MAX_AGE_S = 3_600.0
+FRESH_S = 2.0
+MAX_SPEEDUP = 2.0
 MAX_SCANNED = 10
 SCANNED_NEAR = 3
 CALL_S = 0.05
@@ -73,8 +77,11 @@
     generation = configuration.generations.get(target.generation, SERVICE_SPEED)
     _, prefill_rate, decode_rate, slots, _ = generation
     load = view.load
+    is_fresh = view.report_age_s < FRESH_S
     if 0 < load.window < slots:
         slots = load.window
+    if is_fresh and load.decode_tokens_per_s:
+        decode_rate = min(load.decode_tokens_per_s, MAX_SPEEDUP * decode_rate)
     cached = view.cached_tokens
     if credit_tokens > cached and _has_room(view, slots):
         cached = credit_tokens
@@ -82,8 +89,10 @@
     speedup = IDLE_BATCH_SPEEDUP * max(0.0, 1.0 - (load.running + 1) / slots)
     decode_s = work.expected_output_tokens / decode_rate * (1.0 - speedup)
     wait_s = _wait_s(work, view, slots, slots * decode_rate)
+    if is_fresh:
+        wait_s += max(0.0, load.first_token_ms / 1000 - prefill_s)
     finish_s = wait_s + prefill_s + decode_s
-    penalty_s = PREFILL_WEIGHT * prefill_s
+    penalty_s = (PREFILL_WEIGHT if work.tier.rank else URGENT_PREFILL_WEIGHT) * prefill_s
     if here != target.data_centre:
         crossing = configuration.crossings.get((here, target.data_centre), NO_CROSSING)
         finish_s += 2 * crossing.delay_ms / 1000
@@ -104,23 +113,57 @@
     if not work.model:
         return CALL_S * (load.running + sum(load.queued_by_rank) + view.own_new) / slots
     rank = work.tier.rank
-    ahead = sum(load.queued_by_rank[: rank + 1]) + view.own_new
-    if load.running + ahead < slots:
+    waiting = sum(load.queued_by_rank[: rank + 1]) + view.own_new
+    held_up = load.long_full and is_long(work)
+    if load.running + waiting < _open_slots(work, slots) and not held_up:
         return 0.0
-    tokens = _queued_tokens(view, rank) + view.own_output_tokens
-    tokens += max(0, load.running - slots) * view.mean_output_tokens
-    tokens -= DRAIN_SHARE * rate * min(view.report_age_s, 3600.0)
-    return (max(0.0, tokens) + view.remaining_tokens) / rate
+    # Long work holds part of the slots at most, and does not hold up short work in the queue.
+    ahead = _tokens_ahead(view, rank)
+    if is_long(work):
+        rate *= LONG_SHARE_OF_SLOTS
+        tokens = ahead.long + (view.remaining_tokens if held_up else view.mean_output_tokens)
+    else:
+        rate *= 1.0 - LONG_SHARE_OF_SLOTS if load.long_full else 1.0
+        tokens = ahead.short + view.mean_output_tokens
+    tokens += view.own_output_tokens
+    return max(0.0, tokens / rate - DRAIN_SHARE * min(view.report_age_s, MAX_AGE_S))
+
+
+def _open_slots(work: Work, slots: int) -> float:
+    """Return the slots that are not kept for more urgent tiers."""
+    rank = work.tier.rank
+    if not rank:
+        return slots
+    tiers = work.configuration.tiers.values()
+    return slots * (1.0 - sum(tier.reserved_share for tier in tiers if tier.rank < rank))
+
+
+class TokensAhead(NamedTuple):
+    """Output tokens that wait in a request's tier and more urgent ones."""
 
+    short: float
+    long: float
 
-def _queued_tokens(view: TargetView, rank: int) -> float:
+
+def _tokens_ahead(view: TargetView, rank: int) -> TokensAhead:
     load = view.load
-    if load.queued_output_by_rank:
-        return sum(load.queued_output_by_rank[: rank + 1])
     total = sum(load.queued_by_rank)
     if not total:
-        return 0.0
-    return load.queued_output_tokens * sum(load.queued_by_rank[: rank + 1]) / total
+        return NOTHING_AHEAD
+    by_rank = load.queued_output_by_rank
+    if not by_rank:
+        share = sum(load.queued_by_rank[: rank + 1]) / total
+        return TokensAhead(load.queued_output_tokens * share, 0.0)
+    short = long = 0.0
+    for count, tokens in zip(load.queued_by_rank[: rank + 1], by_rank):
+        if tokens >= LONG_OUTPUT_TOKENS * count:
+            long += tokens
+        else:
+            short += tokens
+    return TokensAhead(short, long)
+
+
+NOTHING_AHEAD = TokensAhead(0.0, 0.0)
 
 
 class ExpectedCost:
--- a/guavawalk/request/types.py
+++ b/guavawalk/request/types.py
@@ -83,6 +83,7 @@
     leaving: bool = False
     warm_prefix_tokens: int = 0
     queued_output_by_rank: tuple[int, ...] = ()
+    long_full: bool = False
 
 
 class Offer(NamedTuple):
--- a/tests/process/sidecar/test_admission_overload.py
+++ b/tests/process/sidecar/test_admission_overload.py
@@ -153,3 +153,18 @@
         assert waiting.code is ResultCode.DEADLINE_UNREACHABLE
         assert waiting.retry_after_ms > 0
         assert not waiting.dispatched_s
+
+
+class TestLongCap:
+    def test_the_top_tier_is_never_held_up_by_long_work(self):
+        async def story(fleet, sidecar):
+            for index in range(40):
+                admit_offer(sidecar, make_offer(f"tiny-{index}", 2, output=1, prompt=1))
+            await anyio.sleep(5)
+            found = []
+            for rank in (0, 1):
+                offer = make_offer(f"ordinary-{rank}", rank, output=24, prompt=577)
+                found.append(admit_offer(sidecar, offer)[0].is_long)
+            return found
+
+        assert with_sidecar(story) == [False, True]
