Tell in an entry's log which targets a request was refused by

Cause: a story lacked the targets tried before the last, when the log of a dead sidecar was gone. Change: events 2070 and 3070, with the trace id, target and reason.

--- a/guavawalk/connection/tasks/carry.py
+++ b/guavawalk/connection/tasks/carry.py
@@ -11,7 +11,7 @@
 from guavawalk.connection.tasks.offer import Progress, abandon_offer, offer_work
 from guavawalk.exception import LinkRefused, RequestError
 from guavawalk.process.entry.choice import OVERLOAD_CODES, Choice, choose_target
-from guavawalk.process.entry.observed import note_outcome
+from guavawalk.process.entry.observed import note_not_run, note_outcome
 from guavawalk.request.ticket import code_for_key, read_ticket
 from guavawalk.request.types import Outcome, Work
 from guavawalk.version.types import Target
@@ -154,6 +154,7 @@
         except LinkRefused as error:
             last = _unreachable(target, str(error), progress.attempts)
         _note_attempt(entry, work, choice, last)
+        note_not_run(entry, work, last)
         refusals += last.code in OVERLOAD_CODES
         if code_class(last.code) is not CodeClass.NOT_RUN:
             return last
--- a/guavawalk/connection/tasks/offer.py
+++ b/guavawalk/connection/tasks/offer.py
@@ -23,6 +23,7 @@
     Withdrawn,
 )
 from guavawalk.exception import LinkBroken, LinkRefused
+from guavawalk.process.entry.observed import note_link_broken
 from guavawalk.request.types import Offer, Outcome, Usage, Work
 from guavawalk.version.types import Target
 
@@ -120,7 +121,8 @@
         await link.send(offer)
         outcome = await _relay(entry, caller, progress, link)
         await entry.links.give_back(target.sidecar, link)
-    except LinkBroken:
+    except LinkBroken as error:
+        note_link_broken(entry, offer, target, str(error))
         await link.aclose()
         outcome = await _resume(entry, caller, progress)
     except BaseException:
--- a/guavawalk/events.py
+++ b/guavawalk/events.py
@@ -49,9 +49,15 @@
 ATTEMPT_ENDED = _event(2003, "attempt_ended", logging.INFO, "an attempt has ended")
 ATTEMPT_REFUSED = _event(2004, "attempt_refused", logging.INFO, "an attempt was refused")
 
+OFFER_NOT_RUN = _event(2070, "offer_not_run", logging.INFO, "a target did not run an offer")
+
 LINK_REJECTED = _event(3001, "link_rejected", logging.WARNING, "a link was rejected")
 LINK_BROKEN = _event(3002, "link_broken", logging.INFO, "a link broke")
 
+OFFER_LINK_BROKEN = _event(
+    3070, "offer_link_broken", logging.INFO, "a link broke that carried an offer"
+)
+
 VERSION_IN_FORCE = _event(4001, "version_in_force", logging.INFO, "a version is in force")
 VERSION_CONFLICT = _event(
     4002, "version_conflict", logging.ERROR, "one version number has two digests"
--- a/guavawalk/process/entry/observed.py
+++ b/guavawalk/process/entry/observed.py
@@ -10,12 +10,13 @@
 from guavawalk.process.observe.histograms import Measure
 from guavawalk.process.observe.names import metric_part
 from guavawalk.process.observe.refusals import Refusal
-from guavawalk.request.types import Outcome, Work
+from guavawalk.request.types import Offer, Outcome, Work
+from guavawalk.version.types import Target
 
 if TYPE_CHECKING:
     from guavawalk.process.entry.state import Entry
 
-__all__ = ["note_invalid", "note_outcome"]
+__all__ = ["note_invalid", "note_link_broken", "note_not_run", "note_outcome"]
 
 MAX_LOGGED_CHARS = 200
 
@@ -61,6 +62,31 @@
     entry.observed.refusals.note(refusal)
 
 
+def note_not_run(entry: Entry, work: Work, outcome: Outcome) -> None:
+    """Note an attempt that a target did not run, so that the next may be tried."""
+    if code_class(outcome.code) is not CodeClass.NOT_RUN:
+        return
+    entry.log.emit(
+        events.OFFER_NOT_RUN,
+        trace_id=work.trace_id,
+        target=outcome.target,
+        code=int(outcome.code),
+        attempts=outcome.attempts,
+        reason=outcome.detail[:MAX_LOGGED_CHARS],
+    )
+
+
+def note_link_broken(entry: Entry, offer: Offer, target: Target, reason: str) -> None:
+    """Note a link that broke while it carried an offer; the offer is asked after."""
+    entry.log.emit(
+        events.OFFER_LINK_BROKEN,
+        trace_id=offer.trace_id,
+        attempt_id=offer.attempt_id,
+        target=target.name,
+        reason=reason[:MAX_LOGGED_CHARS],
+    )
+
+
 def note_invalid(entry: Entry, error: RequestError, path: str, trace_id: str) -> None:
     """Note a request that was refused before it became work."""
     entry.log.emit(
--- /dev/null
+++ b/tests/process/test_request_story.py
@@ -0,0 +1,49 @@
+"""What the logs of an entry tell of a request that met trouble."""
+
+import anyio
+
+from guavawalk import events
+from guavawalk.codes import ResultCode
+from guavawalk.connection.tasks.carry import carry_request
+from guavawalk.process.fleet import run_fleet
+from guavawalk.process.plan import kestrel_lane_plan
+from guavawalk.process.sidecar.admission import start_leaving
+from guavawalk.process.standins.memory_targets import MemoryCaller
+from tests.connection.tasks.test_admin import RecordingLog
+from tests.virtual import run_virtually
+
+
+class TestStory:
+    def test_each_target_that_did_not_run_it_is_told(self):
+        log = RecordingLog()
+
+        async def story():
+            async with run_fleet(kestrel_lane_plan()) as fleet:
+                for target in ("engine-1", "engine-3"):
+                    start_leaving(fleet.sidecar(target))
+                work = fleet.work("harbour", "onsite", "which glaze?", model="quill")
+                entry = fleet.entry("victoria")._replace(log=log)
+                return work, await carry_request(entry, work, MemoryCaller())
+
+        work, outcome = run_virtually(story)
+        assert outcome.code is ResultCode.COMPLETED
+        told = [fields for event, fields in log.seen if event is events.OFFER_NOT_RUN]
+        assert len(told) == outcome.attempts - 1 > 0
+        assert {fields["code"] for fields in told} == {ResultCode.TARGET_LEAVING}
+        assert {fields["trace_id"] for _, fields in log.seen} == {work.trace_id}
+
+    def test_a_broken_link_is_told(self):
+        log = RecordingLog()
+
+        async def story():
+            async with run_fleet(kestrel_lane_plan()) as fleet:
+                work = fleet.work("harbour", "onsite", "which glaze?", model="quill")
+                entry = fleet.entry("victoria")._replace(log=log)
+                async with anyio.create_task_group() as tasks:
+                    tasks.start_soon(carry_request, entry, work, MemoryCaller())
+                    await anyio.sleep(0.05)
+                    fleet.fabric.break_links("entry-victoria")
+
+        run_virtually(story)
+        assert [event for event, _ in log.seen] == [events.OFFER_LINK_BROKEN, events.REQUEST_ENDED]
+        assert log.seen[1][1]["code"] == ResultCode.COMPLETED
