Run load plans with faults, check the promises, report them on one page

Cause: policies could be compared at a load, but not under faults, and nobody checked the promises as the load ran. One reader of JSON with comments serves settings and plans; one function runs tasks in virtual time.

--- a/guavawalk/process/bench/policy.py
+++ b/guavawalk/process/bench/policy.py
@@ -1,19 +1,18 @@
 """Measuring placement policies over whole deployments in virtual time, same arrivals for each."""
 
-import random
 from collections.abc import Callable, Sequence
 from typing import NamedTuple
 
 import anyio
 
 from guavawalk.codes import CodeClass, code_class
-from guavawalk.exception import GuavawalkError
 from guavawalk.process.bench.arrivals import Arrival, draw_arrivals
 from guavawalk.process.bench.late_view import feed_late_reports
 from guavawalk.process.fleet import Fleet, run_fleet
 from guavawalk.process.plan import Plan, asante_plan, kestrel_lane_plan
 from guavawalk.process.standins.engine_model import RunRecord
 from guavawalk.process.standins.memory_targets import MemoryCaller, mark_output
+from guavawalk.process.virtual_time import run_in_virtual_time
 from guavawalk.request.prompt import BLOCK_CHARS, CHARS_PER_TOKEN
 from guavawalk.request.types import Outcome
 from guavawalk.version.types import Generation, Tier
@@ -118,14 +117,6 @@
     GuavawalkError
         If trio, a dependency of the tests, is not installed.
     """
-    try:
-        import trio
-        import trio.testing
-    except ImportError as error:
-        raise GuavawalkError("this needs trio: pip install 'guavawalk[test]'") from error
-    clock = trio.testing.MockClock(autojump_threshold=0)
-    trio._core._run._r.seed(seed)
-    random.seed(seed)
     plan = bench_plan(shape)
     arrivals = draw_arrivals(plan, load, duration_s, seed)
 
@@ -138,7 +129,7 @@
             plan=shape, policy=policy, load=load, seed=seed, duration_s=duration_s
         )
 
-    return trio.run(story, clock=clock)
+    return run_in_virtual_time(story, seed)
 
 
 async def _send_all(fleet: Fleet, arrivals: Sequence[Arrival], late: bool) -> list[Ended]:
--- /dev/null
+++ b/guavawalk/process/load/faults.py
@@ -0,0 +1,204 @@
+"""Faults of a load plan, done to a deployment in memory."""
+
+from collections.abc import Awaitable, Callable
+from typing import Protocol
+
+import anyio
+
+from guavawalk.exception import SettingsError
+from guavawalk.process.fleet import Fleet
+from guavawalk.process.load.plan_file import Fault, LoadPlan
+from guavawalk.process.plan import PlannedTarget
+from guavawalk.process.sidecar.admission import start_leaving
+
+__all__ = ["CRASH_TEXT", "FaultySender", "check_faults", "inject_faults"]
+
+CRASH_TEXT = "crash the engine"
+ENGINE_RESTART_S = 1.0
+DRAIN_CHECK_S = 0.1
+
+
+class FaultySender(Protocol):
+    """What faults need of the driver."""
+
+    async def lose_entry(self, centre: str) -> None:
+        """Kill an entry; its callers see their connections break."""
+        ...
+
+    async def send_crashing(self, times: int, every_s: float) -> None:
+        """Send the same crashing request again and again."""
+        ...
+
+
+Injector = Callable[[Fleet, FaultySender, Fault], Awaitable[None]]
+
+
+async def inject_faults(fleet: Fleet, sender: FaultySender, plan: LoadPlan) -> None:
+    """Do all faults of a plan at their times; return when the last has ended."""
+    start_s = anyio.current_time()
+    async with anyio.create_task_group() as tasks:
+        for fault in plan.faults:
+            tasks.start_soon(_inject_at, fleet, sender, fault, start_s + fault.at_s)
+
+
+async def _inject_at(fleet: Fleet, sender: FaultySender, fault: Fault, at_s: float) -> None:
+    await anyio.sleep_until(at_s)
+    await _INJECTORS[fault.kind](fleet, sender, fault)
+
+
+async def _engine_slow(fleet: Fleet, sender: FaultySender, fault: Fault) -> None:
+    faults = fleet.engines[fault.where].faults
+    faults.slow_factor = fault.factor
+    await anyio.sleep(fault.for_s)
+    faults.slow_factor = 1.0
+
+
+async def _engine_crash(fleet: Fleet, sender: FaultySender, fault: Fault) -> None:
+    fleet.engines[fault.where].crash()
+    await anyio.sleep(fault.for_s)
+    fleet.engines[fault.where].restart()
+
+
+async def _sidecar_kill(fleet: Fleet, sender: FaultySender, fault: Fault) -> None:
+    fleet.kill(f"sidecar-{fault.where}")
+    await anyio.sleep(fault.for_s)
+    await fleet.start_sidecar(_target(fleet, fault.where))
+
+
+async def _entry_kill(fleet: Fleet, sender: FaultySender, fault: Fault) -> None:
+    await sender.lose_entry(fault.where)
+    await anyio.sleep(fault.for_s)
+    await fleet.start_entry(fault.where)
+
+
+async def _pause(fleet: Fleet, sender: FaultySender, fault: Fault) -> None:
+    fleet.fabric.pause(fault.where)
+    await anyio.sleep(fault.for_s)
+    fleet.fabric.wake(fault.where)
+
+
+async def _data_centre_lost(fleet: Fleet, sender: FaultySender, fault: Fault) -> None:
+    targets = [target for target in fleet.plan.targets if target.data_centre == fault.where]
+    if fault.where in fleet.plan.entries:
+        await sender.lose_entry(fault.where)
+    for target in targets:
+        fleet.kill(f"sidecar-{target.name}")
+        if target.name in fleet.engines:
+            fleet.engines[target.name].crash()
+    await anyio.sleep(fault.for_s)
+    for target in targets:
+        if target.name in fleet.engines:
+            fleet.engines[target.name].restart()
+        await fleet.start_sidecar(target)
+    if fault.where in fleet.plan.entries:
+        await fleet.start_entry(fault.where)
+
+
+async def _partition(fleet: Fleet, sender: FaultySender, fault: Fault) -> None:
+    inside = _nodes_of(fleet, fault.where)
+    outside = [node for node in fleet.processes if node not in inside]
+    for a in inside:
+        for b in outside:
+            fleet.fabric.cut(a, b)
+    await anyio.sleep(fault.for_s)
+    fleet.fabric.heal()
+
+
+async def _platform_down(fleet: Fleet, sender: FaultySender, fault: Fault) -> None:
+    fleet.books.down = True
+    await anyio.sleep(fault.for_s)
+    fleet.books.down = False
+
+
+async def _platform_stale(fleet: Fleet, sender: FaultySender, fault: Fault) -> None:
+    fleet.books.set_stale(True)
+    fleet.publish()
+    await anyio.sleep(fault.for_s)
+    fleet.books.set_stale(False)
+
+
+async def _target_leaves(fleet: Fleet, sender: FaultySender, fault: Fault) -> None:
+    sidecar = fleet.sidecar(fault.where)
+    start_leaving(sidecar)
+    with anyio.move_on_after(fault.for_s):
+        while sidecar.attempts.live:
+            await anyio.sleep(DRAIN_CHECK_S)
+    fleet.kill(f"sidecar-{fault.where}")
+    await fleet.start_sidecar(_target(fleet, fault.where))
+
+
+async def _rolling_replacement(fleet: Fleet, sender: FaultySender, fault: Fault) -> None:
+    for target in fleet.plan.targets:
+        await _target_leaves(fleet, sender, fault._replace(where=target.name))
+
+
+async def _crashing_request(fleet: Fleet, sender: FaultySender, fault: Fault) -> None:
+    async with anyio.create_task_group() as tasks:
+        for engine in fleet.engines.values():
+            engine.faults.crash_on.add(CRASH_TEXT)
+            tasks.start_soon(_restart_when_down, engine, fault.for_s)
+        times = max(1, int(fault.factor))
+        await sender.send_crashing(times, fault.for_s / times)
+    for engine in fleet.engines.values():
+        engine.faults.crash_on.discard(CRASH_TEXT)
+
+
+async def _restart_when_down(engine, for_s: float) -> None:
+    with anyio.move_on_after(for_s):
+        while True:
+            await anyio.sleep(ENGINE_RESTART_S)
+            engine.restart()
+    engine.restart()
+
+
+def _target(fleet: Fleet, name: str) -> PlannedTarget:
+    return next(target for target in fleet.plan.targets if target.name == name)
+
+
+def _nodes_of(fleet: Fleet, centre: str) -> list[str]:
+    nodes = [f"sidecar-{t.name}" for t in fleet.plan.targets if t.data_centre == centre]
+    return [*nodes, f"entry-{centre}"]
+
+
+_INJECTORS: dict[str, Injector] = {
+    "engine_slow": _engine_slow,
+    "engine_crash": _engine_crash,
+    "sidecar_kill": _sidecar_kill,
+    "entry_kill": _entry_kill,
+    "pause": _pause,
+    "data_centre_lost": _data_centre_lost,
+    "partition": _partition,
+    "platform_down": _platform_down,
+    "platform_stale": _platform_stale,
+    "target_leaves": _target_leaves,
+    "rolling_replacement": _rolling_replacement,
+    "crashing_request": _crashing_request,
+}
+
+
+def check_faults(source: str, plan: LoadPlan, deployment) -> None:
+    """Check that each fault names something of the deployment.
+
+    Raises
+    ------
+    SettingsError
+        Names the fault and what is allowed there.
+    """
+    engines = [target.name for target in deployment.targets if target.generation]
+    targets = [target.name for target in deployment.targets]
+    nodes = [f"entry-{c}" for c in deployment.entries] + [f"sidecar-{name}" for name in targets]
+    allowed = {
+        "engine_slow": engines,
+        "engine_crash": engines,
+        "sidecar_kill": targets,
+        "target_leaves": targets,
+        "entry_kill": list(deployment.entries),
+        "pause": nodes,
+        "data_centre_lost": list(deployment.data_centres),
+        "partition": list(deployment.data_centres),
+    }
+    for index, fault in enumerate(plan.faults):
+        known = allowed.get(fault.kind)
+        if known is not None and fault.where not in known:
+            problem = f"found {fault.where!r}, allowed are {', '.join(known)}"
+            raise SettingsError(source, f"$.faults[{index}].where", problem)
--- /dev/null
+++ b/guavawalk/process/load/run.py
@@ -0,0 +1,121 @@
+"""Running a load plan, one policy after the other, in virtual time."""
+
+from collections.abc import Callable, Iterator
+from typing import NamedTuple
+
+import anyio
+
+from guavawalk.process.bench.policy import bench_plan, count_waste
+from guavawalk.process.fleet import Fleet, run_fleet
+from guavawalk.process.load.driver import MemoryDriver, create_memory_driver
+from guavawalk.process.load.faults import inject_faults
+from guavawalk.process.load.oracle import check_promises
+from guavawalk.process.load.plan_file import LoadPlan
+from guavawalk.process.load.results import (
+    FaultLine,
+    PromiseLine,
+    RequestLine,
+    ResultLine,
+    RunLine,
+    WasteLine,
+)
+from guavawalk.process.virtual_time import run_in_virtual_time
+
+__all__ = ["FinishedRun", "lines_of_run", "run_policy_of_plan"]
+
+SETTLE_S = 0.5
+
+
+class FinishedRun(NamedTuple):
+    """One policy's run, as the lines of its results."""
+
+    run: RunLine
+    faults: tuple[FaultLine, ...]
+    requests: tuple[RequestLine, ...]
+    waste: tuple[WasteLine, ...]
+    promises: tuple[PromiseLine, ...]
+
+
+def run_policy_of_plan(
+    plan: LoadPlan, policy: str, advance: Callable[[float], None] = lambda at_s: None
+) -> FinishedRun:
+    """Run a plan with one policy; the same plan gives the same run.
+
+    Parameters
+    ----------
+    advance : callable
+        Hears how far the load has come, in virtual seconds.
+
+    Raises
+    ------
+    GuavawalkError
+        If trio is not installed.
+    """
+    deployment = bench_plan(plan.deployment)
+    name = f"{plan.title}, {policy}, seed {plan.seed}"
+
+    async def story() -> FinishedRun:
+        delay_s = deployment.crossing_ms / 2000
+        async with run_fleet(deployment, delay_s=delay_s, placement_name=policy) as fleet:
+            await anyio.sleep(SETTLE_S)
+            driver = create_memory_driver(plan, name, fleet, advance)
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(inject_faults, fleet, driver, plan)
+                await driver.send_all()
+            return _finish(plan, name, policy, fleet, driver)
+
+    return run_in_virtual_time(story, plan.seed)
+
+
+def lines_of_run(finished: FinishedRun) -> Iterator[ResultLine]:
+    """Return the lines of a run in the order of a results file."""
+    yield finished.run
+    yield from finished.faults
+    yield from finished.requests
+    yield from finished.waste
+    yield from finished.promises
+
+
+def _finish(
+    plan: LoadPlan, name: str, policy: str, fleet: Fleet, driver: MemoryDriver
+) -> FinishedRun:
+    run = RunLine(
+        kind="run",
+        run=name,
+        plan=plan.title,
+        policy=policy,
+        deployment=plan.deployment,
+        seed=plan.seed,
+        duration_s=plan.duration_s,
+    )
+    return FinishedRun(
+        run=run,
+        faults=tuple(
+            FaultLine(kind="fault", run=name, at_s=f.at_s, fault=f.kind, node=f.where)
+            for f in plan.faults
+        ),
+        requests=tuple(driver.lines),
+        waste=_waste(name, fleet, driver),
+        promises=tuple(
+            PromiseLine(
+                kind="promise",
+                run=name,
+                promise=check.promise,
+                broken=check.broken,
+                detail=check.detail,
+            )
+            for check in check_promises(fleet, driver)
+        ),
+    )
+
+
+def _waste(name: str, fleet: Fleet, driver: MemoryDriver) -> tuple[WasteLine, ...]:
+    # Counted from what the engines did, which a killed sidecar can't take with it.
+    runs = [run for engine in fleet.engines.values() for run in engine.runs]
+    good = {answer.prompt for answer in driver.model_answers if answer.code == 0}
+    repeated, discarded = count_waste(runs, good)
+    causes = {"repeated": repeated, "discarded": discarded}
+    return tuple(
+        WasteLine(kind="waste", run=name, cause=cause, prompt_tokens=tokens)
+        for cause, tokens in causes.items()
+    )
--- a/guavawalk/process/settings.py
+++ b/guavawalk/process/settings.py
@@ -3,12 +3,10 @@
 import re
 import ssl
 from pathlib import Path
-from typing import NamedTuple, TypeVar, get_args, get_origin, get_type_hints
-
-import json5
-import msgspec
+from typing import NamedTuple, TypeVar
 
 from guavawalk.exception import SettingsError
+from guavawalk.process.json_file import build_checked, read_json_object
 from guavawalk.process.observe.log import LOG_LEVELS
 from guavawalk.process.sidecar.queue import DEFAULT_CAPACITY_TOKENS
 from guavawalk.process.sidecar.window import DEFAULT_WINDOW, WINDOWS
@@ -184,67 +182,19 @@
         Names the file, the field's path, what was found and what is allowed.
     """
     source = str(path)
-    document = _read_document(path)
-    settings = _build(source, "$", document, kind)
+    settings = build_checked(source, "$", read_json_object(path), kind)
     _check_values(source, settings)
     return settings
 
 
 def read_role(path: Path) -> str:
     """Return the role that a settings file names, `entry` or `sidecar`."""
-    role = _read_document(path).get("role")
+    role = read_json_object(path).get("role")
     if role not in SETTINGS_ROLES:
         raise SettingsError(str(path), "$.role", f"found {role!r}, allowed is entry or sidecar")
     return role
 
 
-def _read_document(path: Path) -> dict:
-    source = str(path)
-    try:
-        document = json5.loads(path.read_text(encoding="utf-8"))
-    except (OSError, UnicodeDecodeError) as error:
-        raise SettingsError(source, "$", str(error)) from error
-    except (ValueError, RecursionError) as error:
-        raise SettingsError(source, "$", f"not JSON with comments: {error}") from error
-    if not isinstance(document, dict):
-        raise SettingsError(source, "$", f"found {type(document).__name__}, allowed is an object")
-    return document
-
-
-def _build(source: str, path: str, document: object, kind: type[S]) -> S:
-    if not isinstance(document, dict):
-        raise SettingsError(source, path, f"found {type(document).__name__}, allowed is an object")
-    parts = get_type_hints(kind)
-    fields = {}
-    for name, value in document.items():
-        if name not in parts:
-            problem = f"unknown field; allowed are {', '.join(parts)}"
-            raise SettingsError(source, f"{path}.{name}", problem)
-        fields[name] = _convert(source, f"{path}.{name}", value, parts[name])
-    for name in kind._fields:
-        if name not in fields and name not in kind._field_defaults:
-            raise SettingsError(source, f"{path}.{name}", "the field is missing")
-    return kind(**fields)
-
-
-def _convert(source: str, path: str, value: object, part: type) -> object:
-    if hasattr(part, "_fields"):
-        return _build(source, path, value, part)
-    item = get_args(part)[0] if get_origin(part) is tuple else None
-    if hasattr(item, "_fields") and isinstance(value, list):
-        return tuple(_build(source, f"{path}[{i}]", v, item) for i, v in enumerate(value))
-    try:
-        return msgspec.convert(value, part)
-    except msgspec.ValidationError as error:
-        shown = type(value).__name__ if _is_secret(path) else f"{value!r:.80}"
-        raise SettingsError(source, path, f"found {shown}; {error}") from error
-
-
-def _is_secret(path: str) -> bool:
-    name = path.rpartition(".")[2]
-    return "secret" in name or "digest" in name
-
-
 def _check_values(source: str, settings) -> None:
     for name, value in settings._asdict().items():
         path = f"$.{name}"
