--- a/guavawalk/process/commands/config.py
+++ b/guavawalk/process/commands/config.py
@@ -12,6 +12,7 @@
 from guavawalk.request.policies import DEFAULT_PLACEMENT, PLACEMENTS, create_placement
 from guavawalk.request.types import Work
 from guavawalk.version.authoring import (
+    advise,
     describe_changes,
     load_configuration,
     load_draft,
@@ -23,6 +24,7 @@
 __all__ = ["config_app", "request_of"]
 
 EXPLAIN_SEED = 0
+MAX_ADVICE = 20
 
 config_app = App(name="config", help="Render, check and compare configurations.")
 
@@ -50,6 +52,11 @@
         f"{len(found.workspaces)} workspaces",
     )
     print(f"{file}: fine; {', '.join(counts)}")
+    lines = list(advise(found))
+    for line in lines[:MAX_ADVICE]:
+        print(f"note: {line}")
+    if len(lines) > MAX_ADVICE:
+        print(f"note: and {len(lines) - MAX_ADVICE} more")
     return 0
 
 
--- a/guavawalk/version/authoring/__init__.py
+++ b/guavawalk/version/authoring/__init__.py
@@ -15,10 +15,11 @@
 1
 """
 
-from guavawalk.version.authoring import diff, draft, files, render
+from guavawalk.version.authoring import advice, diff, draft, files, render
+from guavawalk.version.authoring.advice import *
 from guavawalk.version.authoring.diff import *
 from guavawalk.version.authoring.draft import *
 from guavawalk.version.authoring.files import *
 from guavawalk.version.authoring.render import *
 
-__all__ = [*diff.__all__, *draft.__all__, *files.__all__, *render.__all__]
+__all__ = [*advice.__all__, *diff.__all__, *draft.__all__, *files.__all__, *render.__all__]
--- a/tests/process/commands/test_config.py
+++ b/tests/process/commands/test_config.py
@@ -41,7 +41,17 @@
 
 class TestCommands:
     def test_check(self, capsys):
-        assert "3 tiers, 14 targets, 5 workspaces" in run(capsys, "config", "check", ASANTE)
+        out = run(capsys, "config", "check", ASANTE)
+        assert "3 tiers, 14 targets, 5 workspaces" in out
+        assert "note:" not in out
+
+    def test_advice_is_bounded(self, capsys, tmp_path):
+        file = tmp_path / "fleet.py"
+        names = "from guavawalk.version.authoring import create_draft\ndraft = create_draft()\n"
+        file.write_text(names + "for i in range(30):\n    draft.add_model(f'm{i}')\n")
+        out = run(capsys, "config", "check", str(file))
+        assert out.count("note: models.") == 20
+        assert "note: and 10 more" in out
 
     def test_diff(self, capsys):
         assert run(capsys, "config", "diff", KESTREL, KESTREL) == "nothing changes\n"
--- /dev/null
+++ b/tests/version/authoring/test_advice.py
@@ -0,0 +1,53 @@
+"""Advice on configurations that are valid."""
+
+import pytest
+
+from guavawalk.version.authoring import advise, check_draft
+from tests.version.authoring.test_draft import add_workspace, small_draft
+
+
+def advice_after(edit) -> list[str]:
+    draft = small_draft()
+    edit(draft)
+    return list(advise(check_draft(draft)))
+
+
+def add_far_workspace(draft) -> None:
+    sooke = draft.add_data_centre("sooke", region="coast")
+    draft.add_crossing(sooke, draft.data_centres["victoria"], delay_ms=3)
+    quill = draft.models["quill"]
+    add_workspace(draft, models=[quill], data_centres=[sooke], keys=["far"])
+
+
+class TestAdvice:
+    @pytest.mark.parametrize(
+        ("edit", "lines"),
+        [
+            (lambda draft: None, []),
+            (
+                lambda draft: draft.add_model("brush"),
+                ["models.brush: no target that stays holds it"],
+            ),
+            (
+                lambda draft: draft.retire_target("booking-0"),
+                ["services.booking: no target that stays serves it"],
+            ),
+            (
+                lambda draft: draft.add_data_centre("sooke", region="coast"),
+                ["crossings.sooke-victoria: not given, so the way costs nothing"],
+            ),
+            (
+                add_workspace,
+                [
+                    "workspaces.council: it has no key, so nobody can call",
+                    "workspaces.council: it may use no model and no service",
+                ],
+            ),
+            (
+                add_far_workspace,
+                ["workspaces.council: none of its data centres holds model quill"],
+            ),
+        ],
+    )
+    def test_lines(self, edit, lines):
+        assert advice_after(edit) == lines
