--- a/guavawalk/connection/tasks/carry.py
+++ b/guavawalk/connection/tasks/carry.py
@@ -21,6 +21,7 @@
 
 __all__ = ["carry_request"]
 
+LEAVING_ATTEMPTS = 8
 ASK_TRIES = 3
 ASK_PAUSE_S = 0.2
 UNREACHABLE_RETRY_MS = 1_000
@@ -142,7 +143,7 @@
         if choice is None:
             return last
         target = choice.target
-        if progress.attempts and not entry.retries.take(work.workspace.name, progress.attempts):
+        if progress.attempts and not _may_retry(entry, work, last, progress.attempts):
             return last._replace(code=ResultCode.RETRY_BUDGET, detail=f"last: {last.code.name}")
         tried.add(target.name)
         await anyio.sleep(entry.retries.backoff_s(progress.attempts))
@@ -160,6 +161,13 @@
             return last
 
 
+def _may_retry(entry: Entry, work: Work, last: Outcome, attempts: int) -> bool:
+    # A leaving target hands back what it had taken; that is no sign of overload.
+    if last.code is ResultCode.TARGET_LEAVING:
+        return attempts < LEAVING_ATTEMPTS
+    return entry.retries.take(work.workspace.name, attempts)
+
+
 def _unreachable(target: Target, detail: str, attempts: int) -> Outcome:
     code = ResultCode.TARGET_UNREACHABLE
     return Outcome(code, detail, target=target.name, attempts=attempts)
--- a/guavawalk/connection/tasks/entry_link.py
+++ b/guavawalk/connection/tasks/entry_link.py
@@ -142,6 +142,8 @@
     state = AttemptState.DONE
     if attempt is not None:
         state, code = withdraw_attempt(sidecar, attempt, withdraw.cancel)
+        if not attempt.joined:
+            sidecar.attempts.departure.note_abandoned(attempt.offer.attempt_id)
     await link.send(Withdrawn(withdraw.attempt_id, state, code))
 
 
@@ -189,6 +191,7 @@
         else:
             await _wait_or_beat(sidecar, link, attempt, offset)
     await link.send(_finished(sidecar, attempt))
+    sidecar.attempts.departure.note_told(attempt_id)
 
 
 async def _wait_or_beat(
--- /dev/null
+++ b/guavawalk/connection/tasks/leave_notices.py
@@ -0,0 +1,40 @@
+"""Leaving because the configuration or the platform's list says so."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from guavawalk import events
+from guavawalk.process.sidecar.admission import start_leaving, stop_leaving
+from guavawalk.process.sidecar.leaving import LeaveReason
+
+if TYPE_CHECKING:
+    from guavawalk.process.sidecar.state import Sidecar
+
+__all__ = ["follow_notices"]
+
+
+async def follow_notices(sidecar: Sidecar) -> None:
+    """Leave while a notice says so, for as long as the process lives."""
+    roster = sidecar.members.roster
+    while True:
+        _apply(sidecar, LeaveReason.CONFIGURATION, _is_configured(sidecar))
+        _apply(sidecar, LeaveReason.INSTANCE_LIST, roster.is_leaving(roster.own.address))
+        await roster.wait_changed()
+
+
+def _is_configured(sidecar: Sidecar) -> bool:
+    configuration = sidecar.held.configuration
+    target = configuration.targets.get(sidecar.target_name) if configuration else None
+    return target is not None and target.leaving
+
+
+def _apply(sidecar: Sidecar, reason: LeaveReason, holds: bool) -> None:
+    if holds == (reason in sidecar.attempts.departure.reasons):
+        return
+    if holds:
+        sidecar.log.emit(events.LEAVING_BEGUN, reason=reason.value)
+        start_leaving(sidecar, reason)
+    else:
+        sidecar.log.emit(events.LEAVING_ENDED, reason=reason.value)
+        stop_leaving(sidecar, reason)
--- a/guavawalk/events.py
+++ b/guavawalk/events.py
@@ -83,3 +83,5 @@
 PROCESS_WAS_PAUSED = _event(
     5003, "process_was_paused", logging.WARNING, "this process was paused and looks again"
 )
+LEAVING_BEGUN = _event(5010, "leaving_begun", logging.INFO, "the target takes no new work")
+LEAVING_ENDED = _event(5011, "leaving_ended", logging.INFO, "a reason to leave has gone")
--- a/guavawalk/process/entry/state.py
+++ b/guavawalk/process/entry/state.py
@@ -2,6 +2,8 @@
 
 from typing import NamedTuple
 
+import anyio
+
 from guavawalk.connection.handshake import Identity
 from guavawalk.connection.link import Network
 from guavawalk.process.clock import Clock
@@ -33,8 +35,26 @@
     """Requests under way, and whether new ones are taken."""
 
     def __init__(self) -> None:
-        self.running = 0
         self.draining = False
+        self._running = 0
+        self._idle = anyio.Event()
+
+    @property
+    def running(self) -> int:
+        """Requests under way."""
+        return self._running
+
+    @running.setter
+    def running(self, count: int) -> None:
+        self._running = count
+        if count == 0:
+            self._idle.set()
+            self._idle = anyio.Event()
+
+    async def wait_idle(self) -> None:
+        """Wait until no request is under way."""
+        while self._running:
+            await self._idle.wait()
 
 
 class Entry(NamedTuple):
--- a/guavawalk/process/entry_daemon.py
+++ b/guavawalk/process/entry_daemon.py
@@ -35,7 +35,7 @@
 from guavawalk.process.observe.observations import create_observations
 from guavawalk.process.pauses import Nap
 from guavawalk.process.settings import EntrySettings, client_tls_context, server_tls_context
-from guavawalk.process.shutdown import watch_signals
+from guavawalk.process.shutdown import create_ending, watch_signals
 from guavawalk.process.sidecar_daemon import create_incarnation, create_metrics
 from guavawalk.process.spread.members import create_members
 from guavawalk.process.spread.ranking import Node
@@ -46,7 +46,6 @@
 
 __all__ = ["create_entry", "drain_entry", "run_entry", "serve_entry", "serve_entry_peers"]
 
-DRAIN_CHECK_S = 0.05
 IDLE_SWEEP_S = 5.0
 SEED_BITS = 64
 # The front answers a head over the limit with its number; the listener only bounds memory.
@@ -115,26 +114,46 @@
     address: str,
     peer_address: str = "",
     start_jitter_s: float = 0.0,
+    stop: anyio.Event | None = None,
     *,
     task_status: TaskStatus[str] = anyio.TASK_STATUS_IGNORED,
 ) -> None:
-    """Serve callers and keep the configuration in force until cancelled."""
+    """Serve callers and keep the configuration in force until cancelled, or until `stop` is set.
+
+    Notes
+    -----
+    After `stop` it returns once the answers under way have been sent.
+    """
+    stop = stop or anyio.Event()
     async with anyio.create_task_group() as tasks:
         await tasks.start(serve_entry_peers, entry, platform, peer_address, start_jitter_s)
         tasks.start_soon(_sweep_idle_links, entry)
-        bound = await tasks.start(
-            serve_asgi,
-            create_front(entry),
-            address,
-            entry.limits.header_bytes * HEAD_SLACK,
-            entry.limits.head_timeout_s,
-            partial(_note_rejected, entry),
-        )
+        bound = await tasks.start(_serve_front, entry, address, stop, tasks.cancel_scope)
         await entry.held.wait_newer(0)
         entry.log.emit(events.PROCESS_READY, address=bound)
         task_status.started(bound)
 
 
+async def _serve_front(
+    entry: Entry,
+    address: str,
+    stop: anyio.Event,
+    scope: anyio.CancelScope,
+    *,
+    task_status: TaskStatus[str],
+) -> None:
+    await serve_asgi(
+        create_front(entry),
+        address,
+        entry.limits.header_bytes * HEAD_SLACK,
+        entry.limits.head_timeout_s,
+        partial(_note_rejected, entry),
+        stop,
+        task_status=task_status,
+    )
+    scope.cancel()
+
+
 def _note_rejected(entry: Entry, code: ResultCode) -> None:
     note_invalid(entry, RequestError(code, "no readable request"), "", "")
 
@@ -179,12 +198,18 @@
     return GaugeValues(entry.gauge.running, entry.held.stamp.version)
 
 
-async def drain_entry(entry: Entry) -> None:
-    """Take no more requests and wait until those under way have ended."""
+async def drain_entry(entry: Entry, notice_s: float = 0.0) -> None:
+    """Take no more requests and wait until those under way have ended.
+
+    Parameters
+    ----------
+    notice_s : float
+        How long to go on answering at least, so that the balancer sees that this isn't ready.
+    """
     entry.gauge.draining = True
     entry.log.emit(events.SHUTDOWN_BEGUN, running=entry.gauge.running)
-    while entry.gauge.running:
-        await anyio.sleep(DRAIN_CHECK_S)
+    await anyio.sleep(notice_s)
+    await entry.gauge.wait_idle()
     await entry.links.close_idle(0.0)
     entry.log.emit(events.SHUTDOWN_DONE)
 
@@ -201,25 +226,28 @@
     entry = create_entry(settings, network, held, create_clock(), log)
     log.emit(events.PROCESS_STARTED, incarnation=entry.identity.incarnation)
     platform = create_http_platform(settings.platform_url)
-    drained = anyio.Event()
+    stop = anyio.Event()
+    ending = create_ending()
     async with anyio.create_task_group() as tasks:
 
         async def drain() -> None:
-            await drain_entry(entry)
-            drained.set()
+            await drain_entry(entry, settings.drain_notice_ms / 1000)
+            stop.set()
 
         def force() -> None:
-            log.emit(events.SHUTDOWN_FORCED, cut_off=entry.gauge.running)
-            drained.set()
+            ending.force(log, entry.gauge.running)
+
+        async def serve() -> None:
+            jitter_s = settings.start_jitter_ms / 1000
+            listen = settings.listen
+            await serve_entry(entry, platform, listen, settings.peer_listen, jitter_s, stop)
+            ending.finish()
 
         await tasks.start(watch_signals, partial(tasks.start_soon, drain), force)
         admin = create_entry_node(entry)
         tasks.start_soon(serve_admin, admin, settings.admin_keys, settings.admin_listen)
         tasks.start_soon(report_gauges, entry.metrics, partial(_read_gauges, entry))
-        jitter_s = settings.start_jitter_ms / 1000
-        tasks.start_soon(
-            serve_entry, entry, platform, settings.listen, settings.peer_listen, jitter_s
-        )
-        await drained.wait()
+        tasks.start_soon(serve)
+        await ending.wait()
         tasks.cancel_scope.cancel()
-    return 1 if entry.gauge.running else 0
+    return ending.exit_code
--- a/guavawalk/process/http_server.py
+++ b/guavawalk/process/http_server.py
@@ -15,6 +15,8 @@
 __all__ = ["serve_asgi"]
 
 HEADER_LIMIT_BYTES = 64 * 1024
+# A caller that reads slowly has this long for what is left of its answer at a shutdown.
+SEND_OUT_S = 30
 
 # The applications log their own numbered events; uvicorn's unnumbered lines are dropped.
 _SERVER_LOG = logging.getLogger("uvicorn.error")
@@ -39,10 +41,11 @@
     header_limit_bytes: int = HEADER_LIMIT_BYTES,
     head_timeout_s: float = HEAD_TIMEOUT_S,
     on_rejected: Callable[[ResultCode], None] = _ignore,
+    stop: anyio.Event | None = None,
     *,
     task_status: TaskStatus[str] = anyio.TASK_STATUS_IGNORED,
 ) -> None:
-    """Serve until cancelled; report the bound address as started.
+    """Serve until cancelled or stopped; report the bound address as started.
 
     Parameters
     ----------
@@ -55,6 +58,8 @@
         How long a connection may take to send a whole request head.
     on_rejected : callable
         Called with the code of each connection that brought no readable request.
+    stop : anyio.Event, optional
+        When it is set, the listener closes and answers under way are sent to their end.
     """
     host, port = split_address(address)
     config = uvicorn.Config(
@@ -67,10 +72,20 @@
         log_config=None,
         access_log=False,
         h11_max_incomplete_event_size=header_limit_bytes,
+        timeout_graceful_shutdown=SEND_OUT_S,
     )
     sock = config.bind_socket()
     task_status.started(format_address(host, sock.getsockname()[1]))
+    server = _QuietServer(config)
     try:
-        await _QuietServer(config).serve([sock])
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(_stop_when_told, server, stop or anyio.Event())
+            await server.serve([sock])
+            tasks.cancel_scope.cancel()
     finally:
         sock.close()
+
+
+async def _stop_when_told(server: uvicorn.Server, stop: anyio.Event) -> None:
+    await stop.wait()
+    server.should_exit = True
--- a/guavawalk/process/settings.py
+++ b/guavawalk/process/settings.py
@@ -89,6 +89,8 @@
         Whether to run without a secret and without TLS.
     placement : str
         Name of the policy that chooses targets, one of `PLACEMENTS`.
+    drain_notice_ms : int
+        How long to go on answering, not ready, after a signal to end.
     entry_instances : int
         How many entries share the workspaces' limits while the platform lists none.
     admin_listen : str
@@ -111,6 +113,7 @@
     body_timeout_ms: int = 30_000
     placement: str = DEFAULT_PLACEMENT
     entry_instances: int = 1
+    drain_notice_ms: int = 1_000
     admin_listen: str = ""
     admin_keys: tuple[AdminKeySettings, ...] = ()
     log_level: str = "INFO"
--- a/guavawalk/process/shutdown.py
+++ b/guavawalk/process/shutdown.py
@@ -6,7 +6,48 @@
 import anyio
 from anyio.abc import TaskStatus
 
-__all__ = ["watch_signals"]
+from guavawalk import events
+from guavawalk.process.observe.log import EventLog
+
+__all__ = ["Ending", "create_ending", "watch_signals"]
+
+
+class Ending:
+    """How a daemon comes to its end.
+
+    Attributes
+    ----------
+    cut_off : int
+        Pieces of work that a forced end cut off.
+    """
+
+    def __init__(self) -> None:
+        self.cut_off = 0
+        self._over = anyio.Event()
+
+    @property
+    def exit_code(self) -> int:
+        """0 unless work was cut off."""
+        return 1 if self.cut_off else 0
+
+    def finish(self) -> None:
+        """End, since all work is done."""
+        self._over.set()
+
+    def force(self, log: EventLog, cut_off: int) -> None:
+        """End now, and say how much is cut off."""
+        self.cut_off = cut_off
+        log.emit(events.SHUTDOWN_FORCED, cut_off=cut_off)
+        self._over.set()
+
+    async def wait(self) -> None:
+        """Wait for the end."""
+        await self._over.wait()
+
+
+def create_ending() -> Ending:
+    """Create the end of a process that has just begun."""
+    return Ending()
 
 
 async def watch_signals(
--- a/guavawalk/process/sidecar/admission.py
+++ b/guavawalk/process/sidecar/admission.py
@@ -5,13 +5,14 @@
 from guavawalk.codes import ResultCode
 from guavawalk.exception import RequestError
 from guavawalk.process.sidecar.accounting import believed_cached_tokens
+from guavawalk.process.sidecar.leaving import LeaveReason
 from guavawalk.process.sidecar.refusal import can_meet_deadline
 from guavawalk.process.sidecar.state import Sidecar, end_attempt
 from guavawalk.request.attempt import Attempt, AttemptState, create_attempt
 from guavawalk.request.cost import offer_cost_tokens
 from guavawalk.request.types import Offer
 
-__all__ = ["admit_offer", "dispatch_ready", "start_leaving", "withdraw_attempt"]
+__all__ = ["admit_offer", "dispatch_ready", "start_leaving", "stop_leaving", "withdraw_attempt"]
 
 
 def admit_offer(sidecar: Sidecar, offer: Offer) -> tuple[Attempt, bool]:
@@ -51,7 +52,7 @@
     attempt.is_long = sidecar.lengths.note_offer(offer_cost_tokens(offer)) and offer.tier_rank > 0
     if offer.idempotency_key:
         sidecar.records.add(attempt, now_s)
-    table.live[offer.attempt_id] = attempt
+    table.add(attempt)
     attempt.queue()
     _push(sidecar, attempt, now_s)
     return attempt, True
@@ -77,7 +78,7 @@
 
 def _refuse_newcomer(sidecar: Sidecar, attempt: Attempt, code: ResultCode) -> NoReturn:
     offer = attempt.offer
-    del sidecar.attempts.live[offer.attempt_id]
+    sidecar.attempts.refuse(attempt)
     if offer.idempotency_key:
         sidecar.records.forget(attempt)
     raise RequestError(code, retry_after_ms=_retry_after_ms(sidecar, attempt))
@@ -147,8 +148,13 @@
     return attempt.state, attempt.code
 
 
-def start_leaving(sidecar: Sidecar) -> None:
+def start_leaving(sidecar: Sidecar, reason: LeaveReason = LeaveReason.OPERATOR) -> None:
     """Refuse new work and hand back what waits; what runs goes on."""
-    sidecar.attempts.leaving = True
+    sidecar.attempts.departure.reasons.add(reason)
     for attempt in sidecar.queue.drain():
         end_attempt(sidecar, attempt, ResultCode.TARGET_LEAVING)
+
+
+def stop_leaving(sidecar: Sidecar, reason: LeaveReason) -> None:
+    """Drop a reason to leave; without any, new work is taken again."""
+    sidecar.attempts.departure.reasons.discard(reason)
--- a/guavawalk/process/sidecar/state.py
+++ b/guavawalk/process/sidecar/state.py
@@ -14,6 +14,7 @@
 from guavawalk.process.observe.observations import Observations
 from guavawalk.process.sidecar.accounting import account_end
 from guavawalk.process.sidecar.drain import DrainRates
+from guavawalk.process.sidecar.leaving import create_departure
 from guavawalk.process.sidecar.lengths import LengthBook
 from guavawalk.process.sidecar.link_ledger import LinkLedger
 from guavawalk.process.sidecar.prefix_index import PrefixIndex
@@ -54,7 +55,23 @@
         self.ended: OrderedDict[str, Attempt] = OrderedDict()
         self.kept_bytes = 0
         self.running = 0
-        self.leaving = False
+        self.departure = create_departure()
+
+    @property
+    def leaving(self) -> bool:
+        """Whether new work is refused."""
+        return self.departure.leaving
+
+    def add(self, attempt: Attempt) -> None:
+        """Add a new attempt to the live ones."""
+        self.live[attempt.offer.attempt_id] = attempt
+        self.departure.note_live(attempt.offer.attempt_id)
+
+    def refuse(self, attempt: Attempt) -> None:
+        """Take back an attempt that was never queued; its refusal is the answer."""
+        del self.live[attempt.offer.attempt_id]
+        self.departure.note_ended(attempt.offer.attempt_id)
+        self.departure.note_told(attempt.offer.attempt_id)
 
     def find(self, attempt_id: str) -> Attempt | None:
         """Return an attempt that lives or is still kept."""
@@ -65,6 +82,7 @@
         attempt_id = attempt.offer.attempt_id
         if self.live.pop(attempt_id, None) is None:
             return []
+        self.departure.note_ended(attempt_id)
         attempt.slim()
         self.ended[attempt_id] = attempt
         self.kept_bytes += attempt.answer.length
@@ -79,6 +97,7 @@
             del self.ended[oldest.offer.attempt_id]
             self.kept_bytes -= oldest.answer.length
             oldest.answer.drop()
+            self.departure.note_told(oldest.offer.attempt_id)
             dropped.append(oldest)
         return dropped
 
--- a/guavawalk/process/sidecar_daemon.py
+++ b/guavawalk/process/sidecar_daemon.py
@@ -16,6 +16,7 @@
 from guavawalk.connection.tasks.admin import serve_admin
 from guavawalk.connection.tasks.entry_link import serve_entry_link
 from guavawalk.connection.tasks.follow_cache import follow_cache
+from guavawalk.connection.tasks.leave_notices import follow_notices
 from guavawalk.connection.tasks.spread import run_spread
 from guavawalk.connection.tcp import create_tcp_network
 from guavawalk.process.admin.sidecar_node import create_sidecar_node
@@ -35,10 +36,11 @@
     client_tls_context,
     server_tls_context,
 )
-from guavawalk.process.shutdown import watch_signals
+from guavawalk.process.shutdown import Ending, create_ending, watch_signals
 from guavawalk.process.sidecar.adaptive_window import create_adaptive_window
 from guavawalk.process.sidecar.admission import start_leaving
 from guavawalk.process.sidecar.drain import create_drain_rates
+from guavawalk.process.sidecar.leaving import LeaveReason
 from guavawalk.process.sidecar.lengths import create_length_book
 from guavawalk.process.sidecar.link_ledger import create_link_ledger
 from guavawalk.process.sidecar.prefix_index import create_prefix_index
@@ -63,7 +65,10 @@
     "serve_sidecar",
 ]
 
-DRAIN_CHECK_S = 0.05
+# An entry whose link broke asks for the end of an answer for some time.
+TELL_LIMIT_S = 12.0
+# What was sent last may still be on its way, or be lost with its link and asked for again.
+LINGER_S = 1.0
 INCARNATION_BITS = 63
 
 
@@ -164,6 +169,7 @@
         tasks.start_soon(watch_stalled, sidecar)
         if sidecar.engine is not None:
             tasks.start_soon(follow_cache, sidecar, sidecar.engine)
+        tasks.start_soon(follow_notices, sidecar)
         sidecar.log.emit(events.PROCESS_READY, address=bound)
         task_status.started(bound)
 
@@ -178,12 +184,16 @@
 
 
 async def drain_sidecar(sidecar: Sidecar) -> None:
-    """Take no more work and wait until what runs has ended."""
+    """Take no more work; wait until what runs has ended and entries have been told of it."""
     sidecar.log.emit(events.SHUTDOWN_BEGUN, running=sidecar.attempts.running)
-    start_leaving(sidecar)
-    while sidecar.attempts.live:
-        await anyio.sleep(DRAIN_CHECK_S)
-    sidecar.log.emit(events.SHUTDOWN_DONE)
+    start_leaving(sidecar, LeaveReason.SHUTDOWN)
+    departure = sidecar.attempts.departure
+    await departure.wait_ended()
+    with anyio.move_on_after(TELL_LIMIT_S):
+        await departure.wait_told()
+        await anyio.sleep(LINGER_S)
+        await departure.wait_told()
+    sidecar.log.emit(events.SHUTDOWN_DONE, untold=departure.untold)
 
 
 async def run_sidecar(settings: SidecarSettings) -> int:
@@ -201,28 +211,24 @@
             settings, create_target(settings.target_url), held, create_clock(), log, tasks
         )
         log.emit(events.PROCESS_STARTED, incarnation=sidecar.identity.incarnation)
-        drained = anyio.Event()
-        forced = partial(_force, sidecar, drained)
-        await tasks.start(watch_signals, partial(_begin_drain, sidecar, drained), forced)
+        ending = create_ending()
+        first = partial(tasks.start_soon, _drain_and_end, sidecar, ending)
+        await tasks.start(watch_signals, first, partial(_force, sidecar, ending))
         platform = create_http_platform(settings.platform_url)
         admin = create_sidecar_node(sidecar)
         tasks.start_soon(serve_admin, admin, settings.admin_keys, settings.admin_listen)
         tasks.start_soon(report_gauges, sidecar.metrics, partial(_read_gauges, sidecar))
         jitter_s = settings.start_jitter_ms / 1000
         await tasks.start(serve_sidecar, sidecar, network, platform, settings.listen, jitter_s)
-        await drained.wait()
+        await ending.wait()
         tasks.cancel_scope.cancel()
-    return 1 if sidecar.attempts.live else 0
+    return ending.exit_code
 
 
-def _begin_drain(sidecar: Sidecar, drained: anyio.Event) -> None:
-    async def drain() -> None:
-        await drain_sidecar(sidecar)
-        drained.set()
+async def _drain_and_end(sidecar: Sidecar, ending: Ending) -> None:
+    await drain_sidecar(sidecar)
+    ending.finish()
 
-    sidecar.tasks.start_soon(drain)
 
-
-def _force(sidecar: Sidecar, drained: anyio.Event) -> None:
-    sidecar.log.emit(events.SHUTDOWN_FORCED, cut_off=len(sidecar.attempts.live))
-    drained.set()
+def _force(sidecar: Sidecar, ending: Ending) -> None:
+    ending.force(sidecar.log, len(sidecar.attempts.live) + sidecar.attempts.departure.untold)
