Bring engines to their desired state, one fenced order at a time

Cause: desired models, adapters and roles were published and nobody acted on them; offers for a model that was not loaded went to the engine. Change: a task of each sidecar reads the engine's state, gives one step with a number above the last one seen, and reads again; it is quiet when another issuer shows, and after a pause until it has looked again. Loads of the same weights take turns on the wall clock. A sidecar refuses offers for models that its engine doesn't hold. The clock also tells the wall time.

--- a/guavawalk/connection/http_target.py
+++ b/guavawalk/connection/http_target.py
@@ -8,6 +8,7 @@
 from contextlib import asynccontextmanager
 
 import httpcore
+import msgspec
 
 from guavawalk.connection.http_stream import create_untimed_backend
 from guavawalk.connection.target import (
@@ -146,13 +147,10 @@
     async def state(self) -> EngineState:
         """Read what the engine holds."""
         found = await self._control("GET", "/v1/state")
-        return EngineState(
-            tuple(found["models"]),
-            tuple(found["adapters"]),
-            found["role"],
-            tuple(found["fence"]),
-            found["pending"],
-        )
+        try:
+            return msgspec.convert(found, EngineState)
+        except msgspec.ValidationError as error:
+            raise TargetError(f"state: {error}") from error
 
     async def order(self, order: EngineOrder) -> None:
         """Give an order, with its fencing number in a header."""
--- /dev/null
+++ b/guavawalk/connection/tasks/give_orders.py
@@ -0,0 +1,95 @@
+"""The task that brings a sidecar's engine to what the configuration wants it to hold."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import anyio
+
+from guavawalk import events
+from guavawalk.connection.target import EngineClient, EngineOrder
+from guavawalk.exception import TargetError
+from guavawalk.process.orders.decide import Step, load_wait_s, next_step, sharers_of
+
+if TYPE_CHECKING:
+    from guavawalk.process.sidecar.state import Sidecar
+    from guavawalk.version.types import Target
+
+__all__ = ["give_orders"]
+
+RECHECK_S = 10.0
+PENDING_CHECK_S = 2.0
+SETTLE_S = 2.0
+OVERTAKEN_QUIET_S = 60.0
+
+
+async def give_orders(
+    sidecar: Sidecar,
+    engine: EngineClient,
+    slot_s: float,
+) -> None:
+    """Give one order at a time, for as long as the process lives.
+
+    Parameters
+    ----------
+    slot_s : float
+        Time between two loads of the same weights in the fleet.
+
+    Notes
+    -----
+    Whatever became of an order, the next step is chosen from what the engine then holds.
+    """
+    await sidecar.held.wait_newer(0)
+    while True:
+        await sidecar.members.pauses.wait_fresh()
+        try:
+            pause_s = await _step(sidecar, engine, slot_s)
+        except TargetError as error:
+            sidecar.log.emit(events.ENGINE_UNREADABLE, reason=str(error))
+            pause_s = SETTLE_S
+        version = sidecar.held.stamp.version
+        with anyio.move_on_after(pause_s):
+            await sidecar.held.wait_newer(version)
+
+
+async def _step(sidecar: Sidecar, engine: EngineClient, slot_s: float) -> float:
+    """Do what is next, if anything, and return how long to wait before the next look."""
+    state = await engine.state()
+    if sidecar.orders.note_state(state):
+        sidecar.log.emit(events.ORDERS_OVERTAKEN, fence=list(state.fence))
+        return OVERTAKEN_QUIET_S
+    target = _target(sidecar)
+    if state.pending:
+        return PENDING_CHECK_S
+    step = next_step(target.desired, state, sidecar.orders.refused) if target else None
+    if step is None:
+        return RECHECK_S
+    if step.uses_weight_store:
+        sharers = sharers_of(step.name, sidecar.held.configuration)
+        wait_s = load_wait_s(target.name, sharers, sidecar.clock.wall_s(), slot_s)
+        if wait_s:
+            return wait_s
+    # A pause since the state was read makes it old.
+    if sidecar.members.pauses.is_fresh():
+        await _order(sidecar, engine, step)
+    return 0.0
+
+
+def _target(sidecar: Sidecar) -> Target | None:
+    return sidecar.held.configuration.targets.get(sidecar.target_name)
+
+
+async def _order(sidecar: Sidecar, engine: EngineClient, step: Step) -> None:
+    desk = sidecar.orders
+    fence = desk.next_fence(sidecar.held.stamp.version)
+    if fence is None:
+        await anyio.sleep(SETTLE_S)
+        return
+    sidecar.log.emit(events.ORDER_GIVEN, kind=step.kind, name=step.name, fence=list(fence))
+    try:
+        await engine.order(EngineOrder(step.kind, step.name, fence))
+        desk.refused = frozenset()
+    except TargetError as error:
+        desk.refused |= {step}
+        sidecar.log.emit(events.ORDER_FAILED, kind=step.kind, name=step.name, reason=str(error))
+        await anyio.sleep(SETTLE_S)
--- a/guavawalk/events.py
+++ b/guavawalk/events.py
@@ -85,3 +85,12 @@
 )
 LEAVING_BEGUN = _event(5010, "leaving_begun", logging.INFO, "the target takes no new work")
 LEAVING_ENDED = _event(5011, "leaving_ended", logging.INFO, "a reason to leave has gone")
+
+ORDER_GIVEN = _event(6001, "order_given", logging.INFO, "an order goes to the engine")
+ORDER_FAILED = _event(6002, "order_failed", logging.WARNING, "an order was refused or got lost")
+ORDERS_OVERTAKEN = _event(
+    6003, "orders_overtaken", logging.WARNING, "another process gave the engine orders"
+)
+ENGINE_UNREADABLE = _event(
+    6004, "engine_unreadable", logging.WARNING, "the engine's state could not be read"
+)
--- a/guavawalk/process/fleet.py
+++ b/guavawalk/process/fleet.py
@@ -200,7 +200,7 @@
             async with anyio.create_task_group() as tasks:
                 client = self._target_client(target, node)
                 sidecar = create_sidecar(
-                    settings, client, held, create_clock(), create_null_log(), tasks
+                    settings, client, held, create_clock(0.0), create_null_log(), tasks
                 )
                 platform = MemoryPlatform(self.books, lambda: self.fabric.gate(node))
                 self.processes[node] = RunningProcess(scope, sidecar=sidecar)
@@ -244,7 +244,9 @@
         log = create_null_log()
         with anyio.CancelScope() as scope:
             async with anyio.create_task_group() as tasks:
-                entry = create_entry(settings, network, held, create_clock(), log, self._placement)
+                entry = create_entry(
+                    settings, network, held, create_clock(0.0), log, self._placement
+                )
                 platform = MemoryPlatform(self.books, lambda: self.fabric.gate(node))
                 self.processes[node] = RunningProcess(scope, entry=entry)
                 nap = partial(self._nap, node)
--- /dev/null
+++ b/guavawalk/process/orders/decide.py
@@ -0,0 +1,85 @@
+"""Which order comes next, and when this target may use the weight store."""
+
+from collections.abc import Iterable, Sequence
+from typing import NamedTuple
+
+from xxhash import xxh3_64_intdigest
+
+from guavawalk.connection.target import EngineState
+from guavawalk.version.types import Configuration, DesiredState
+
+__all__ = ["Step", "load_wait_s", "next_step", "sharers_of"]
+
+LOAD_KINDS = ("load_model", "load_adapter")
+
+
+class Step(NamedTuple):
+    """One change that brings an engine nearer to what it should hold."""
+
+    kind: str
+    name: str
+
+    @property
+    def uses_weight_store(self) -> bool:
+        """Whether weights are fetched for it."""
+        return self.kind in LOAD_KINDS
+
+
+def next_step(desired: DesiredState, state: EngineState, refused: frozenset[Step]) -> Step | None:
+    """Return the next change, None if there is none left.
+
+    Parameters
+    ----------
+    refused : frozenset of Step
+        Steps that the engine refused since it last took one; they come last, since there may be
+        room for them once others are done.
+
+    Examples
+    --------
+    >>> state = EngineState(("quill@1",), (), "mixed")
+    >>> next_step(DesiredState(("quill@2",)), state, frozenset())
+    Step(kind='load_model', name='quill@2')
+    """
+    steps = [
+        *_each("load_model", desired.models, state.models),
+        *_each("load_adapter", desired.adapters, state.adapters),
+        *_each("unload_adapter", state.adapters, desired.adapters),
+        *_each("unload_model", state.models, desired.models),
+    ]
+    if desired.role != state.role:
+        steps.insert(0, Step("set_role", desired.role))
+    steps.sort(key=lambda step: step in refused)
+    return steps[0] if steps else None
+
+
+def _each(kind: str, wanted: Iterable[str], present: Iterable[str]) -> list[Step]:
+    return [Step(kind, name) for name in wanted if name not in present]
+
+
+def sharers_of(name: str, configuration: Configuration) -> list[str]:
+    """Return the targets that should hold a model or adapter, and so fetch the same weights."""
+    return [
+        target.name
+        for target in configuration.targets.values()
+        if name in target.desired.models or name in target.desired.adapters
+    ]
+
+
+def load_wait_s(target: str, sharers: Sequence[str], wall_s: float, slot_s: float) -> float:
+    """Return how long a target waits for its turn at the weight store.
+
+    Parameters
+    ----------
+    sharers : sequence of str
+        Targets that fetch the same weights; each has one slot in turn, on the wall clock.
+
+    Examples
+    --------
+    >>> sorted(load_wait_s(name, ["a", "b", "c"], 0.0, 10.0) for name in "abc")
+    [0.0, 10.0, 20.0]
+    """
+    ranked = sorted(sharers, key=lambda name: (xxh3_64_intdigest(name.encode()), name))
+    if target not in ranked:
+        return 0.0
+    into_slot_s = (wall_s - ranked.index(target) * slot_s) % (len(ranked) * slot_s)
+    return 0.0 if into_slot_s < slot_s / 2 else len(ranked) * slot_s - into_slot_s
--- a/guavawalk/process/settings.py
+++ b/guavawalk/process/settings.py
@@ -136,6 +136,8 @@
         Base URL of the target.
     window : str
         `adaptive`, which follows the engine, or `fixed`; a plain service's is always fixed.
+    load_slot_ms : int
+        Time between two loads of the same weights in the fleet.
     window_slots : int
         Most attempts that run at the target at once.
     queue_slots, queue_cost_tokens : int
@@ -153,6 +155,7 @@
     target_url: str
     role: str = "sidecar"
     peers: tuple[str, ...] = ()
+    load_slot_ms: int = 1_000
     start_jitter_ms: int = 2_000
     fleet_secret: str = ""
     allow_open: bool = False
--- a/guavawalk/process/sidecar/admission.py
+++ b/guavawalk/process/sidecar/admission.py
@@ -44,6 +44,7 @@
             return known, False
     if table.leaving:
         raise RequestError(ResultCode.TARGET_LEAVING)
+    sidecar.orders.check_loaded(offer)
     if offer.deadline_ms <= 0:
         raise RequestError(ResultCode.DEADLINE_PASSED)
     attempt = create_attempt(offer, now_s, table.limits.answer_bytes)
--- a/guavawalk/process/sidecar_daemon.py
+++ b/guavawalk/process/sidecar_daemon.py
@@ -16,6 +16,7 @@
 from guavawalk.connection.tasks.admin import serve_admin
 from guavawalk.connection.tasks.entry_link import serve_entry_link
 from guavawalk.connection.tasks.follow_cache import follow_cache
+from guavawalk.connection.tasks.give_orders import give_orders
 from guavawalk.connection.tasks.leave_notices import follow_notices
 from guavawalk.connection.tasks.spread import run_spread
 from guavawalk.connection.tcp import create_tcp_network
@@ -29,6 +30,7 @@
     create_statsd_metrics,
 )
 from guavawalk.process.observe.observations import create_observations
+from guavawalk.process.orders.desk import create_order_desk
 from guavawalk.process.pauses import Nap
 from guavawalk.process.settings import (
     SidecarSettings,
@@ -69,6 +71,7 @@
 TELL_LIMIT_S = 12.0
 # What was sent last may still be on its way, or be lost with its link and asked for again.
 LINGER_S = 1.0
+LOAD_SLOT_S = 1.0
 INCARNATION_BITS = 63
 
 
@@ -126,6 +129,7 @@
         observed=create_observations(),
         tasks=tasks,
         members=members,
+        orders=create_order_desk(),
     )
 
 
@@ -144,6 +148,7 @@
     address: str,
     start_jitter_s: float = 0.0,
     nap: Nap = anyio.sleep,
+    load_slot_s: float = LOAD_SLOT_S,
     *,
     task_status: TaskStatus[str] = anyio.TASK_STATUS_IGNORED,
 ) -> None:
@@ -169,6 +174,7 @@
         tasks.start_soon(watch_stalled, sidecar)
         if sidecar.engine is not None:
             tasks.start_soon(follow_cache, sidecar, sidecar.engine)
+            tasks.start_soon(give_orders, sidecar, sidecar.engine, load_slot_s)
         tasks.start_soon(follow_notices, sidecar)
         sidecar.log.emit(events.PROCESS_READY, address=bound)
         task_status.started(bound)
@@ -218,8 +224,16 @@
         admin = create_sidecar_node(sidecar)
         tasks.start_soon(serve_admin, admin, settings.admin_keys, settings.admin_listen)
         tasks.start_soon(report_gauges, sidecar.metrics, partial(_read_gauges, sidecar))
-        jitter_s = settings.start_jitter_ms / 1000
-        await tasks.start(serve_sidecar, sidecar, network, platform, settings.listen, jitter_s)
+        await tasks.start(
+            serve_sidecar,
+            sidecar,
+            network,
+            platform,
+            settings.listen,
+            settings.start_jitter_ms / 1000,
+            anyio.sleep,
+            settings.load_slot_ms / 1000,
+        )
         await ending.wait()
         tasks.cancel_scope.cancel()
     return ending.exit_code
