Leave a lane's index alone unless a workspace's first attempt changes

Cause: each push and removal took a workspace out of the index and put it back.

Change: re-index only when the first attempt of the workspace changes; the bench bounds by number only and checks that number.

--- a/guavawalk/process/bench/queue.py
+++ b/guavawalk/process/bench/queue.py
@@ -16,6 +16,7 @@
 WORKSPACES = 500
 TIERS = 4
 US_PER_S = 1_000_000
+UNBOUNDED_TOKENS = 10**12
 
 
 class QueueFigures(NamedTuple):
@@ -29,15 +30,20 @@
     totals_us: float
 
 
+def _create_queue(capacity: int) -> Queue:
+    return create_tier_queue(capacity, UNBOUNDED_TOKENS)
+
+
 def measure_queue(
-    waiting: int, seed: int = 1, create: Callable[[int], Queue] = create_tier_queue
+    waiting: int, seed: int = 1, create: Callable[[int], Queue] = _create_queue
 ) -> QueueFigures:
-    """Measure a queue that holds about `waiting` attempts."""
+    """Measure a queue that holds about `waiting` attempts, bounded by their number only."""
     rng = random.Random(seed)
     queue = create(waiting + OPERATIONS)
     held = [_attempt(rng, index) for index in range(waiting)]
     for attempt in held:
         queue.push(attempt)
+    assert len(queue) == waiting
     totals_us = _mean_us([queue.totals] * OPERATIONS)
     fresh = [_attempt(rng, waiting + index) for index in range(OPERATIONS)]
     push_us = _mean_us([_call(queue.push, attempt) for attempt in fresh])
--- a/guavawalk/process/sidecar/lane.py
+++ b/guavawalk/process/sidecar/lane.py
@@ -78,18 +78,16 @@
 
     def push(self, waiting: Waiting) -> None:
         """Add an attempt."""
-        flow = self._flows.get(waiting.workspace)
-        if flow is None:
-            start = max(self._virtual, self._remembered.pop(waiting.workspace, 0.0))
-            flow = self._flows[waiting.workspace] = Flow(waiting.workspace, start)
-        else:
-            self._unindex(flow)
+        flow = self._flows.get(waiting.workspace) or self._new_flow(waiting.workspace)
+        first = flow.waiting[0] if flow.waiting else None
         self._total_units += waiting.weight_units - flow.weight_units
         flow.weight_units = waiting.weight_units
         flow.waiting.add(waiting)
         self.count += 1
         self.cost_tokens += waiting.cost_tokens
-        self._index(flow)
+        if flow.waiting[0] is waiting:
+            self._unindex(flow, first)
+            self._index(flow)
 
     def peek(self) -> Waiting | None:
         """Return what `pop` would take."""
@@ -103,7 +101,7 @@
             return None
         flow = self._flows[first.workspace]
         cost = first.cost_tokens * WEIGHT_UNITS
-        self._unindex(flow)
+        self._unindex(flow, first)
         flow.waiting.pop(0)
         flow.start += cost / flow.weight_units
         self._virtual += cost / self._total_units
@@ -113,13 +111,25 @@
     def remove(self, waiting: Waiting) -> None:
         """Take out an attempt that waits here; its workspace is not charged."""
         flow = self._flows[waiting.workspace]
-        self._unindex(flow)
+        is_first = flow.waiting[0] is waiting
         flow.waiting.remove(waiting)
-        self._settle(waiting, flow)
+        if is_first:
+            self._unindex(flow, waiting)
+            self._settle(waiting, flow)
+        else:
+            self._uncount(waiting)
 
-    def _settle(self, taken: Waiting, flow: Flow) -> None:
+    def _new_flow(self, workspace: str) -> Flow:
+        start = max(self._virtual, self._remembered.pop(workspace, 0.0))
+        flow = self._flows[workspace] = Flow(workspace, start)
+        return flow
+
+    def _uncount(self, taken: Waiting) -> None:
         self.count -= 1
         self.cost_tokens -= taken.cost_tokens
+
+    def _settle(self, taken: Waiting, flow: Flow) -> None:
+        self._uncount(taken)
         if flow.waiting:
             self._index(flow)
             return
@@ -146,8 +156,9 @@
         first = flow.waiting[0]
         self._eligible.add((first.deadline_s, first.sequence, flow))
 
-    def _unindex(self, flow: Flow) -> None:
-        first = flow.waiting[0]
+    def _unindex(self, flow: Flow, first: Waiting | None) -> None:
+        if first is None:
+            return
         self._eligible.discard((first.deadline_s, first.sequence, flow))
         self._ahead.discard((flow.start, flow.workspace, flow))
 
