Mend what a first start with real processes showed

Cause: entry, two sidecars and stand-ins were started from examples/settings. The tokens of a workspace's first request went to the rest, since it was held only when the request had ended; top and trace cut off what did not fit in 80 columns. Change: a key is held from its first value while there is room; trace prints whole lines; top has shorter columns, and unbroken names.

--- a/guavawalk/process/commands/documents.py
+++ b/guavawalk/process/commands/documents.py
@@ -6,10 +6,10 @@
 from rich.table import Table
 from rich.text import Text
 
-__all__ = ["document_tables", "rows_table"]
+__all__ = ["document_tables", "printable", "rows_table"]
 
 REST_NAME = "(rest)"
-UNBROKEN = ("instance", "name", "workspace")
+UNBROKEN = ("instance", "name", "workspace", "measure", "role")
 
 
 def document_tables(document: Mapping[str, Any]) -> list[Table]:
@@ -38,7 +38,7 @@
     names = tuple(columns) or tuple(rows[0] if rows else ())
     table = Table(title=title)
     for name in names:
-        table.add_column(name, no_wrap=name in UNBROKEN)
+        table.add_column(name, no_wrap=name in UNBROKEN, overflow="fold")
     for row in rows:
         table.add_row(*(_text(name, row[name]) for name in names))
     return table
@@ -56,4 +56,15 @@
         shown = ", ".join(map(str, value))
     else:
         shown = str(value)
-    return Text("".join(c if c.isprintable() else "�" for c in shown))
+    return Text(printable(shown))
+
+
+def printable(text: str) -> str:
+    """Return a text with its control characters replaced.
+
+    Examples
+    --------
+    >>> printable("a\\x1b[31mb")
+    'a�[31mb'
+    """
+    return "".join(character if character.isprintable() else "�" for character in text)
--- a/guavawalk/process/commands/top.py
+++ b/guavawalk/process/commands/top.py
@@ -31,9 +31,10 @@
     "running",
     "queued",
     "window",
-    "resident_bytes",
-    "uptime_s",
+    "MB",
+    "up s",
 )
+BYTES_PER_MB = 1_000_000
 HISTOGRAM_COLUMNS = ("instance", "workspace", "tier", "measure", "count", "p50", "p95", "p99")
 REFUSAL_COLUMNS = ("instance", "age_s", "number", "name", "workspace", "tier", "trace_id")
 
@@ -133,13 +134,18 @@
     return sorted(rows, key=lambda row: (-requests[_key(row)], _key(row), row["measure"]))
 
 
+def _node_row(state: dict[str, Any]) -> dict[str, Any]:
+    megabytes = round(state["resident_bytes"] / BYTES_PER_MB)
+    return {**state, "MB": megabytes, "up s": round(state["uptime_s"])}
+
+
 def _key(row: dict[str, Any]) -> RowKey:
     return RowKey(row["instance"], row["workspace"], row["tier"])
 
 
 def render_snapshots(snapshots: Sequence[Snapshot]) -> Group:
     """Return the view: processes, the busiest histograms, the last refusals, what is silent."""
-    states = [snapshot.state for snapshot in snapshots if snapshot.state]
+    states = [_node_row(snapshot.state) for snapshot in snapshots if snapshot.state]
     histograms = [row for snapshot in snapshots for row in snapshot.histograms]
     histograms = _busiest_first(histograms)
     refusals = [row for snapshot in snapshots for row in snapshot.refusals]
--- a/guavawalk/process/commands/trace.py
+++ b/guavawalk/process/commands/trace.py
@@ -3,8 +3,9 @@
 from pathlib import Path
 
 from rich.console import Console
-from rich.table import Table
+from rich.text import Text
 
+from guavawalk.process.commands.documents import printable
 from guavawalk.process.observe.trace import Trace, read_trace
 
 __all__ = ["trace"]
@@ -25,7 +26,7 @@
     found = read_trace(trace_id, log_files)
     console = Console()
     if found.lines:
-        console.print(_table(found))
+        _print_lines(console, found)
     else:
         console.print(f"no event of {trace_id!r} in {len(log_files)} files", markup=False)
     if found.unreadable_lines:
@@ -33,8 +34,8 @@
     return 0 if found.lines else NOT_FOUND_EXIT
 
 
-def _table(found: Trace) -> Table:
-    table = Table("time", "instance", "event", "what", "details")
+def _print_lines(console: Console, found: Trace) -> None:
+    # Lines are not cut to the terminal's width: what is cut off is what was looked for.
     for line in found.lines:
-        table.add_row(line.time, line.instance, str(line.event), line.message, line.details)
-    return table
+        text = f"{line.time} {line.instance} {line.event} {line.message}: {line.details}"
+        console.print(Text(printable(text)), soft_wrap=True)
--- a/guavawalk/process/observe/histograms.py
+++ b/guavawalk/process/observe/histograms.py
@@ -124,15 +124,19 @@
         if self._requests % HALVE_AFTER_REQUESTS == 0:
             self._halve()
         key = HistogramKey(workspace, tier)
-        series = self._top.get(key)
-        if series is None and len(self._top) < self._top_keys:
-            series = self._top[key] = Series()
+        series = self._held(key)
         if series is not None:
             series.requests += 1
             return
         self._rest_of(tier).requests += 1
         self._consider(key, self._candidates.count(key))
 
+    def _held(self, key: HistogramKey) -> Series | None:
+        series = self._top.get(key)
+        if series is None and len(self._top) < self._top_keys:
+            series = self._top[key] = Series()
+        return series
+
     def _consider(self, key: HistogramKey, count: int) -> None:
         least = min(self._top, key=lambda held: self._top[held].requests)
         if count < PROMOTION_FACTOR * (self._top[least].requests + 1):
@@ -154,7 +158,7 @@
         self, workspace: str, tier: str, measure: Measure, value: float, count: int = 1
     ) -> None:
         """Record a value with its key, or with the rest of its tier."""
-        series = self._top.get(HistogramKey(workspace, tier)) or self._rest_of(tier)
+        series = self._held(HistogramKey(workspace, tier)) or self._rest_of(tier)
         series.record(measure, value, count)
 
     def summaries(self, workspaces: Collection[str] | None = None) -> Iterator[HistogramSummary]:
--- a/tests/process/observe/test_histograms.py
+++ b/tests/process/observe/test_histograms.py
@@ -59,6 +59,12 @@
 
 
 class TestBound:
+    def test_values_before_the_first_request_has_ended_are_its_own(self):
+        histograms = create_histograms(top_keys=1)
+        histograms.record("harbour", "onsite", Measure.BETWEEN_TOKENS, 20.0)
+        histograms.note_request("harbour", "onsite")
+        assert [s.key.workspace for s in histograms.summaries()] == ["harbour"]
+
     def test_rest_takes_what_has_no_histogram(self):
         histograms = create_histograms(top_keys=2)
         for name in ("a", "b", "c", "d"):
--- a/tests/process/observe/test_trace.py
+++ b/tests/process/observe/test_trace.py
@@ -51,7 +51,7 @@
         assert [part.event for part in read_trace("story-2", [file]).lines] == [2002]
         done = app(["trace", "story-1", str(file)], result_action="return_value")
         assert done == 0
-        assert "2001" in capsys.readouterr().out
+        assert "2001 a request has ended: workspace=harbour" in capsys.readouterr().out
 
     @staticmethod
     async def _send_two(log) -> None:
