Give up on a connection after 0.5 s, and probe a target by one request

Change: 0.5 s for a connection between our processes, which are milliseconds apart; the attempt counts from before it connects.

--- a/guavawalk/connection/tasks/offer.py
+++ b/guavawalk/connection/tasks/offer.py
@@ -97,22 +97,27 @@
     LinkRefused
         If there is no link to be had, so nothing was offered.
     """
-    try:
-        link = await entry.links.take(target.sidecar)
-    except LinkRefused:
-        entry.view.note_unreachable(target.name)
-        raise
-    offer = _offer(entry, work)._replace(
-        incarnation=incarnation or link.peer.incarnation,
-        cached_elsewhere_tokens=entry.view.cached_elsewhere_tokens(target.name, work),
-    )
+    # Noted before the link is there, so that a target on probation is tried by one request only.
     entry.view.note_offer(target.name, work)
     try:
+        link = await _take_link(entry, target)
+        offer = _offer(entry, work)._replace(
+            incarnation=incarnation or link.peer.incarnation,
+            cached_elsewhere_tokens=entry.view.cached_elsewhere_tokens(target.name, work),
+        )
         return await _exchange(entry, caller, progress, target, offer, link)
     finally:
         entry.view.note_end(target.name, work)
 
 
+async def _take_link(entry: Entry, target: Target) -> Link:
+    try:
+        return await entry.links.take(target.sidecar)
+    except LinkRefused:
+        entry.view.note_unreachable(target.name)
+        raise
+
+
 async def _exchange(
     entry: Entry, caller: Caller, progress: Progress, target: Target, offer: Offer, link: Link
 ) -> Outcome:
--- a/guavawalk/connection/tcp.py
+++ b/guavawalk/connection/tcp.py
@@ -17,7 +17,7 @@
 
 __all__ = ["create_tcp_network", "format_address", "split_address"]
 
-CONNECT_TIMEOUT_S = 2.0
+CONNECT_TIMEOUT_S = 0.5
 UNACKNOWLEDGED_LIMIT_MS = 30_000
 _LENGTH = struct.Struct(">I")
 _BROKEN = (anyio.BrokenResourceError, anyio.ClosedResourceError, anyio.EndOfStream, OSError)
--- a/guavawalk/process/standins/memory_network.py
+++ b/guavawalk/process/standins/memory_network.py
@@ -13,7 +13,7 @@
 
 __all__ = ["Fabric", "MemoryLink", "create_fabric"]
 
-CONNECT_TIMEOUT_S = 2.0
+CONNECT_TIMEOUT_S = 0.5
 
 
 class InFlight(NamedTuple):
