Name the target of every answer, and test a caller that vanishes

Cause: the demo showed no target for calls to plain services; that a vanished caller's generation is stopped had been seen but not tested. Change: the header goes out with the answer's own; a test on real sockets closes a stream of 50,000 tokens and waits until no engine runs and no sidecar holds an attempt.

--- a/guavawalk/connection/tasks/offer.py
+++ b/guavawalk/connection/tasks/offer.py
@@ -174,7 +174,8 @@
 async def _start(caller: Caller, progress: Progress, started: Started) -> None:
     if not progress.began:
         progress.began = True
-        await caller.start(started.status, started.headers)
+        target = ("x-guavawalk-target", progress.sent.target.name)
+        await caller.start(started.status, (*started.headers, *target))
 
 
 async def _pass_on(entry: Entry, caller: Caller, progress: Progress, chunk: Chunk) -> None:
--- a/tests/connection/test_front.py
+++ b/tests/connection/test_front.py
@@ -128,6 +128,36 @@
             assert f"x-guavawalk-code: {code}".encode() in head
 
 
+class TestVanishedCaller:
+    def test_its_generation_is_stopped(self):
+        async def story():
+            async with run_embedded(kestrel_lane_plan()) as deployment:
+                host, port = deployment.entry_addresses["victoria"].split(":")
+                async with await anyio.connect_tcp(host, int(port)) as stream:
+                    await stream.send(chat(stream=True, max_tokens=50_000))
+                    while b'"delta"' not in await stream.receive():
+                        pass
+                with anyio.fail_after(ANSWER_LIMIT_S):
+                    while any(engine.running for engine in deployment.engines.values()):
+                        await anyio.sleep(0.05)
+                sidecars = deployment.sidecars.values()
+                return sum(len(sidecar.attempts.live) for sidecar in sidecars)
+
+        assert anyio.run(story) == 0
+
+
+class TestAnswerHeaders:
+    def test_name_the_target_of_a_call(self):
+        async def story():
+            async with run_embedded(kestrel_lane_plan()) as deployment:
+                address = deployment.entry_addresses["victoria"]
+                return await exchange(address, request(method="GET", path="/booking/jobs/1"))
+
+        head = anyio.run(story).partition(b"\r\n\r\n")[0]
+        assert head.startswith(b"HTTP/1.1 200")
+        assert b"x-guavawalk-target: booking-" in head
+
+
 class TestSidecarPort:
     @pytest.mark.parametrize(
         "raw",
