--- a/tests/process/sidecar/test_admission_overload.py
+++ b/tests/process/sidecar/test_admission_overload.py
@@ -8,6 +8,7 @@
 from guavawalk.process.fleet import run_fleet
 from guavawalk.process.plan import kestrel_lane_plan
 from guavawalk.process.sidecar.admission import admit_offer, dispatch_ready
+from guavawalk.process.sidecar.queue import TierQueue
 from guavawalk.request.attempt import AttemptState
 from guavawalk.request.types import Offer
 from tests.virtual import run_virtually
@@ -94,6 +95,19 @@
     slow_rates(sidecar)
 
 
+def check_lower_work_does_not_count():
+    async def story(fleet, sidecar):
+        await fill_window(sidecar, rank=2)
+        for second in range(20):
+            sidecar.drains.short.note_dispatch(10, second, 5)
+        with pytest.raises(RequestError):
+            admit_offer(sidecar, make_offer("low", 2, 100, deadline_ms=70_000))
+        return admit_offer(sidecar, make_offer("high", 0, 100, deadline_ms=70_000))
+
+    _, is_new = with_sidecar(story)
+    assert is_new
+
+
 class TestEarlyRefusal:
     def test_what_cannot_end_in_time_is_refused_at_once(self):
         async def story(fleet, sidecar):
@@ -118,16 +132,15 @@
         assert is_new
 
     def test_lower_work_that_waits_never_has_a_higher_offer_refused(self):
-        async def story(fleet, sidecar):
-            await fill_window(sidecar, rank=2)
-            for second in range(20):
-                sidecar.drains.short.note_dispatch(10, second, 5)
-            with pytest.raises(RequestError):
-                admit_offer(sidecar, make_offer("low", 2, 100, deadline_ms=70_000))
-            return admit_offer(sidecar, make_offer("high", 0, 100, deadline_ms=70_000))
+        check_lower_work_does_not_count()
 
-        _, is_new = with_sidecar(story)
-        assert is_new
+    def test_a_mutant_is_caught(self, monkeypatch):
+        def all_that_waits(self, attempt):
+            return self._cost_tokens
+
+        monkeypatch.setattr(TierQueue, "cost_ahead_tokens", all_that_waits)
+        with pytest.RaisesGroup(RequestError, flatten_subgroups=True):
+            check_lower_work_does_not_count()
 
     def test_a_short_learned_length_is_believed(self):
         async def story(fleet, sidecar):
