Prove the promises by random failure stories against an oracle

Cause: at most once and honest outcomes were tested by single traces only. Change: a hypothesis state machine writes stories of sends, resends, loss, delay, partition, pause, kill, drain, crash, leave and publish; they run over the real tasks in virtual time and an oracle compares what targets ran with what callers were told. A mutant for each promise shows that the oracle sees its breach. It found: CALLER_GONE told of a key that had run, COMPLETED noted where the caller had left (CALLER_LEFT now), and a request sent on an idle link to a replaced sidecar (INCARNATION_GONE; idle links now see the other end). guavawalk bench ticket measures the ticket's round trip. Crash suspects and engine stream resume are not built here.

--- a/guavawalk/codes.py
+++ b/guavawalk/codes.py
@@ -84,6 +84,7 @@
     CUT_OFF = 403
     CANCELLED = 404
     ANSWER_TOO_LARGE = 405
+    CALLER_LEFT = 430
 
 
 class ResultCodeInfo(NamedTuple):
@@ -175,6 +176,7 @@
     ResultCodeInfo(ResultCode.CUT_OFF, 502, "a forced shutdown cut the answer off"),
     ResultCodeInfo(ResultCode.CANCELLED, 499, "cancelled while it ran"),
     ResultCodeInfo(ResultCode.ANSWER_TOO_LARGE, 502, "the answer is over the limit"),
+    ResultCodeInfo(ResultCode.CALLER_LEFT, 499, "ran, but the caller left before its answer"),
 )
 
 CODES: dict[int, ResultCodeInfo] = {int(row.code): row for row in _ROWS}
--- a/guavawalk/connection/link.py
+++ b/guavawalk/connection/link.py
@@ -38,6 +38,10 @@
         """Return the next message; `LinkBroken` if the link is down."""
         ...
 
+    def is_open(self) -> bool:
+        """Say whether the other end is still there, as far as this end has been told."""
+        ...
+
     async def aclose(self) -> None:
         """Close; the other end's next `receive` raises `LinkBroken`."""
         ...
--- a/guavawalk/connection/noting.py
+++ b/guavawalk/connection/noting.py
@@ -37,6 +37,10 @@
             self._heard(self._link.peer_version, self.peer.peer_address)
         return message
 
+    def is_open(self) -> bool:
+        """Ask the link."""
+        return self._link.is_open()
+
     async def aclose(self) -> None:
         """Close the link."""
         await self._link.aclose()
--- a/guavawalk/connection/tasks/carry.py
+++ b/guavawalk/connection/tasks/carry.py
@@ -60,7 +60,7 @@
 async def _carry_while_wanted(
     entry: Entry, work: Work, caller: Caller, progress: Progress
 ) -> Outcome:
-    outcome = Outcome(ResultCode.CALLER_GONE)
+    outcome = None
     async with anyio.create_task_group() as tasks:
 
         async def watch_caller() -> None:
@@ -70,9 +70,12 @@
         tasks.start_soon(watch_caller)
         outcome = await _carry_admitted(entry, work, caller, progress)
         tasks.cancel_scope.cancel()
-    if outcome.code is ResultCode.CALLER_GONE and progress.sent is not None:
+    if outcome is not None:
+        return outcome
+    outcome = Outcome(ResultCode.CALLER_GONE)
+    if progress.sent is not None:
         outcome = await abandon_offer(entry, work, progress)
-    return outcome
+    return outcome._replace(code=code_for_key(outcome.code, work.idempotency_key))
 
 
 async def _carry_admitted(entry: Entry, work: Work, caller: Caller, progress: Progress) -> Outcome:
--- a/guavawalk/connection/tasks/offer.py
+++ b/guavawalk/connection/tasks/offer.py
@@ -251,6 +251,8 @@
         return ResultCode.CALLER_GONE
     if found is ResultCode.OUTCOME_UNKNOWN and cancel:
         return ResultCode.CANCELLED
+    if found is ResultCode.COMPLETED:
+        return ResultCode.CALLER_LEFT
     return found
 
 
--- a/guavawalk/connection/tcp.py
+++ b/guavawalk/connection/tcp.py
@@ -1,5 +1,6 @@
 """Links over TCP: frames of a 4-byte length and a thrift message."""
 
+import select
 import socket
 import ssl
 import struct
@@ -83,6 +84,15 @@
         message, self.peer_version = decode_message(frame)
         return message
 
+    def is_open(self) -> bool:
+        """Say whether nothing is to be read; an idle link has only its end to read."""
+        raw = self._stream.extra(SocketAttribute.raw_socket)
+        if raw.fileno() < 0:
+            return False
+        waiting = select.poll()
+        waiting.register(raw.fileno(), select.POLLIN)
+        return not waiting.poll(0)
+
     async def aclose(self) -> None:
         """Close the stream."""
         with anyio.move_on_after(1, shield=True):
--- a/guavawalk/process/commands/bench.py
+++ b/guavawalk/process/commands/bench.py
@@ -106,3 +106,15 @@
         for choice in WINDOW_CHOICES:
             for row in measure_window(scenario, choice, duration_s, seed):
                 print("| " + " | ".join(str(value) for value in row) + " |")
+
+
+@bench_app.command
+def ticket(calls: int = 500) -> int:
+    """Measure bookings on loopback, without a ticket and with one fetched for each."""
+    import anyio
+
+    from guavawalk.process.bench.ticket import measure_tickets
+
+    for name, value in anyio.run(measure_tickets, calls)._asdict().items():
+        print(f"{name}: {value:.2f}" if isinstance(value, float) else f"{name}: {value}")
+    return 0
--- a/guavawalk/process/entry/links.py
+++ b/guavawalk/process/entry/links.py
@@ -41,7 +41,7 @@
         idle = self._idle.get(address)
         while idle:
             link, since_s = idle.pop()
-            if self._clock.now_s() - since_s < IDLE_LIMIT_S:
+            if link.is_open() and self._clock.now_s() - since_s < IDLE_LIMIT_S:
                 return link
             await link.aclose()
         return await self.open(address)
--- a/guavawalk/process/fleet.py
+++ b/guavawalk/process/fleet.py
@@ -62,7 +62,14 @@
     """
 
     def __init__(
-        self, plan: Plan, fabric: Fabric, tasks: TaskGroup, placement, placement_name, window
+        self,
+        plan: Plan,
+        fabric: Fabric,
+        tasks: TaskGroup,
+        placement,
+        placement_name,
+        window,
+        sidecar_options: dict,
     ) -> None:
         self.plan = plan
         self.fabric = fabric
@@ -76,6 +83,7 @@
         self._placement = placement
         self._placement_name = placement_name
         self._window = window
+        self._sidecar_options = sidecar_options
 
     def publish(self, parts: dict | None = None) -> int:
         """Publish the plan's configuration, or other parts, as the next version."""
@@ -193,6 +201,7 @@
             target_url="",
             allow_open=True,
             window=self._window,
+            **self._sidecar_options,
         )
         held = create_held_version()
         network = self.fabric.network(node, lambda: held.stamp.version)
@@ -242,6 +251,7 @@
         held = create_held_version()
         network = self.fabric.network(node, lambda: held.stamp.version)
         log = create_null_log()
+        ready = False
         with anyio.CancelScope() as scope:
             async with anyio.create_task_group() as tasks:
                 entry = create_entry(
@@ -253,7 +263,10 @@
                 address = self.entry_addresses()[centre]
                 await tasks.start(serve_entry_peers, entry, platform, address, 0.0, nap)
                 await held.wait_newer(0)
+                ready = True
                 task_status.started()
+        if not ready:
+            task_status.started()
 
 
 @asynccontextmanager
@@ -263,6 +276,7 @@
     delay_s: float = 0.0005,
     placement_name: str = DEFAULT_PLACEMENT,
     window: str = DEFAULT_WINDOW,
+    sidecar_options: dict | None = None,
 ):
     """Run a deployment in memory for as long as the block lasts; yield a `Fleet`.
 
@@ -274,10 +288,13 @@
         One-way delay between any two nodes.
     window : str
         Dispatch window of the sidecars, by name.
+    sidecar_options : dict, optional
+        Fields of every `SidecarSettings`, other than the default.
     """
     async with anyio.create_task_group() as tasks:
         fabric = create_fabric(lambda a, b: delay_s)
-        fleet = Fleet(plan, fabric, tasks, placement, placement_name, window)
+        options = sidecar_options or {}
+        fleet = Fleet(plan, fabric, tasks, placement, placement_name, window, options)
         fleet.publish()
         for target in plan.targets:
             await fleet.start_sidecar(target)
--- a/guavawalk/process/standins/memory_network.py
+++ b/guavawalk/process/standins/memory_network.py
@@ -150,6 +150,10 @@
             with anyio.move_on_after(wait_s):
                 await self._event.wait()
 
+    def is_open(self) -> bool:
+        """Say whether it is not broken."""
+        return not self.broken
+
     async def aclose(self) -> None:
         """Break both ends; what is under way still arrives."""
         self.snap(False)
@@ -205,6 +209,10 @@
         near.other, far.other = far, near
         fabric.links += (near, far)
         await anyio.sleep(2 * fabric.delay_s(self._node, listener.node))
+        if near.broken or fabric.listeners.get(address) is not listener:
+            near.snap(True)
+            far.snap(True)
+            raise LinkRefused(f"{address}: ended meanwhile")
         listener.tasks.start_soon(_serve_link, listener.handler, far)
         return near
 
--- /dev/null
+++ b/tests/process/promise_story.py
@@ -0,0 +1,308 @@
+"""Failure stories: steps over a deployment in memory, judged by the oracle."""
+
+from collections.abc import Callable
+from typing import NamedTuple
+
+import anyio
+
+from guavawalk.connection.tasks.carry import carry_request
+from guavawalk.connection.tasks.ticket import fetch_ticket
+from guavawalk.exception import RequestError
+from guavawalk.process.entry_daemon import drain_entry
+from guavawalk.process.fleet import Fleet, run_fleet
+from guavawalk.process.plan import Plan, kestrel_lane_plan, plan_parts
+from guavawalk.process.sidecar.admission import start_leaving
+from guavawalk.process.sidecar_daemon import drain_sidecar
+from guavawalk.process.standins.memory_targets import MemoryCaller
+from guavawalk.version.publish import published_values, render_documents
+from tests.process.promise_oracle import Oracle, PromiseBroken, Sending
+from tests.virtual import run_virtually
+
+__all__ = ["Step", "small_plan", "tell"]
+
+SETTLE_S = 150.0
+CENTRES = ("victoria", "nanaimo")
+TIERS = ("onsite", "plan", "tag")
+TIGHT = {"window_slots": 2, "queue_slots": 3}
+
+
+class Step(NamedTuple):
+    """One step of a story: an action of `Story` on a node, then a wait."""
+
+    action: str
+    node: int = 0
+    number: int = 0
+    wait_s: float = 0.0
+
+
+class Ticketed(NamedTuple):
+    """A request that holds a ticket, to be sent again."""
+
+    text: str
+    key: str
+    model: bool
+    tokens: int
+
+
+def small_plan() -> Plan:
+    """Return two entries before two engines and a booking server."""
+    plan = kestrel_lane_plan()
+    names = ("engine-0", "engine-1", "booking-0")
+    targets = tuple(target for target in plan.targets if target.name in names)
+    return plan._replace(entries=CENTRES, targets=targets)
+
+
+class Story:
+    """A story as it runs; each public method is an action."""
+
+    def __init__(self, fleet: Fleet, tasks: anyio.abc.TaskGroup) -> None:
+        self.fleet = fleet
+        self.oracle = Oracle(fleet)
+        self.tickets: list[Ticketed] = []
+        self._tasks = tasks
+        self._scopes: dict[str, list[anyio.CancelScope]] = {}
+        self._draining: set[str] = set()
+        self._delays: dict[frozenset[str], float] = {}
+        fleet.fabric.delay_s = lambda a, b: self._delays.get(frozenset((a, b)), 0.0005)
+        for name in fleet.targets:
+            self.oracle.watch_target(name)
+            self.oracle.watch_queue(fleet.sidecar(name))
+
+    async def perform(self, step: Step) -> None:
+        """Take a step."""
+        await getattr(self, step.action)(step.node, step.number)
+        await anyio.sleep(step.wait_s)
+        self.oracle.check_versions()
+
+    async def settle(self) -> None:
+        """End all faults, wait until every request has ended, and judge."""
+        self._delays.clear()
+        self.fleet.fabric.paused.clear()
+        self.fleet.fabric.heal()
+        for engine in self.fleet.engines.values():
+            engine.restart()
+            engine.faults.slow_factor = 1.0
+        await anyio.sleep(SETTLE_S)
+        self.oracle.check_versions()
+        self.oracle.check_end()
+
+    async def send_model(self, node: int, number: int) -> None:
+        """Send a model request without a key."""
+        self._start(node, f"q{len(self.oracle.sendings)}", "", True, 1 + number % 40, number)
+
+    async def send_booking(self, node: int, number: int) -> None:
+        """Send a booking without a key."""
+        self._start(node, f"b{len(self.oracle.sendings)}", "", False, 0, number)
+
+    async def send_ticketed(self, node: int, number: int) -> None:
+        """Fetch a ticket and send a booking, or a model request, with it."""
+        self._tasks.start_soon(self._send_ticketed, node, number)
+
+    async def _send_ticketed(self, node: int, number: int) -> None:
+        entry = self._entry(node)
+        if entry is None:
+            return
+        model = number % 3 == 0
+        body = b'{"model": "quill"}' if model else b'{"service": "booking"}'
+        configuration = entry.held.configuration
+        workspace = configuration.workspaces["council"]
+        with anyio.CancelScope() as scope:
+            self._scopes.setdefault(self._entry_node(node), []).append(scope)
+            try:
+                ticket = await fetch_ticket(entry, configuration, workspace, body)
+            except RequestError:
+                return
+        if scope.cancelled_caught:
+            return
+        text = f"t{len(self.oracle.sendings)}"
+        self.tickets.append(Ticketed(text, ticket.ticket, model, 1 + number % 40 if model else 0))
+        self._start(node, text, ticket.ticket, model, self.tickets[-1].tokens, number)
+
+    async def resend(self, node: int, number: int) -> None:
+        """Send a ticketed request again."""
+        if self.tickets:
+            again = self.tickets[number % len(self.tickets)]
+            self._start(node, again.text, again.key, again.model, again.tokens, number)
+
+    async def hang_up(self, node: int, number: int) -> None:
+        """Let a caller leave."""
+        if self.oracle.sendings:
+            self.oracle.sendings[number % len(self.oracle.sendings)].caller.leave()
+
+    async def cut(self, node: int, number: int) -> None:
+        """Part an entry and a sidecar."""
+        self.fleet.fabric.cut(self._entry_node(node), self._sidecar_node(number))
+
+    async def heal(self, node: int, number: int) -> None:
+        """Join all nodes."""
+        self.fleet.fabric.heal()
+
+    async def break_links(self, node: int, number: int) -> None:
+        """Break an entry's links, with or without what is under way."""
+        self.fleet.fabric.break_links(self._entry_node(node), lose=bool(number % 2))
+
+    async def delay(self, node: int, number: int) -> None:
+        """Change the delay between an entry and a sidecar."""
+        pair = frozenset((self._entry_node(node), self._sidecar_node(number)))
+        self._delays[pair] = (0.0005, 0.05, 3.0, 20.0)[number % 4]
+
+    async def lag(self, node: int, number: int) -> None:
+        """Change the delay between an entry and a sidecar, within what a shutdown waits for."""
+        await self.delay(node, number // 2 * 4 + number % 2)
+
+    async def pause(self, node: int, number: int) -> None:
+        """Hold a process."""
+        self.fleet.fabric.pause(self._any_node(node))
+
+    async def wake(self, node: int, number: int) -> None:
+        """Let all processes go on."""
+        self.fleet.fabric.paused.clear()
+        self.fleet.fabric.change()
+
+    async def kill(self, node: int, number: int) -> None:
+        """Replace a process: the old one ends at once."""
+        await self._replace(self._any_node(node))
+
+    async def slow(self, node: int, number: int) -> None:
+        """Slow an engine down, or bring it back to its speed."""
+        self._engine(node).faults.slow_factor = (1.0, 10.0, 100.0)[number % 3]
+
+    async def crash_engine(self, node: int, number: int) -> None:
+        """End an engine."""
+        self._engine(node).crash()
+
+    async def restart_engine(self, node: int, number: int) -> None:
+        """Start an engine again."""
+        self._engine(node).restart()
+
+    async def publish(self, node: int, number: int) -> None:
+        """Publish the next version, or offer an old one again."""
+        if number % 3:
+            self.fleet.publish()
+            return
+        parts = plan_parts(self.fleet.plan, self.fleet.addresses())
+        old = max(1, self.fleet.version - 1 - number % 2)
+        self.fleet.books.publish(published_values(render_documents(old, parts)))
+
+    async def leave_target(self, node: int, number: int) -> None:
+        """Tell a target's sidecar that it leaves."""
+        name = self._target(number)
+        process = self.fleet.processes.get(f"sidecar-{name}")
+        if process is not None:
+            start_leaving(process.sidecar)
+            self.oracle.left_at.setdefault(name, anyio.current_time())
+
+    async def drain(self, node: int, number: int) -> None:
+        """Shut a process down gracefully, then replace it."""
+        node_name = self._any_node(node)
+        process = self.fleet.processes.get(node_name)
+        if process is not None and node_name not in self._draining:
+            self._draining.add(node_name)
+            self._tasks.start_soon(self._drain, node_name, process)
+
+    async def _drain(self, node_name: str, process) -> None:
+        if process.entry is not None:
+            await drain_entry(process.entry)
+        else:
+            await drain_sidecar(process.sidecar)
+        if self.fleet.processes.get(node_name) is process:
+            await self._replace(node_name)
+        self._draining.discard(node_name)
+
+    async def _replace(self, node_name: str) -> None:
+        self.fleet.kill(node_name)
+        for scope in self._scopes.pop(node_name, []):
+            scope.cancel()
+        kind, _, name = node_name.partition("-")
+        if kind == "entry":
+            self._tasks.start_soon(self.fleet.start_entry, name)
+            return
+        target = next(t for t in self.fleet.plan.targets if t.name == name)
+        await self.fleet.start_sidecar(target)
+        self.oracle.left_at.pop(name, None)
+        self.oracle.watch_queue(self.fleet.sidecar(name))
+
+    def _start(self, node: int, text: str, key: str, model: bool, tokens: int, number: int) -> None:
+        entry = self._entry(node)
+        if entry is None:
+            return
+        work = self.fleet.work(
+            "council",
+            TIERS[number % 3],
+            text,
+            output_tokens=tokens,
+            model="quill" if model else "",
+            service="" if model else "booking",
+            deadline_ms=(500, 5_000, 30_000)[number % 3],
+            key=key,
+            entry=CENTRES[node % 2],
+        )
+        now_s = anyio.current_time()
+        sending = Sending(text, key, tokens, model, now_s, MemoryCaller())
+        self.oracle.sendings.append(sending)
+        scope = anyio.CancelScope()
+        self._scopes.setdefault(self._entry_node(node), []).append(scope)
+        self._tasks.start_soon(self._carry, entry, work, sending, scope)
+
+    async def _carry(self, entry, work, sending: Sending, scope: anyio.CancelScope) -> None:
+        with scope:
+            await carry_request(entry, work, sending.caller)
+        if not scope.cancelled_caught and sending.caller.outcome is None:
+            raise PromiseBroken(f"answered: {sending.text} ended without an outcome")
+
+    def _entry(self, node: int):
+        process = self.fleet.processes.get(self._entry_node(node))
+        ready = process is not None and process.entry.held.configuration is not None
+        return process.entry if ready else None
+
+    def _entry_node(self, node: int) -> str:
+        return f"entry-{CENTRES[node % 2]}"
+
+    def _target(self, number: int) -> str:
+        names = [target.name for target in self.fleet.plan.targets]
+        return names[number % len(names)]
+
+    def _sidecar_node(self, number: int) -> str:
+        return f"sidecar-{self._target(number)}"
+
+    def _any_node(self, node: int) -> str:
+        nodes = [self._entry_node(0), self._entry_node(1)]
+        nodes += [self._sidecar_node(i) for i in range(len(self.fleet.plan.targets))]
+        return nodes[node % len(nodes)]
+
+    def _engine(self, node: int):
+        return self.fleet.engines[f"engine-{node % 2}"]
+
+
+async def _run(steps: list[Step], watch: Callable[[Story], None]) -> None:
+    async with (
+        run_fleet(small_plan(), sidecar_options=TIGHT) as fleet,
+        anyio.create_task_group() as tasks,
+    ):
+        story = Story(fleet, tasks)
+        for step in steps:
+            await story.perform(step)
+        await story.settle()
+        watch(story)
+        tasks.cancel_scope.cancel()
+
+
+def tell(steps: list[Step], watch: Callable[[Story], None] = lambda story: None) -> None:
+    """Run a story in virtual time.
+
+    Raises
+    ------
+    PromiseBroken
+        If the oracle finds a breach, whichever task found it.
+    """
+    try:
+        run_virtually(_run, steps, watch)
+    except BaseExceptionGroup as group:
+        raise _first_leaf(group) from group
+
+
+def _first_leaf(error: BaseException) -> BaseException:
+    while isinstance(error, BaseExceptionGroup):
+        broken = error.subgroup(PromiseBroken)
+        error = (broken or error).exceptions[0]
+    return error
--- a/tests/process/test_promises.py
+++ b/tests/process/test_promises.py
@@ -295,3 +295,15 @@
             return ended, fleet.services["booking"].ran["job-1"]
 
         assert tell(story) == ([ResultCode.COMPLETED], 1)
+
+
+class TestIdleLink:
+    def test_link_to_a_replaced_sidecar_is_not_used(self):
+        async def story(fleet):
+            await warm(fleet)
+            for target in fleet.plan.targets:
+                fleet.kill(f"sidecar-{target.name}")
+                await fleet.start_sidecar(target)
+            return await fleet.send("victoria", glaze(fleet))
+
+        assert tell(story).outcome.code is ResultCode.COMPLETED
--- /dev/null
+++ b/tests/process/test_promises_machine.py
@@ -0,0 +1,98 @@
+"""The promises under random failure stories.
+
+`GUAVAWALK_PROMISE_EXAMPLES` sets how many stories of 50 steps run; CI runs a fixed share.
+"""
+
+import os
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, rule
+
+from guavawalk.codes import CodeClass, code_class
+from tests.process.promise_oracle import PromiseBroken
+from tests.process.promise_story import Step, tell
+
+EXAMPLES = int(os.environ.get("GUAVAWALK_PROMISE_EXAMPLES", "16"))
+STEPS = 50
+
+nodes = st.integers(0, 4)
+numbers = st.integers(0, 59)
+waits = st.sampled_from((0.0, 0.0003, 0.002, 0.05, 1.0, 7.0))
+
+
+class StoryMachine(RuleBasedStateMachine):
+    """Rules write the steps down; the story is told when they are complete."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.steps: list[Step] = []
+
+    @rule(
+        action=st.sampled_from(("send_model", "send_booking", "send_ticketed", "resend")),
+        node=nodes,
+        number=numbers,
+        wait_s=waits,
+    )
+    def send(self, action, node, number, wait_s):
+        self.steps.append(Step(action, node, number, wait_s))
+
+    @rule(action=st.sampled_from(("send_model", "resend")), node=nodes, number=numbers)
+    def burst(self, action, node, number):
+        self.steps += [Step(action, node + i, number + i) for i in range(4)]
+
+    @rule(
+        action=st.sampled_from(("break_links", "lag", "publish", "drain")),
+        node=nodes,
+        number=numbers,
+        wait_s=waits,
+    )
+    def disturb(self, action, node, number, wait_s):
+        self.steps.append(Step(action, node, number, wait_s))
+
+    def teardown(self):
+        """Tell the story."""
+        tell(self.steps, self.judge)
+
+    def judge(self, story) -> None:
+        """Judge more than the oracle does."""
+
+
+class GracefulMachine(StoryMachine):
+    """Nothing fails but links, so nothing that began may be cut off."""
+
+    def judge(self, story) -> None:
+        """Judge what only failures of processes may cause."""
+        judge_graceful(story)
+
+
+def judge_graceful(story) -> None:
+    """Check that no request was cut off; only a replaced process may have lost its tickets."""
+    for sending in story.oracle.sendings:
+        found = code_class(sending.caller.outcome.code)
+        ticket_gone = sending.key and found is CodeClass.UNKNOWN
+        if found not in (CodeClass.COMPLETED, CodeClass.NOT_RUN) and not ticket_gone:
+            name = sending.caller.outcome.code.name
+            raise PromiseBroken(f"graceful: {sending.text} ended with {name}")
+
+
+class FailureMachine(StoryMachine):
+    """Any process, link, engine or caller may fail."""
+
+    @rule(
+        action=st.sampled_from(
+            ("hang_up", "cut", "heal", "delay", "pause", "wake", "kill", "slow")
+            + ("crash_engine", "restart_engine", "leave_target")
+        ),
+        node=nodes,
+        number=numbers,
+        wait_s=waits,
+    )
+    def fail(self, action, node, number, wait_s):
+        self.steps.append(Step(action, node, number, wait_s))
+
+
+TestGraceful = GracefulMachine.TestCase
+TestGraceful.settings = settings(max_examples=max(EXAMPLES // 4, 1), stateful_step_count=STEPS)
+TestFailures = FailureMachine.TestCase
+TestFailures.settings = settings(max_examples=EXAMPLES, stateful_step_count=STEPS)
--- /dev/null
+++ b/tests/process/test_promises_mutants.py
@@ -0,0 +1,124 @@
+"""Each promise broken on purpose: the oracle must catch every one."""
+
+import pytest
+from hypothesis import Phase, settings
+from hypothesis.stateful import run_state_machine_as_test
+
+from guavawalk.codes import ResultCode
+from guavawalk.connection.tasks import carry, entry_link, offer
+from guavawalk.process.sidecar.link_ledger import LinkLedger
+from guavawalk.process.sidecar.queue import TierQueue
+from guavawalk.process.sidecar.records import Records
+from guavawalk.version.held import HeldVersion, Taken
+from tests.process import promise_story
+from tests.process.promise_oracle import PromiseBroken
+from tests.process.promise_story import Step, tell
+from tests.process.test_promises_machine import FailureMachine, judge_graceful
+
+SEARCH = settings(max_examples=150, stateful_step_count=50, phases=[Phase.generate], database=None)
+
+
+SIDECARS_KILLED = [
+    Step("send_model", 0, 38, 0.03),
+    Step("kill", 2),
+    Step("kill", 3, wait_s=10.0),
+]
+
+
+def breach_found() -> str:
+    """Search stories for a breach; return its name."""
+    with pytest.raises(PromiseBroken) as found:
+        run_state_machine_as_test(FailureMachine, settings=SEARCH)
+    return str(found.value).partition(":")[0]
+
+
+class TestDispatchedOnce:
+    def test_sending_elsewhere_after_an_unknown_outcome(self, monkeypatch):
+        monkeypatch.setattr(
+            carry, "code_class", lambda code: carry.CodeClass.NOT_RUN if code else 0
+        )
+        with pytest.raises(PromiseBroken, match="^dispatch"):
+            tell(SIDECARS_KILLED)
+
+
+class TestHonestNotRun:
+    def test_lost_link_told_as_not_run(self, monkeypatch):
+        tell_code = offer._outcome
+
+        def lying(entry, progress, code, detail=""):
+            lie = code in (ResultCode.LINK_LOST, ResultCode.INCARNATION_GONE)
+            code = ResultCode.TARGET_UNREACHABLE if lie else code
+            return tell_code(entry, progress, code, detail)
+
+        monkeypatch.setattr(offer, "_outcome", lying)
+        with pytest.raises(PromiseBroken, match="^(honest|dispatch)"):
+            tell(SIDECARS_KILLED)
+
+    def test_link_left_open_after_its_offer_was_called_unseen(self, monkeypatch):
+        def look(ledger, handle):
+            link = ledger._open.get(handle)
+            return link.exchange if link else ledger._closed.get(handle)
+
+        monkeypatch.setattr(LinkLedger, "retire", look)
+        with pytest.raises(PromiseBroken, match="^(honest|dispatch)"):
+            tell(
+                [Step("send_model", 0, 2, 1.0)] * 3
+                + [Step("delay", 0, 3), Step("delay", 0, 4), Step("delay", 0, 7)]
+                + [Step("send_model", 0, 2, 0.0003), Step("delay", 0, 0), Step("delay", 0, 4)]
+                + [Step("delay", 0, 8, 40.0)]
+            )
+
+
+class TestTicketOnce:
+    def test_record_forgotten(self, monkeypatch):
+        monkeypatch.setattr(Records, "find", lambda records, offer, now_s: None)
+        assert breach_found() == "once"
+
+
+class TestWholeAnswer:
+    def test_resumed_bytes_passed_on_again(self, monkeypatch):
+        async def pass_all(entry, caller, progress, chunk):
+            progress.offset += len(chunk.data)
+            await caller.send(chunk.data)
+
+        monkeypatch.setattr(offer, "_pass_on", pass_all)
+        relay = entry_link._relay_from
+        monkeypatch.setattr(
+            entry_link,
+            "_relay_from",
+            lambda sidecar, link, attempt, _: relay(sidecar, link, attempt, 0),
+        )
+        assert breach_found() == "whole"
+
+
+class TestLeaving:
+    def test_offers_taken_while_leaving(self, monkeypatch):
+        monkeypatch.setattr(promise_story, "start_leaving", lambda *_: None)
+        assert breach_found() == "leaving"
+
+
+class TestGracefulShutdown:
+    def test_process_ended_before_its_work(self, monkeypatch):
+        async def end_at_once(process):
+            pass
+
+        monkeypatch.setattr(promise_story, "drain_sidecar", end_at_once)
+        steps = [Step("send_model", 0, 38, 0.03), Step("drain", 2), Step("drain", 3)]
+        with pytest.raises(PromiseBroken, match="^graceful"):
+            tell(steps, judge_graceful)
+
+
+class TestTiers:
+    def test_highest_tier_shed_first(self, monkeypatch):
+        monkeypatch.setattr(
+            TierQueue,
+            "_first_to_shed",
+            lambda queue: min(queue._waiting.values(), key=lambda waiting: waiting.rank),
+        )
+        assert breach_found() == "tiers"
+
+
+class TestVersion:
+    def test_older_version_taken(self, monkeypatch):
+        monkeypatch.setattr(HeldVersion, "judge", lambda held, stamp: Taken.IN_FORCE)
+        assert breach_found() == "version"
