--- a/guavawalk/process/entry/view.py
+++ b/guavawalk/process/entry/view.py
@@ -40,7 +40,7 @@
     Attributes
     ----------
     cached : mapping of str to int
-        Length of the prefix believed cached, for the targets that have one.
+        Length of the prefix believed cached, for the targets that have one, longest first.
     """
 
     def __init__(self, fleet: "FleetView", rank: int, cached: Mapping[str, int]) -> None:
--- a/guavawalk/request/expected_cost.py
+++ b/guavawalk/request/expected_cost.py
@@ -2,6 +2,7 @@
 
 import random
 from collections.abc import Sequence
+from itertools import islice
 from typing import NamedTuple
 
 from guavawalk.request.affinity import affinity_key, affinity_order, affinity_tokens
@@ -27,8 +28,9 @@
 MAX_AGE_S = 3_600.0
 FRESH_S = 2.0
 MAX_SPEEDUP = 2.0
-MAX_SCANNED = 10
-SCANNED_NEAR = 3
+MAX_SCANNED = 8
+SCANNED_NEAR = 2
+SCANNED_CACHED = 3
 CALL_S = 0.05
 BLOCK_TOKENS = BLOCK_CHARS // CHARS_PER_TOKEN
 SERVICE_SPEED = Generation("", 1e9, 1e9, 8)
@@ -62,7 +64,12 @@
 
 
 def cost_parts(
-    work: Work, here: str, target: Target, view: TargetView, credit_tokens: int = 0
+    work: Work,
+    here: str,
+    target: Target,
+    view: TargetView,
+    credit_tokens: int = 0,
+    share: float = 1.0,
 ) -> CostParts:
     """Work out what a request takes at a target.
 
@@ -72,6 +79,8 @@
         Data centre of the entry.
     credit_tokens : int
         Prefix that other entries are expected to have cached there.
+    share : float
+        Part of the slots that the request's tier may hold.
     """
     configuration = work.configuration
     generation = configuration.generations.get(target.generation, SERVICE_SPEED)
@@ -88,7 +97,7 @@
     prefill_s = max(work.prompt_tokens - cached, 0) / prefill_rate
     speedup = IDLE_BATCH_SPEEDUP * max(0.0, 1.0 - (load.running + 1) / slots)
     decode_s = work.expected_output_tokens / decode_rate * (1.0 - speedup)
-    wait_s = _wait_s(work, view, slots, slots * decode_rate)
+    wait_s = _wait_s(work, view, slots, share, slots * decode_rate)
     if is_fresh:
         wait_s += max(0.0, load.first_token_ms / 1000 - prefill_s)
     finish_s = wait_s + prefill_s + decode_s
@@ -107,19 +116,20 @@
     return load.running + sum(load.queued_by_rank) + view.own_new < AFFINITY_LOAD_BOUND * slots
 
 
-def _wait_s(work: Work, view: TargetView, slots: int, rate: float) -> float:
+def _wait_s(work: Work, view: TargetView, slots: int, share: float, rate: float) -> float:
     """Return the time until a slot is free, by the tokens that go before this request."""
     load = view.load
     if not work.model:
         return CALL_S * (load.running + sum(load.queued_by_rank) + view.own_new) / slots
     rank = work.tier.rank
     waiting = sum(load.queued_by_rank[: rank + 1]) + view.own_new
-    held_up = load.long_full and is_long(work)
-    if load.running + waiting < _open_slots(work, slots) and not held_up:
+    long = is_long(work)
+    held_up = long and load.long_full
+    if load.running + waiting < share * slots and not held_up:
         return 0.0
     # Long work holds part of the slots at most, and does not hold up short work in the queue.
     ahead = _tokens_ahead(view, rank)
-    if is_long(work):
+    if long:
         rate *= LONG_SHARE_OF_SLOTS
         tokens = ahead.long + (view.remaining_tokens if held_up else view.mean_output_tokens)
     else:
@@ -129,13 +139,11 @@
     return max(0.0, tokens / rate - DRAIN_SHARE * min(view.report_age_s, MAX_AGE_S))
 
 
-def _open_slots(work: Work, slots: int) -> float:
-    """Return the slots that are not kept for more urgent tiers."""
+def open_share(work: Work) -> float:
+    """Return the part of a target's slots that is not kept for more urgent tiers."""
     rank = work.tier.rank
-    if not rank:
-        return slots
     tiers = work.configuration.tiers.values()
-    return slots * (1.0 - sum(tier.reserved_share for tier in tiers if tier.rank < rank))
+    return 1.0 - sum([tier.reserved_share for tier in tiers if tier.rank < rank])
 
 
 class TokensAhead(NamedTuple):
@@ -190,12 +198,14 @@
         first = order[0] if order else ""
         credit = int(AFFINITY_CREDIT * affinity_tokens(work.prefix_hashes, BLOCK_TOKENS))
         if len(targets) > MAX_SCANNED:
-            targets = self._sample(here, group, {*order[:2], *views.cached})
+            targets = self._sample(here, group, {*order[:1], *islice(views.cached, SCANNED_CACHED)})
+        share = open_share(work)
         ranked = []
         for target in targets:
             view = views[target.name]
             if view.usable:
-                parts = cost_parts(work, here, target, view, credit if target.name == first else 0)
+                tokens = credit if target.name == first else 0
+                parts = cost_parts(work, here, target, view, tokens, share)
                 cost_s = parts.finish_s + parts.penalty_s
                 ranked.append(Candidate(target, cost_s * 1000, parts.finish_s))
         ranked.sort(key=_cost)
--- a/guavawalk/request/placement.py
+++ b/guavawalk/request/placement.py
@@ -44,7 +44,7 @@
     Attributes
     ----------
     cached : mapping of str to int
-        Length of the prefix believed cached, for the targets that have one.
+        Length of the prefix believed cached, for the targets that have one, longest first.
     """
 
     cached: Mapping[str, int]
