--- a/guavawalk/request/expected_cost.py
+++ b/guavawalk/request/expected_cost.py
@@ -28,9 +28,10 @@
 MAX_AGE_S = 3_600.0
 FRESH_S = 2.0
 MAX_SPEEDUP = 2.0
-MAX_SCANNED = 8
-SCANNED_NEAR = 2
-SCANNED_CACHED = 3
+SCAN_ALL_UP_TO = 12
+MAX_SCANNED = 6
+SCANNED_NEAR = 1
+SCANNED_CACHED = 2
 CALL_S = 0.05
 BLOCK_TOKENS = BLOCK_CHARS // CHARS_PER_TOKEN
 SERVICE_SPEED = Generation("", 1e9, 1e9, 8)
@@ -197,7 +198,7 @@
         order = affinity_order(key, group.names, group.weights) if key else ()
         first = order[0] if order else ""
         credit = int(AFFINITY_CREDIT * affinity_tokens(work.prefix_hashes, BLOCK_TOKENS))
-        if len(targets) > MAX_SCANNED:
+        if len(targets) > SCAN_ALL_UP_TO:
             targets = self._sample(here, group, {*order[:1], *islice(views.cached, SCANNED_CACHED)})
         share = open_share(work)
         ranked = []
--- a/tests/request/test_expected_cost.py
+++ b/tests/request/test_expected_cost.py
@@ -8,7 +8,7 @@
 
 from guavawalk.process.bench.placement import placement_scene
 from guavawalk.request.affinity import affinity_order
-from guavawalk.request.expected_cost import MAX_SCANNED, cost_parts, create_expected_cost
+from guavawalk.request.expected_cost import SCAN_ALL_UP_TO, cost_parts, create_expected_cost
 from guavawalk.request.placement import capable_targets
 from guavawalk.request.target_view import StaticViews, TargetView
 from guavawalk.request.types import LoadReport
@@ -46,7 +46,7 @@
 
 
 class TestAgainstFullScan:
-    @given(SEEDS, st.integers(1, MAX_SCANNED))
+    @given(SEEDS, st.integers(1, SCAN_ALL_UP_TO))
     def test_few_targets_are_all_looked_at(self, seed, count):
         rng = random.Random(seed)
         work, here, targets = placement_scene(count, count, seed)
