Let one table of the heaviest keys serve histograms and waste

Cause: the space-saving rule stood twice, once with a scan of all keys for each new one. Change: observe/heaviest.py serves both, O(log n) for each amount; the waste test's mutant patches the shared table and is caught as before. Conclusion: one rule, one place.

--- a/guavawalk/process/observe/histograms.py
+++ b/guavawalk/process/observe/histograms.py
@@ -11,7 +11,7 @@
 
 from hdrh.histogram import HdrHistogram
 
-from guavawalk.process.observe.busiest import create_busiest_keys
+from guavawalk.process.observe.heaviest import create_heaviest_keys
 
 __all__ = [
     "HistogramKey",
@@ -115,7 +115,7 @@
         self._top_keys = top_keys
         self._top: dict[HistogramKey, Series] = {}
         self._rest: dict[str, Series] = {}
-        self._candidates = create_busiest_keys(CANDIDATE_KEYS)
+        self._candidates = create_heaviest_keys(CANDIDATE_KEYS)
         self._requests = 0
 
     def note_request(self, workspace: str, tier: str) -> None:
@@ -129,7 +129,7 @@
             series.requests += 1
             return
         self._rest_of(tier).requests += 1
-        self._consider(key, self._candidates.count(key))
+        self._consider(key, self._candidates.add(key))
 
     def _held(self, key: HistogramKey) -> Series | None:
         series = self._top.get(key)
--- a/tests/process/sidecar/test_waste_totals.py
+++ b/tests/process/sidecar/test_waste_totals.py
@@ -8,7 +8,8 @@
 from hypothesis import strategies as st
 
 from guavawalk.codes import ResultCode
-from guavawalk.process.sidecar.waste_totals import WasteTotals, create_waste_totals
+from guavawalk.process.observe.heaviest import HeaviestKeys
+from guavawalk.process.sidecar.waste_totals import create_waste_totals
 from guavawalk.request.prompt import prefix_hashes
 from guavawalk.request.types import Usage
 from guavawalk.request.waste import Prefill, Waste, WasteCause, waste_of
@@ -40,12 +41,12 @@
         check_bounds(notes)
 
     def test_a_mutant_is_caught(self, monkeypatch):
-        def keep_the_first(self, workspace, tokens):
-            if workspace in self._counted or len(self._counted) < self._max_workspaces:
-                counted(self, workspace, tokens)
+        def keep_the_first(self, key, amount=1):
+            if key in self._weights or len(self._weights) < self._slots:
+                add(self, key, amount)
 
-        counted = WasteTotals._count
-        monkeypatch.setattr(WasteTotals, "_count", keep_the_first)
+        add = HeaviestKeys.add
+        monkeypatch.setattr(HeaviestKeys, "add", keep_the_first)
         with pytest.raises(AssertionError):
             settings(phases=[Phase.generate])(given(NOTES)(check_bounds))()
 
