Measure control, read lists and engine states over HTTP, back feeds off

On the way two faults showed: rows of the instance list and of an engine's state were decoded as arrays, so over HTTP neither was ever read; and a node cut off from all peers spent 11% of a core on trying. Change: `guavawalk bench control`; typed rows for both; feeds back off to 1 s; a test that a version which any one node has reaches all with the service down.

--- a/guavawalk/connection/http_target.py
+++ b/guavawalk/connection/http_target.py
@@ -6,6 +6,7 @@
 import json
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
+from typing import TypedDict
 
 import httpcore
 import msgspec
@@ -102,6 +103,16 @@
         yield AnswerPart(data)
 
 
+class StateRow(TypedDict):
+    """An engine's state as it tells it."""
+
+    models: tuple[str, ...]
+    adapters: tuple[str, ...]
+    role: str
+    fence: tuple[int, int]
+    pending: str
+
+
 class HttpEngine:
     """A model engine."""
 
@@ -148,7 +159,7 @@
         """Read what the engine holds."""
         found = await self._control("GET", "/v1/state")
         try:
-            return msgspec.convert(found, EngineState)
+            return EngineState(**msgspec.convert(found, StateRow))
         except msgspec.ValidationError as error:
             raise TargetError(f"state: {error}") from error
 
--- a/guavawalk/connection/platform.py
+++ b/guavawalk/connection/platform.py
@@ -1,6 +1,6 @@
 """What the platform gives: published values and the list of instances, to be read only."""
 
-from typing import NamedTuple, Protocol
+from typing import NamedTuple, NotRequired, Protocol, TypedDict
 
 import httpcore
 import msgspec
@@ -30,6 +30,16 @@
     leaving: bool = False
 
 
+class InstanceRow(TypedDict):
+    """A row as the platform tells it."""
+
+    name: str
+    role: str
+    address: str
+    data_centre: str
+    leaving: NotRequired[bool]
+
+
 class Platform(Protocol):
     """The configuration service and the instance list."""
 
@@ -68,9 +78,10 @@
         if status != 200:
             raise PlatformUnavailable(f"instances: HTTP {status}")
         try:
-            return msgspec.json.decode(content, type=tuple[Instance, ...])
+            rows = msgspec.json.decode(content, type=tuple[InstanceRow, ...])
         except msgspec.DecodeError as error:
             raise PlatformUnavailable(f"instances: {error}") from error
+        return tuple(Instance(**row) for row in rows)
 
     async def _value(self, path: str, timeout_s: float) -> PublishedValue | None:
         status, headers, content = await self._get(path, timeout_s)
--- a/guavawalk/connection/tasks/peer_feed.py
+++ b/guavawalk/connection/tasks/peer_feed.py
@@ -39,6 +39,8 @@
 POLL_S = 2.0
 ANSWER_S = 1.0
 RETRY_S = 0.2
+RETRY_LIMIT_S = 1.0
+RETRY_DOUBLINGS = 3
 RECHECK_S = 5.0
 
 
@@ -59,6 +61,7 @@
 async def follow_peer(spread: Spread, slot: int) -> None:
     """Follow whichever peer this feed should learn from, for as long as the process lives."""
     roster = spread.members.roster
+    failures = 0
     while True:
         address = roster.feed(slot)
         if address is None:
@@ -69,13 +72,16 @@
             async with open_peer(spread, address) as link:
                 while roster.feed(slot) == address:
                     await _poll(spread, link, POLL_S)
+                    failures = 0
         except LinkRefused:
-            pass
+            failures += 1
         except (LinkBroken, RequestError):
+            failures += 1
             roster.note_unreached(address)
         except ConfigurationError as error:
             spread.log.emit(events.VERSION_INVALID, peer=address, reason=str(error))
-        await anyio.sleep(spread.rng.uniform(RETRY_S / 4, RETRY_S))
+        limit_s = min(RETRY_LIMIT_S, RETRY_S * 2 ** min(failures, RETRY_DOUBLINGS))
+        await anyio.sleep(spread.rng.uniform(limit_s / 4, limit_s))
 
 
 async def ask_peer(spread: Spread, address: str) -> None:
--- a/guavawalk/process/commands/bench.py
+++ b/guavawalk/process/commands/bench.py
@@ -118,3 +118,26 @@
     for name, value in anyio.run(measure_tickets, calls)._asdict().items():
         print(f"{name}: {value:.2f}" if isinstance(value, float) else f"{name}: {value}")
     return 0
+
+
+@bench_app.command
+def control(
+    nodes: tuple[int, ...] = (10, 25, 50),
+    workspaces: tuple[int, ...] = (1_000, 7_000, 29_000),
+    targets: int = 2_100,
+    idle_s: float = 10.0,
+    rounds: int = 5,
+) -> None:
+    """Measure bringing versions into force over loopback, and building them."""
+    from functools import partial
+
+    import anyio
+
+    from guavawalk.process.bench.control import measure_build, measure_spread
+
+    rows = [measure_build(count, targets) for count in workspaces]
+    rows += [anyio.run(partial(measure_spread, count, idle_s, rounds)) for count in nodes]
+    for row in rows:
+        print(type(row).__name__)
+        for name, value in row._asdict().items():
+            print(f"  {name}: {value:.2f}" if isinstance(value, float) else f"  {name}: {value}")
--- a/tests/process/spread/test_trouble.py
+++ b/tests/process/spread/test_trouble.py
@@ -48,6 +48,23 @@
         assert len(after) == 1
 
 
+class TestOneHolder:
+    def test_a_version_that_one_node_has_reaches_all_with_the_service_down(self):
+        async def story(holder):
+            async with run_fleet(kestrel_lane_plan()) as fleet:
+                fleet.list_instances()
+                await anyio.sleep(70)
+                fleet.books.down = True
+                process = fleet.processes[holder]
+                found = render_documents(2, other_parts(fleet))
+                (process.sidecar or process.entry).held.take(found)
+                await anyio.sleep(5)
+                return {stamp.version for stamp in versions(fleet)}
+
+        nodes = [f"sidecar-{target.name}" for target in kestrel_lane_plan().targets]
+        assert [run_virtually(story, node) for node in nodes] == [{2}] * len(nodes)
+
+
 class TestTruncatedValues:
     @pytest.mark.parametrize("what", ["root", "shard"])
     def test_the_old_version_stays_until_the_value_is_whole(self, what):
--- /dev/null
+++ b/tests/process/test_platform_http.py
@@ -0,0 +1,51 @@
+"""What daemons read over HTTP, as the stand-ins tell it."""
+
+import anyio
+
+from guavawalk.connection.http_target import create_http_engine
+from guavawalk.connection.platform import Instance, create_http_platform
+from guavawalk.connection.target import EngineOrder, EngineState
+from guavawalk.process.http_server import serve_asgi
+from guavawalk.process.standins.engine import create_engine_app
+from guavawalk.process.standins.engine_model import EngineSpeed, create_engine_model
+from guavawalk.process.standins.platform import PlatformBooks, create_platform_app
+
+FREE = "127.0.0.1:0"
+
+
+def tell(story):
+    async def run():
+        async with anyio.create_task_group() as tasks:
+            found = await story(tasks)
+            tasks.cancel_scope.cancel()
+        return found
+
+    return anyio.run(run)
+
+
+class TestInstanceList:
+    def test_is_read(self):
+        async def story(tasks):
+            books = PlatformBooks()
+            row = {"name": "e", "role": "entry", "address": "10.0.0.1:7", "data_centre": "a"}
+            books.instances = [row, {**row, "leaving": True}]
+            address = await tasks.start(serve_asgi, create_platform_app(books), FREE)
+            return await create_http_platform(f"http://{address}").instances()
+
+        one = Instance("e", "entry", "10.0.0.1:7", "a")
+        assert tell(story) == (one, one._replace(leaving=True))
+
+
+class TestEngineState:
+    def test_is_read_and_ordered(self):
+        async def story(tasks):
+            model = create_engine_model(EngineSpeed())
+            app = create_engine_app(model, tasks, ("quill",))
+            engine = create_http_engine(f"http://{await tasks.start(serve_asgi, app, FREE)}")
+            before = await engine.state()
+            await engine.order(EngineOrder("load_model", "brush", (3, 1)))
+            return before, await engine.state()
+
+        before, after = tell(story)
+        assert before == EngineState(("quill",), (), "mixed")
+        assert after == EngineState(("brush", "quill"), (), "mixed", (3, 1))
