Refuse a request after the second distinct target that it crashed

Change: suspicions of fingerprints by target, spread on offers, refusals, ends and the peers' questions; refusal with 211 after two distinct targets; one suspect at a time at a target (221), so that those beside it are not condemned; absolved by completing; offered first where nothing died with it. Not done: seeing and clearing suspects through the administration API.

--- a/guavawalk/codes.py
+++ b/guavawalk/codes.py
@@ -69,6 +69,7 @@
     MODEL_NOT_LOADED = 219
     PEER_BUSY = 260
     INTERNAL_ERROR = 220
+    SUSPECT_WAITS = 221
     NOT_RUN_OTHER = 230
 
     OUTCOME_UNKNOWN = 301
@@ -159,6 +160,7 @@
     ResultCodeInfo(ResultCode.NO_CONFIGURATION, 503, "no configuration has been received yet"),
     ResultCodeInfo(ResultCode.WRONG_INCARNATION, 503, "the process was replaced by another"),
     ResultCodeInfo(ResultCode.MODEL_NOT_LOADED, 503, "the target has not loaded this model"),
+    ResultCodeInfo(ResultCode.SUSPECT_WAITS, 503, "another crash suspect is at the target"),
     ResultCodeInfo(ResultCode.INTERNAL_ERROR, 500, "an error before it was offered"),
     ResultCodeInfo(ResultCode.NOT_RUN_OTHER, 503, "not run, for a reason not known here"),
     ResultCodeInfo(ResultCode.PEER_BUSY, 503, "too many peers wait at this one"),
--- a/guavawalk/connection/messages.py
+++ b/guavawalk/connection/messages.py
@@ -164,6 +164,7 @@
 
     above: int = 0
     wait_ms: int = 0
+    suspects: tuple[int, ...] = ()
 
 
 class VersionOffer(NamedTuple):
@@ -173,6 +174,7 @@
     digest: str = ""
     root: bytes = b""
     shard_digests: tuple[str, ...] = ()
+    suspects: tuple[int, ...] = ()
 
 
 class ShardRequest(NamedTuple):
--- a/guavawalk/connection/tasks/carry.py
+++ b/guavawalk/connection/tasks/carry.py
@@ -12,6 +12,7 @@
 from guavawalk.exception import LinkRefused, RequestError
 from guavawalk.process.entry.choice import OVERLOAD_CODES, Choice, choose_target
 from guavawalk.process.entry.observed import note_not_run, note_outcome
+from guavawalk.request.placement import capable_targets
 from guavawalk.request.ticket import code_for_key, read_ticket
 from guavawalk.request.types import Outcome, Work
 from guavawalk.version.types import Target
@@ -83,6 +84,8 @@
     try:
         if entry.gauge.draining:
             raise RequestError(ResultCode.DRAINING)
+        if entry.suspects.is_condemned(work.fingerprint):
+            raise RequestError(ResultCode.CRASH_SUSPECT)
         entry.limiter.admit(work)
     except RequestError as error:
         return _entry_refusal(work, error)
@@ -138,7 +141,7 @@
 
 
 async def _try_targets(entry: Entry, work: Work, caller: Caller, progress: Progress) -> Outcome:
-    tried: set[str] = set()
+    tried = _targets_it_may_have_crashed(entry, work)
     last = Outcome(ResultCode.NO_TARGET)
     refusals = 0
     while True:
@@ -160,10 +163,19 @@
         _note_attempt(entry, work, choice, last)
         note_not_run(entry, work, last)
         refusals += last.code in OVERLOAD_CODES
-        if code_class(last.code) is not CodeClass.NOT_RUN:
+        if code_class(last.code) is not CodeClass.NOT_RUN or last.code is ResultCode.CRASH_SUSPECT:
             return last
 
 
+def _targets_it_may_have_crashed(entry: Entry, work: Work) -> set[str]:
+    # Another target settles whether the request is to blame; the same one would only die again.
+    if not entry.suspects.is_suspect(work.fingerprint):
+        return set()
+    names = [target.name for target in capable_targets(work, work.configuration)]
+    died = {name for name in names if entry.suspects.died_at(work.fingerprint, name)}
+    return died if len(died) < len(names) else set()
+
+
 def _may_retry(entry: Entry, work: Work, last: Outcome, attempts: int) -> bool:
     # A leaving target hands back what it had taken; that is no sign of overload.
     if last.code is ResultCode.TARGET_LEAVING:
@@ -191,6 +203,7 @@
     name = choice.target.name
     if outcome.code is ResultCode.COMPLETED:
         entry.view.note_completed(name, work, outcome, choice.cached_tokens)
+        entry.suspects.note_completed(work.fingerprint)
     elif outcome.code in CRASH_CODES:
         entry.view.note_crash(name)
     elif outcome.code in FULL_CODES:
--- a/guavawalk/connection/tasks/dispatch.py
+++ b/guavawalk/connection/tasks/dispatch.py
@@ -74,6 +74,7 @@
         attempt.undo_dispatch()
         end_attempt(sidecar, attempt, ResultCode.TARGET_UNREACHABLE, str(error))
     except TargetLost as error:
+        sidecar.suspects.note_death(attempt.offer.fingerprint, sidecar.target_name)
         end_attempt(sidecar, attempt, _lost_code(attempt), str(error))
     except RequestError as error:
         await sidecar.target.cancel(attempt.offer.attempt_id)
@@ -107,6 +108,8 @@
         attempt.answer.append(part.data)
     failed = answer.status >= SERVER_ERROR_STATUS
     code = ResultCode.TARGET_ERROR if failed else ResultCode.COMPLETED
+    if not failed:
+        sidecar.suspects.note_completed(attempt.offer.fingerprint)
     end_attempt(sidecar, attempt, code)
 
 
--- a/guavawalk/connection/tasks/entry_link.py
+++ b/guavawalk/connection/tasks/entry_link.py
@@ -74,13 +74,14 @@
         case LoadRequest():
             await link.send(load_report(sidecar))
         case _:
-            await answer_peer(sidecar.held, link, message)
+            await answer_peer(sidecar.held, sidecar.suspects, link, message)
 
 
 async def _serve_offer(sidecar: Sidecar, link: Link, offer: Offer) -> None:
     # A link retired while this offer was being read has been reported as empty.
     if not sidecar.links.is_open(link.handle):
         raise LinkBroken("retired")
+    sidecar.suspects.merge(offer.suspects)
     try:
         attempt, is_new = admit_offer(sidecar, offer)
     except RequestError as error:
@@ -109,6 +110,7 @@
         detail=error.detail,
         retry_after_ms=error.retry_after_ms or 0,
         load=load_report(sidecar),
+        suspects=sidecar.suspects.shared(),
     )
 
 
@@ -219,5 +221,6 @@
         waste_cause=attempt.waste[0].cause.value if attempt.waste else "",
         retry_after_ms=attempt.retry_after_ms,
         load=load_report(sidecar),
+        suspects=sidecar.suspects.shared(),
         first_token_ms=int(max(first_token_ms, 0)),
     )
--- a/guavawalk/connection/tasks/offer.py
+++ b/guavawalk/connection/tasks/offer.py
@@ -153,9 +153,11 @@
                 await _pass_on(entry, caller, progress, message)
             case Refused():
                 entry.view.note_load(target.name, message.load)
+                entry.suspects.merge(message.suspects)
                 return _refusal(entry, progress, message)
             case Finished():
                 entry.view.note_load(target.name, message.load)
+                entry.suspects.merge(message.suspects)
                 return _finished(entry, progress, message)
             case Failure():
                 return _outcome(entry, progress, read_code(message.code), message.detail)
@@ -279,6 +281,7 @@
         fingerprint=work.fingerprint,
         prefix_hashes=work.prefix_hashes,
         version=work.configuration.stamp.version,
+        suspects=entry.suspects.shared(),
     )
 
 
--- a/guavawalk/connection/tasks/peer_feed.py
+++ b/guavawalk/connection/tasks/peer_feed.py
@@ -132,10 +132,12 @@
 
 async def _poll(spread: Spread, link: Link, wait_s: float) -> None:
     held = spread.held
-    request = VersionRequest(held.stamp.version, int(wait_s * 1000))
+    suspects = spread.members.suspects
+    request = VersionRequest(held.stamp.version, int(wait_s * 1000), suspects.shared())
     reply = await exchange(link, request, wait_s + ANSWER_S)
     if not isinstance(reply, VersionOffer):
         raise LinkBroken(f"found {type(reply).__name__}, expected VersionOffer")
+    suspects.merge(reply.suspects)
     root = _unpack(reply.root)
     if root:
         await take_version(spread, root, PeerShards(link))
--- a/guavawalk/connection/tasks/peer_link.py
+++ b/guavawalk/connection/tasks/peer_link.py
@@ -20,6 +20,7 @@
     VersionRequest,
 )
 from guavawalk.exception import LinkBroken, RequestError
+from guavawalk.process.suspects import SuspectTable
 from guavawalk.version.held import HeldVersion
 
 if TYPE_CHECKING:
@@ -37,18 +38,21 @@
     try:
         await greet(link, spread.identity)
         while True:
-            await answer_peer(spread.held, link, await link.receive())
+            await answer_peer(spread.held, spread.members.suspects, link, await link.receive())
     except LinkBroken as error:
         spread.log.emit(events.LINK_BROKEN, peer=link.peer.instance, reason=str(error))
     except RequestError as error:
         spread.log.emit(events.LINK_REJECTED, code=int(error.code), reason=str(error))
 
 
-async def answer_peer(held: HeldVersion, link: Link, message: Message) -> None:
+async def answer_peer(
+    held: HeldVersion, suspects: SuspectTable, link: Link, message: Message
+) -> None:
     """Answer one question about versions; any other message is a bad frame."""
     match message:
         case VersionRequest():
-            await _offer_version(held, link, message)
+            suspects.merge(message.suspects)
+            await _offer_version(held, suspects, link, message)
         case ShardRequest():
             value = held.shard(message.digest) or b""
             await link.send(Shard(message.digest, zlib.compress(value, PACK_LEVEL)))
@@ -56,7 +60,9 @@
             await link.send(Failure(ResultCode.BAD_FRAME, f"unexpected {type(message).__name__}"))
 
 
-async def _offer_version(held: HeldVersion, link: Link, request: VersionRequest) -> None:
+async def _offer_version(
+    held: HeldVersion, suspects: SuspectTable, link: Link, request: VersionRequest
+) -> None:
     if held.waiting >= MAX_WAITING_PEERS:
         await link.send(Failure(ResultCode.PEER_BUSY))
         return
@@ -68,4 +74,5 @@
         held.waiting -= 1
     stamp = held.stamp
     root = held.documents.root if stamp.version > request.above else b""
-    await link.send(VersionOffer(stamp.version, stamp.digest, zlib.compress(root, PACK_LEVEL)))
+    packed = zlib.compress(root, PACK_LEVEL)
+    await link.send(VersionOffer(stamp.version, stamp.digest, packed, suspects=suspects.shared()))
--- a/guavawalk/connection/wire.thrift
+++ b/guavawalk/connection/wire.thrift
@@ -138,6 +138,7 @@
 struct VersionRequest {
   1: i64 above
   2: i64 wait_ms
+  3: list<i64> suspects
 }
 
 struct VersionOffer {
@@ -145,6 +146,7 @@
   2: string digest
   3: binary root
   4: list<string> shard_digests
+  5: list<i64> suspects
 }
 
 struct ShardRequest {
--- a/guavawalk/process/entry/state.py
+++ b/guavawalk/process/entry/state.py
@@ -15,6 +15,7 @@
 from guavawalk.process.observe.metrics import Metrics
 from guavawalk.process.observe.observations import Observations
 from guavawalk.process.spread.members import Members
+from guavawalk.process.suspects import SuspectTable
 from guavawalk.request.placement import Placement
 from guavawalk.version.held import HeldVersion
 
@@ -82,6 +83,7 @@
     observed: Observations
     network: Network
     members: Members
+    suspects: SuspectTable
 
 
 def create_request_gauge() -> RequestGauge:
--- a/guavawalk/process/entry_daemon.py
+++ b/guavawalk/process/entry_daemon.py
@@ -105,6 +105,7 @@
         observed=create_observations(),
         network=network,
         members=members,
+        suspects=members.suspects,
     )
 
 
--- a/guavawalk/process/sidecar/admission.py
+++ b/guavawalk/process/sidecar/admission.py
@@ -14,6 +14,8 @@
 
 __all__ = ["admit_offer", "dispatch_ready", "start_leaving", "stop_leaving", "withdraw_attempt"]
 
+SUSPECT_RETRY_MS = 1_000
+
 
 def admit_offer(sidecar: Sidecar, offer: Offer) -> tuple[Attempt, bool]:
     """Take an offer into the queue.
@@ -47,6 +49,7 @@
     sidecar.orders.check_loaded(offer)
     if offer.deadline_ms <= 0:
         raise RequestError(ResultCode.DEADLINE_PASSED)
+    _check_suspicion(sidecar, offer)
     attempt = create_attempt(offer, now_s, table.limits.answer_bytes)
     attempt.cached_tokens = believed_cached_tokens(sidecar, offer)
     # Where most work is tiny, ordinary work of the top tier looks long; no cap may hold that up.
@@ -59,6 +62,17 @@
     return attempt, True
 
 
+def _check_suspicion(sidecar: Sidecar, offer: Offer) -> None:
+    suspects = sidecar.suspects
+    if suspects.is_condemned(offer.fingerprint):
+        raise RequestError(ResultCode.CRASH_SUSPECT)
+    if not suspects.is_suspect(offer.fingerprint):
+        return
+    live = sidecar.attempts.live.values()
+    if any(suspects.is_suspect(attempt.offer.fingerprint) for attempt in live):
+        raise RequestError(ResultCode.SUSPECT_WAITS, retry_after_ms=SUSPECT_RETRY_MS)
+
+
 def _push(sidecar: Sidecar, attempt: Attempt, now_s: float) -> None:
     for expired in sidecar.queue.expire(now_s):
         end_attempt(sidecar, expired, ResultCode.DEADLINE_PASSED)
--- a/guavawalk/process/sidecar/state.py
+++ b/guavawalk/process/sidecar/state.py
@@ -24,6 +24,7 @@
 from guavawalk.process.sidecar.waste_totals import WasteTotals
 from guavawalk.process.sidecar.window import DispatchWindow
 from guavawalk.process.spread.members import Members
+from guavawalk.process.suspects import SuspectTable
 from guavawalk.request.attempt import Attempt, AttemptState
 from guavawalk.request.types import LoadReport
 from guavawalk.version.held import HeldVersion
@@ -139,6 +140,7 @@
     tasks: TaskGroup
     members: Members
     orders: OrderDesk
+    suspects: SuspectTable
 
 
 def create_attempt_table(limits: SidecarLimits = SidecarLimits()) -> AttemptTable:
--- a/guavawalk/process/sidecar_daemon.py
+++ b/guavawalk/process/sidecar_daemon.py
@@ -130,6 +130,7 @@
         tasks=tasks,
         members=members,
         orders=create_order_desk(),
+        suspects=members.suspects,
     )
 
 
--- a/guavawalk/process/spread/members.py
+++ b/guavawalk/process/spread/members.py
@@ -7,20 +7,25 @@
 from guavawalk.process.spread.news import NewsBoard, create_news_board
 from guavawalk.process.spread.ranking import Node
 from guavawalk.process.spread.roster import Roster, create_roster
+from guavawalk.process.suspects import SuspectTable, create_suspect_table
 
 __all__ = ["Members", "create_members"]
 
 
 class Members(NamedTuple):
-    """The nodes known, the versions heard of, and whether this process has been awake."""
+    """The nodes known, what was heard of them, and whether this process has been awake."""
 
     roster: Roster
     news: NewsBoard
     pauses: PauseGauge
+    suspects: SuspectTable
 
 
 def create_members(name: str, own: Node, seeds: tuple[str, ...], clock: Clock) -> Members:
     """Create what a process knows of others before it has met any."""
     return Members(
-        create_roster(name, own, seeds, clock), create_news_board(), create_pause_gauge(clock)
+        create_roster(name, own, seeds, clock),
+        create_news_board(),
+        create_pause_gauge(clock),
+        create_suspect_table(clock),
     )
