--- a/guavawalk/connection/http_request.py
+++ b/guavawalk/connection/http_request.py
@@ -8,9 +8,10 @@
 from guavawalk.codes import ResultCode
 from guavawalk.exception import RequestError
 from guavawalk.request.prompt import estimate_tokens, fingerprint, prefix_hashes
+from guavawalk.request.rules import find_model, find_service, find_tier
 from guavawalk.request.types import Work
 from guavawalk.version.documents import digest_bytes
-from guavawalk.version.types import Configuration, Model, Service, Tier, Workspace
+from guavawalk.version.types import Configuration, Service, Tier, Workspace
 
 __all__ = [
     "CallerHeaders",
@@ -122,7 +123,7 @@
     """
     headers = read_headers(raw.headers)
     workspace = find_workspace(configuration, headers.api_key)
-    tier = _find_tier(configuration, workspace, headers.tier)
+    tier = find_tier(configuration, workspace, headers.tier)
     path = raw.path.partition("?")[0]
     _refuse_dot_segments(path)
     if path in MODEL_PATHS:
@@ -149,24 +150,11 @@
         raise RequestError(ResultCode.BAD_REQUEST, "the path has dot segments")
 
 
-def _find_tier(configuration: Configuration, workspace: Workspace, name: str) -> Tier:
-    name = name or workspace.default_tier
-    if name not in configuration.tiers:
-        raise RequestError(ResultCode.UNKNOWN_TIER, f"found {name[:40]!r}")
-    if name not in workspace.tiers:
-        raise RequestError(ResultCode.NOT_ALLOWED, f"tier {name!r}")
-    return configuration.tiers[name]
-
-
 def _find_service(configuration: Configuration, workspace: Workspace, path: str) -> Service:
     name = path.lstrip("/").partition("/")[0]
     if name == OWN_PREFIX:
         raise RequestError(ResultCode.NOT_FOUND, f"found {path[:80]!r}")
-    if name not in configuration.services:
-        raise RequestError(ResultCode.UNKNOWN_SERVICE, f"found {name[:40]!r}")
-    if name not in workspace.services:
-        raise RequestError(ResultCode.NOT_ALLOWED, f"service {name!r}")
-    return configuration.services[name]
+    return find_service(configuration, workspace, name)
 
 
 def _read_service_work(
@@ -198,7 +186,7 @@
     if raw.method != "POST":
         raise RequestError(ResultCode.BAD_REQUEST, f"{path} takes POST only")
     document = _read_json(raw.body)
-    model = _find_model(configuration, workspace, document.get("model"))
+    model = find_model(configuration, workspace, document.get("model"))
     text = _prompt_text(document, path)
     prompt_tokens = estimate_tokens(text)
     if prompt_tokens > model.context_tokens:
@@ -242,14 +230,6 @@
     return document
 
 
-def _find_model(configuration: Configuration, workspace: Workspace, name: object) -> Model:
-    if not isinstance(name, str) or name not in configuration.models:
-        raise RequestError(ResultCode.UNKNOWN_MODEL, f"found {str(name)[:40]!r}")
-    if name not in workspace.models:
-        raise RequestError(ResultCode.NOT_ALLOWED, f"model {name!r}")
-    return configuration.models[name]
-
-
 def _prompt_text(document: dict, path: str) -> str:
     if path == "/v1/completions":
         prompt = document.get("prompt")
--- a/guavawalk/connection/tasks/ticket.py
+++ b/guavawalk/connection/tasks/ticket.py
@@ -11,6 +11,7 @@
 from guavawalk.connection.messages import Ticket, TicketRequest
 from guavawalk.exception import LinkBroken, LinkRefused, RequestError
 from guavawalk.request.placement import capable_targets
+from guavawalk.request.rules import find_model, find_service, find_tier
 from guavawalk.request.types import Work
 from guavawalk.version.types import Configuration, Target, Workspace
 
@@ -62,15 +63,11 @@
 
 
 def _work_of(wanted: TicketBody, configuration: Configuration, workspace: Workspace) -> Work:
-    if wanted.service and wanted.service not in configuration.services:
-        raise RequestError(ResultCode.UNKNOWN_SERVICE, f"found {wanted.service[:40]!r}")
-    if wanted.model and wanted.model not in configuration.models:
-        raise RequestError(ResultCode.UNKNOWN_MODEL, f"found {wanted.model[:40]!r}")
-    if wanted.service not in ("", *workspace.services):
-        raise RequestError(ResultCode.NOT_ALLOWED, f"service {wanted.service!r}")
-    if wanted.model not in ("", *workspace.models):
-        raise RequestError(ResultCode.NOT_ALLOWED, f"model {wanted.model!r}")
-    tier = configuration.tiers[workspace.default_tier]
+    if wanted.service:
+        find_service(configuration, workspace, wanted.service)
+    else:
+        find_model(configuration, workspace, wanted.model)
+    tier = find_tier(configuration, workspace, "")
     return Work(
         trace_id="",
         configuration=configuration,
--- a/guavawalk/process/bench/window.py
+++ b/guavawalk/process/bench/window.py
@@ -7,10 +7,10 @@
 import anyio
 
 from guavawalk.codes import ResultCode
-from guavawalk.exception import GuavawalkError
 from guavawalk.process.fleet import Fleet, run_fleet
 from guavawalk.process.plan import Plan, PlannedTarget, kestrel_lane_plan
 from guavawalk.process.standins.memory_targets import MemoryCaller, mark_output
+from guavawalk.process.virtual_time import run_in_virtual_time
 from guavawalk.request.prompt import CHARS_PER_TOKEN
 from guavawalk.version.types import Generation, Tier
 
@@ -132,13 +132,6 @@
     GuavawalkError
         If trio, a dependency of the tests, is not installed.
     """
-    try:
-        import trio
-        import trio.testing
-    except ImportError as error:
-        raise GuavawalkError("this needs trio: pip install 'guavawalk[test]'") from error
-    trio._core._run._r.seed(seed)
-    random.seed(seed)
     scenario = SCENARIOS[scenario_name]
     fixed_size = WINDOW_CHOICES[window_name]
 
@@ -149,7 +142,7 @@
                 fleet.sidecar(ENGINE).window.size = fixed_size
             return await _run(fleet, scenario, duration_s, seed)
 
-    sent, queue_max = trio.run(story, clock=trio.testing.MockClock(autojump_threshold=0))
+    sent, queue_max = run_in_virtual_time(story, seed)
     rows = [[row for row in sent if row.tier == tier.name] for tier in TIERS]
     return [
         _figures(scenario_name, window_name, tier.name, found, queue_max)
--- a/guavawalk/process/plan.py
+++ b/guavawalk/process/plan.py
@@ -54,19 +54,6 @@
     )
     bookings = tuple(PlannedTarget(f"booking-{i}", centres[i], service="booking") for i in range(3))
     names = ("heritage", "harbour", "lamplight", "westcoast", "council")
-    keys = {name: f"key-{name}" for name in names}
-    tiers = ("onsite", "plan", "tag")
-    workspaces = tuple(
-        Workspace(
-            name,
-            (digest_bytes(keys[name].encode()),),
-            tiers,
-            "plan",
-            models=("quill",),
-            services=("booking",),
-        )
-        for name in names
-    )
     return Plan(
         data_centres=centres,
         entries=centres,
@@ -82,9 +69,9 @@
         ),
         models=(Model("quill"),),
         services=(Service("booking"),),
-        workspaces=workspaces,
+        workspaces=_workspaces(names, ("onsite", "plan", "tag"), "plan", "quill", "booking"),
         crossing_ms=3.0,
-        api_keys=keys,
+        api_keys={name: _api_key(name) for name in names},
     )
 
 
@@ -98,19 +85,6 @@
     )
     ledgers = tuple(PlannedTarget(f"ledger-{i}", centres[i], service="ledger") for i in range(4))
     names = ("sponsors", "weavers", "reports", "schools", "ledger")
-    keys = {name: f"key-{name}" for name in names}
-    tiers = ("quick", "report", "summary")
-    workspaces = tuple(
-        Workspace(
-            name,
-            (digest_bytes(keys[name].encode()),),
-            tiers,
-            "quick",
-            models=("weaver",),
-            services=("ledger",),
-        )
-        for name in names
-    )
     return Plan(
         data_centres=centres,
         entries=centres,
@@ -127,9 +101,29 @@
         ),
         models=(Model("weaver"),),
         services=(Service("ledger"),),
-        workspaces=workspaces,
+        workspaces=_workspaces(names, ("quick", "report", "summary"), "quick", "weaver", "ledger"),
         crossing_ms=4.0,
-        api_keys=keys,
+        api_keys={name: _api_key(name) for name in names},
+    )
+
+
+def _api_key(workspace: str) -> str:
+    return f"key-{workspace}"
+
+
+def _workspaces(
+    names: tuple[str, ...], tiers: tuple[str, ...], default_tier: str, model: str, service: str
+) -> tuple[Workspace, ...]:
+    return tuple(
+        Workspace(
+            name,
+            (digest_bytes(_api_key(name).encode()),),
+            tiers,
+            default_tier,
+            models=(model,),
+            services=(service,),
+        )
+        for name in names
     )
 
 
--- a/guavawalk/request/__init__.py
+++ b/guavawalk/request/__init__.py
@@ -10,6 +10,7 @@
     placement,
     policies,
     prompt,
+    rules,
     target_view,
     ticket,
     types,
@@ -24,6 +25,7 @@
 from guavawalk.request.placement import *
 from guavawalk.request.policies import *
 from guavawalk.request.prompt import *
+from guavawalk.request.rules import *
 from guavawalk.request.target_view import *
 from guavawalk.request.ticket import *
 from guavawalk.request.types import *
@@ -39,6 +41,7 @@
     *placement.__all__,
     *policies.__all__,
     *prompt.__all__,
+    *rules.__all__,
     *target_view.__all__,
     *ticket.__all__,
     *types.__all__,
