Name crash suspects in plain terms

Cause: the code and its note spoke of culprits, innocents and absolving, which are no terms of the field. Change: blocked, cleared, the crashing request and those beside it; words only. Conclusion: the tests pass as before.

--- a/guavawalk/connection/tasks/carry.py
+++ b/guavawalk/connection/tasks/carry.py
@@ -84,7 +84,7 @@
     try:
         if entry.gauge.draining:
             raise RequestError(ResultCode.DRAINING)
-        if entry.suspects.is_condemned(work.fingerprint):
+        if entry.suspects.is_blocked(work.fingerprint):
             raise RequestError(ResultCode.CRASH_SUSPECT)
         entry.limiter.admit(work)
     except RequestError as error:
--- a/guavawalk/process/sidecar/admission.py
+++ b/guavawalk/process/sidecar/admission.py
@@ -64,7 +64,7 @@
 
 def _check_suspicion(sidecar: Sidecar, offer: Offer) -> None:
     suspects = sidecar.suspects
-    if suspects.is_condemned(offer.fingerprint):
+    if suspects.is_blocked(offer.fingerprint):
         raise RequestError(ResultCode.CRASH_SUSPECT)
     if not suspects.is_suspect(offer.fingerprint):
         return
--- a/guavawalk/process/suspects.py
+++ b/guavawalk/process/suspects.py
@@ -12,7 +12,7 @@
 
 MAX_SUSPECTS = 4_096
 SUSPECT_FOR_S = 600.0
-CONDEMNED_TARGETS = 2
+BLOCKING_TARGETS = 2
 MAX_TARGETS_EACH = 4
 SHARED_PAIRS = 16
 _MASK = (1 << 63) - 1
@@ -25,7 +25,7 @@
     ----------
     targets : tuple of int
         Hashes of the distinct targets that died while it was in flight there; none once it is
-        absolved.
+        cleared.
     heard_s : float
         When the last of them was heard of, on this process's monotonic clock.
     """
@@ -40,8 +40,8 @@
     Notes
     -----
     A sidecar runs one suspect at a time, so of the suspects just one is in flight when a second
-    target dies, and those that were only beside the culprit at the first are not condemned. The
-    oldest suspicion is forgotten when the table is full, and each after `SUSPECT_FOR_S`.
+    target dies, and those that only ran beside the crashing request at the first are not blocked.
+    The oldest suspicion is forgotten when the table is full, and each after `SUSPECT_FOR_S`.
     """
 
     def __init__(self, clock: Clock, max_suspects: int) -> None:
@@ -55,7 +55,7 @@
             self._add(fingerprint, _hash_target(target_name))
 
     def note_completed(self, fingerprint: int) -> None:
-        """Absolve a request that completed; only a death seen here makes it a suspect again."""
+        """Clear a request that completed; only a death seen here makes it a suspect again."""
         if fingerprint in self._suspicions:
             del self._suspicions[fingerprint]
             self._suspicions[fingerprint] = Suspicion((), self._clock.now_s())
@@ -85,11 +85,11 @@
         known = self._suspicions.get(fingerprint)
         return known is not None and bool(known.targets)
 
-    def is_condemned(self, fingerprint: int) -> bool:
+    def is_blocked(self, fingerprint: int) -> bool:
         """Say whether it was when two distinct targets died."""
         self._expire()
         known = self._suspicions.get(fingerprint)
-        return known is not None and len(known.targets) >= CONDEMNED_TARGETS
+        return known is not None and len(known.targets) >= BLOCKING_TARGETS
 
     def died_at(self, fingerprint: int, target_name: str) -> bool:
         """Say whether a target died while a request was in flight there."""
--- a/tests/process/test_suspects.py
+++ b/tests/process/test_suspects.py
@@ -14,7 +14,7 @@
 from tests.process.sidecar.test_admission_overload import make_offer, with_sidecar
 from tests.virtual import run_virtually
 
-CULPRIT = "crash the engine"
+CRASHING = "crash the engine"
 RESTART_S = 0.2
 # Peers poll each other every 2 s, over at most three steps in so small a deployment.
 SPREAD_S = 8.0
@@ -29,13 +29,13 @@
 
 
 class TestSuspectTable:
-    def test_two_distinct_targets_condemn(self):
+    def test_two_distinct_targets_block(self):
         table = create_suspect_table(FixedClock())
         table.note_death(7, "a")
         table.note_death(7, "a")
-        assert table.is_suspect(7) and not table.is_condemned(7)
+        assert table.is_suspect(7) and not table.is_blocked(7)
         table.note_death(7, "b")
-        assert table.is_condemned(7)
+        assert table.is_blocked(7)
 
     def test_is_forgotten_after_a_while_and_on_request(self):
         clock = FixedClock()
@@ -55,15 +55,15 @@
         peer.merge(table.shared())
         assert len(table) <= 8
         newest = {fingerprint for fingerprint, _ in deaths[-1:]}
-        assert all(peer.is_condemned(f) == table.is_condemned(f) for f in newest)
+        assert all(peer.is_blocked(f) == table.is_blocked(f) for f in newest)
 
 
-async def resend_culprit(fleet, times, beside=0):
-    """Send the culprit again and again, with innocent requests beside it each time."""
+async def resend_crashing(fleet, times, beside=0):
+    """Send the crashing request again and again, with other requests beside it each time."""
     plan = fleet.plan
-    outcomes, innocents = [], []
+    outcomes, others = [], []
     for engine in fleet.engines.values():
-        engine.faults.crash_on.add(CULPRIT)
+        engine.faults.crash_on.add(CRASHING)
 
     async def send(text, into, centre):
         work = fleet.work("weavers", "quick", text, 200, "weaver", entry=centre)
@@ -73,14 +73,14 @@
         centre = plan.entries[round_number % len(plan.entries)]
         async with anyio.create_task_group() as tasks:
             for number in range(beside):
-                tasks.start_soon(send, f"innocent {number}", innocents, centre)
+                tasks.start_soon(send, f"other {number}", others, centre)
             await anyio.sleep(0.05)
-            tasks.start_soon(send, CULPRIT, outcomes, centre)
+            tasks.start_soon(send, CRASHING, outcomes, centre)
         await anyio.sleep(RESTART_S)
         for engine in fleet.engines.values():
             engine.restart()
         await anyio.sleep(SPREAD_S)
-    return outcomes, innocents
+    return outcomes, others
 
 
 def run_story(times, beside, engines=10):
@@ -92,18 +92,18 @@
         async with run_fleet(plan) as fleet:
             fleet.list_instances()
             await anyio.sleep(SPREAD_S)
-            outcomes, innocents = await resend_culprit(fleet, times, beside)
+            outcomes, others = await resend_crashing(fleet, times, beside)
             crashed = {
                 name
                 for name, engine in fleet.engines.items()
-                if any(run.prompt.startswith(CULPRIT) for run in engine.runs)
+                if any(run.prompt.startswith(CRASHING) for run in engine.runs)
             }
-            return [outcome.code for _, outcome in outcomes], crashed, innocents
+            return [outcome.code for _, outcome in outcomes], crashed, others
 
     return run_virtually(story)
 
 
-class TestCulprit:
+class TestCrashingRequest:
     def test_is_refused_after_the_second_distinct_target(self):
         codes, crashed, _ = run_story(times=8, beside=0)
         assert len(crashed) == 2
@@ -111,21 +111,21 @@
         first = codes.index(ResultCode.CRASH_SUSPECT)
         assert set(codes[first:]) == {ResultCode.CRASH_SUSPECT}
 
-    def test_a_mutant_that_condemns_nobody_is_caught(self, monkeypatch):
-        monkeypatch.setattr(SuspectTable, "is_condemned", lambda self, fingerprint: False)
+    def test_a_mutant_that_blocks_nothing_is_caught(self, monkeypatch):
+        monkeypatch.setattr(SuspectTable, "is_blocked", lambda self, fingerprint: False)
         with pytest.raises(AssertionError):
             self.test_is_refused_after_the_second_distinct_target()
 
 
-class TestInnocent:
-    def test_beside_the_culprit_is_not_condemned(self):
-        codes, _, innocents = run_story(times=6, beside=8, engines=2)
-        told = {outcome.code for _, outcome in innocents}
+class TestConcurrentRequest:
+    def test_beside_the_crashing_one_is_not_blocked(self):
+        codes, _, others = run_story(times=6, beside=8, engines=2)
+        told = {outcome.code for _, outcome in others}
         assert ResultCode.CRASH_SUSPECT in codes
         assert ResultCode.TARGET_CRASHED in told
         assert ResultCode.CRASH_SUSPECT not in told
 
-    def test_is_absolved_once_it_completes(self):
+    def test_is_cleared_once_it_completes(self):
         table = create_suspect_table(FixedClock())
         table.note_death(7, "a")
         table.note_completed(7)
