--- a/guavawalk/connection/__init__.py
+++ b/guavawalk/connection/__init__.py
@@ -1,40 +1,86 @@
 """What lives as long as one connection."""
 
-from guavawalk.connection import (
-    caller,
-    codec,
-    handshake,
-    http_answer,
-    http_request,
-    http_target,
-    link,
-    messages,
-    platform,
-    target,
-    tcp,
-)
-from guavawalk.connection.caller import *
-from guavawalk.connection.codec import *
-from guavawalk.connection.handshake import *
-from guavawalk.connection.http_answer import *
-from guavawalk.connection.http_request import *
-from guavawalk.connection.http_target import *
-from guavawalk.connection.link import *
-from guavawalk.connection.messages import *
-from guavawalk.connection.platform import *
-from guavawalk.connection.target import *
-from guavawalk.connection.tcp import *
+from guavawalk.lazy import attach_exports
 
-__all__ = [
-    *caller.__all__,
-    *codec.__all__,
-    *handshake.__all__,
-    *http_answer.__all__,
-    *http_request.__all__,
-    *http_target.__all__,
-    *link.__all__,
-    *messages.__all__,
-    *platform.__all__,
-    *target.__all__,
-    *tcp.__all__,
-]
+_EXPORTS = {
+    "address": ["format_address", "split_address"],
+    "caller": ["Caller"],
+    "caller_answer": ["CallerAnswer"],
+    "codec": ["MAX_FRAME_BYTES", "MAX_LIST_ITEMS", "decode_message", "encode_message"],
+    "handshake": ["Identity", "greet"],
+    "http_answer": [
+        "ErrorBody",
+        "ErrorDocument",
+        "assemble_completion",
+        "create_http_caller",
+        "error_body",
+    ],
+    "http_client": ["HttpAnswer", "HttpClient", "create_http_client"],
+    "http_listener": ["HEAD_TIMEOUT_S", "create_h11_protocol"],
+    "http_messages": [
+        "LAST_CHUNK",
+        "BodyFraming",
+        "Header",
+        "ReceivedRequest",
+        "RequestReader",
+        "ResponseHead",
+        "ResponseReader",
+        "encode_chunk",
+        "encode_request",
+        "encode_response",
+        "encode_response_head",
+    ],
+    "http_request": [
+        "CallerHeaders",
+        "RawRequest",
+        "find_workspace",
+        "read_headers",
+        "read_trace_id",
+        "read_work",
+    ],
+    "http_stream": ["create_untimed_backend"],
+    "http_target": ["create_http_engine", "create_http_service"],
+    "link": ["HEARTBEAT_S", "SILENCE_LIMIT_S", "Link", "LinkHandler", "Network"],
+    "messages": [
+        "PROTOCOL_VERSION",
+        "Chunk",
+        "Failure",
+        "Finished",
+        "Hello",
+        "LoadReport",
+        "LoadRequest",
+        "Message",
+        "Offer",
+        "Proof",
+        "Queued",
+        "Refused",
+        "Resume",
+        "Shard",
+        "ShardRequest",
+        "Started",
+        "Ticket",
+        "TicketRequest",
+        "VersionOffer",
+        "VersionRequest",
+        "Withdraw",
+        "Withdrawn",
+    ],
+    "noting": ["create_noting_network"],
+    "platform": ["Instance", "Platform", "PublishedValue", "create_http_platform"],
+    "registry": ["Registry", "RouteNews", "TargetNews"],
+    "streams": ["close_stream", "has_input", "open_stream", "reset_stream", "watch_peer"],
+    "target": [
+        "AnswerPart",
+        "CacheEvent",
+        "CacheEvents",
+        "EngineClient",
+        "EngineLoad",
+        "EngineOrder",
+        "EngineState",
+        "TargetAnswer",
+        "TargetClient",
+    ],
+    "tcp": ["create_tcp_network"],
+}
+
+__getattr__, __dir__, __all__ = attach_exports(__name__, _EXPORTS)
--- /dev/null
+++ b/guavawalk/connection/http_client.py
@@ -0,0 +1,86 @@
+"""Calls of short answers over one kept connection, one at a time."""
+
+from collections.abc import Sequence
+from typing import NamedTuple
+
+import anyio
+from anyio.abc import ByteStream
+
+from guavawalk.connection.http_messages import Header, ResponseReader, encode_request
+from guavawalk.connection.streams import has_input, open_stream, reset_stream
+from guavawalk.exception import TargetError, TargetLost
+
+__all__ = ["HttpAnswer", "HttpClient", "create_http_client"]
+
+# Largest answer taken, in bytes: a page of the registry with its values as text.
+MAX_ANSWER_BYTES = 4 * 1024 * 1024
+
+
+class HttpAnswer(NamedTuple):
+    """A whole answer."""
+
+    status: int
+    body: bytes
+
+
+class HttpClient:
+    """A client of one address; a call that fails closes its connection."""
+
+    def __init__(self, address: str) -> None:
+        self._address = address
+        self._stream: ByteStream | None = None
+        self._reader: ResponseReader | None = None
+
+    async def get(self, path: str, timeout_s: float, headers: Sequence[Header] = ()) -> HttpAnswer:
+        """Make a call.
+
+        Raises
+        ------
+        TargetError
+            If there is no whole answer in time.
+        """
+        try:
+            with anyio.fail_after(timeout_s):
+                return await self._get(path, headers)
+        except TimeoutError as error:
+            raise TargetLost(f"no answer within {timeout_s:g} s") from error
+        finally:
+            if self._reader is not None and not self._is_reusable():
+                await self.aclose()
+
+    async def aclose(self) -> None:
+        """Close the connection, if there is one."""
+        stream, self._stream, self._reader = self._stream, None, None
+        if stream is not None:
+            await reset_stream(stream)
+
+    async def _get(self, path: str, headers: Sequence[Header]) -> HttpAnswer:
+        if self._stream is not None and has_input(self._stream):
+            await self.aclose()
+        if self._stream is None or self._reader is None:
+            self._stream = await open_stream(self._address)
+            self._reader = ResponseReader(self._stream)
+        reader = self._reader
+        reader.is_complete = False
+        host = (b"Host", self._address.encode("ascii"))
+        try:
+            await self._stream.send(encode_request("GET", path.encode("ascii"), (host, *headers)))
+        except (anyio.BrokenResourceError, anyio.ClosedResourceError) as error:
+            raise TargetLost("broken while sending") from error
+        head = await reader.head()
+        self._keeps = head.keep_alive
+        body = bytearray()
+        while part := await reader.part():
+            body += part
+            if len(body) > MAX_ANSWER_BYTES:
+                raise TargetError(f"an answer over {MAX_ANSWER_BYTES} bytes")
+        return HttpAnswer(head.status, bytes(body))
+
+    def _is_reusable(self) -> bool:
+        reader = self._reader
+        return reader is not None and reader.is_complete and not reader.is_spoilt and self._keeps
+
+
+def create_http_client(address: str) -> HttpClient:
+    """Create a client of `IP:port`; it connects at its first call."""
+    return HttpClient(address)
--- /dev/null
+++ b/guavawalk/connection/tasks/attempt_call.py
@@ -0,0 +1,307 @@
+"""The part of a caller's task that sends a call to one target and passes its answer on."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from typing import TYPE_CHECKING, NamedTuple
+
+import anyio
+
+from guavawalk import events
+from guavawalk.connection.caller_answer import CallerAnswer
+from guavawalk.connection.http_messages import Header, ResponseHead, encode_request
+from guavawalk.exception import TargetConnectError, TargetLost
+from guavawalk.platform.requests import decode_answer, encode_forwarded, is_misdirected
+from guavawalk.process.gateway.connections import TargetConnection
+from guavawalk.request.call import Call
+from guavawalk.request.engine_time import nominal_event_gap_s
+from guavawalk.request.event_stream import EventStream
+from guavawalk.request.repeat import AttemptEnd, AttemptResult
+from guavawalk.request.target_answer import AnswerFields
+from guavawalk.request.target_choice import TargetChoice
+from guavawalk.version.routes import RouteKind
+
+if TYPE_CHECKING:
+    from guavawalk.process.gateway.state import Gateway
+    from guavawalk.process.gateway.targets import TargetBelief
+
+__all__ = ["Progress", "attempt_call"]
+
+# Idle time after which a kept connection is not trusted with a request that can't be repeated.
+TRUSTED_IDLE_S = 0.0
+ANY_IDLE_S = 3600.0
+# An idempotent call is sent elsewhere when nothing has come for this multiple of the expected
+# time, and not before the least of these, in seconds.
+SILENT_FACTOR = 4.0
+LEAST_SILENT_S = 0.35
+LEAST_STREAM_SILENT_S = 0.9
+# A call that has given nothing for this multiple of the expected time counts against its target.
+OVERDUE_FACTOR = 3.0
+OVERDUE_LEAST_S = 0.4
+# Events after which a stream's pace is taken into the target's slowness.
+PACE_EVERY_EVENTS = 8
+# Largest answer that is kept whole before it is passed on, in bytes.
+MAX_WHOLE_BYTES = 4 * 1024 * 1024
+# Surplus answers that are skipped while the one asked for is awaited.
+MAX_SURPLUS = 3
+
+
+class FailedAnswer(NamedTuple):
+    """A failure that a target answered with, for the caller if nothing better comes."""
+
+    status: int
+    headers: Sequence[Header]
+    body: bytes
+
+
+class Progress:
+    """How far a call has come over all its attempts.
+
+    Attributes
+    ----------
+    sent : int
+        Targets that it was sent to, the misdirected left out.
+    has_run : bool
+        Whether it may have run at one of them.
+    tried : list of str
+        Targets that are not to be asked again.
+    first_s : float
+        Time until the first event or the whole answer; 0 before it.
+    """
+
+    def __init__(self) -> None:
+        self.sent = 0
+        self.has_run = False
+        self.tried: list[str] = []
+        self.stream = EventStream()
+        self.failure: FailedAnswer | None = None
+        self.first_s = 0.0
+
+
+async def attempt_call(
+    gateway: Gateway, call: Call, choice: TargetChoice, progress: Progress, answer: CallerAnswer
+) -> AttemptEnd:
+    """Send a call to a target and pass on what it answers."""
+    progress.tried.append(choice.target_id)
+    belief = gateway.targets.get(choice.target_id)
+    if belief is None:
+        return AttemptEnd(AttemptResult.UNREACHED, "the target has gone")
+    now_s = gateway.clock.now_s()
+    idle_s = ANY_IDLE_S if call.route.is_idempotent else TRUSTED_IDLE_S
+    address = belief.registration.address
+    try:
+        connection = await gateway.connections.take(choice.target_id, address, idle_s, now_s)
+    except TargetConnectError as error:
+        belief.failures.note(True, gateway.clock.now_s())
+        return AttemptEnd(AttemptResult.UNREACHED, str(error))
+    attempt = _Attempt(gateway, call, choice, progress, answer, belief, connection)
+    return await attempt.run()
+
+
+class _Attempt:
+    """One attempt; it lives inside its caller's task."""
+
+    def __init__(
+        self,
+        gateway: Gateway,
+        call: Call,
+        choice: TargetChoice,
+        progress: Progress,
+        answer: CallerAnswer,
+        belief: TargetBelief,
+        connection: TargetConnection,
+    ) -> None:
+        self._gateway = gateway
+        self._call = call
+        self._choice = choice
+        self._progress = progress
+        self._answer = answer
+        self._belief = belief
+        self._connection = connection
+        self._use = belief.begin(call, gateway.clock.now_s(), self._overdue_s(choice))
+        self._fields: AnswerFields | None = None
+        self._had_run = progress.has_run
+
+    async def run(self) -> AttemptEnd:
+        """Send, and pass the answer on."""
+        try:
+            end = await self._exchange()
+        finally:
+            self._belief.end(self._use)
+            with anyio.CancelScope(shield=True):
+                await self._release()
+        self._note_end(end)
+        return end
+
+    async def _exchange(self) -> AttemptEnd:
+        progress = self._progress
+        progress.sent += 1
+        progress.has_run = True
+        self._gateway.targets.note_sent(self._choice.target_id, self._call.fields.prompt_parts)
+        try:
+            await self._send()
+            silent_s = self._silent_s()
+            with anyio.move_on_after(silent_s) as scope:
+                head = await self._own_head()
+            if scope.cancelled_caught:
+                return AttemptEnd(AttemptResult.SILENT, f"no answer for {silent_s:.2f} s")
+            return await self._pass_on(head)
+        except TargetLost as error:
+            return AttemptEnd(AttemptResult.LOST, str(error))
+
+    async def _send(self) -> None:
+        call = self._call
+        now_s = self._gateway.clock.now_s()
+        left_s = call.deadline_s - now_s
+        last_id = self._progress.stream.last_id or call.fields.last_event_id
+        headers = encode_forwarded(
+            call.fields, self._choice.target_id, call.workspace.name, left_s, last_id
+        )
+        self._gateway.log.emit(
+            events.CALL_SENT,
+            request_id=call.fields.request_id,
+            target=self._choice.target_id,
+            cost=round(self._choice.cost, 3),
+            expected_first_ms=int(self._choice.first_s * 1000),
+            running=self._belief.running + self._belief.peer_running,
+            waited_ms=int((now_s - call.arrived_s) * 1000),
+            left_ms=int(left_s * 1000),
+            rank=call.rank,
+            prompt_tokens=call.fields.prompt_tokens,
+            routes_version=call.table.version,
+            resumed_after=last_id,
+        )
+        request = encode_request(call.method, call.path, headers, call.body)
+        try:
+            await self._connection.stream.send(request)
+        except (anyio.BrokenResourceError, anyio.ClosedResourceError, OSError):
+            # The target may have answered before it closed; if not, reading says so.
+            self._gateway.metrics.count("sends_broken_total")
+
+    async def _own_head(self) -> ResponseHead:
+        """Return the head of the answer to this request, skipping surplus ones."""
+        reader = self._connection.reader
+        for _ in range(MAX_SURPLUS):
+            head = await reader.head()
+            fields = decode_answer(head)
+            if fields.request_id in ("", self._call.fields.request_id):
+                self._fields = fields
+                return head
+            self._gateway.metrics.count("surplus_answers_total")
+            reader.is_spoilt = True
+            while await reader.part():
+                pass
+        raise TargetLost("only answers to other requests came")
+
+    async def _pass_on(self, head: ResponseHead) -> AttemptEnd:
+        fields = self._fields
+        if fields.is_not_run:
+            self._progress.has_run = self._had_run
+            if is_misdirected(fields.status):
+                self._progress.sent -= 1
+                return AttemptEnd(AttemptResult.MISDIRECTED, "another target has the address")
+            return AttemptEnd(AttemptResult.NOT_RUN, f"HTTP {fields.status}")
+        if fields.status < 300 and self._call.route.kind is RouteKind.STREAM:
+            if not fields.is_stamped:
+                return AttemptEnd(AttemptResult.LOST, "an answer without signature")
+            return await self._pass_stream(head)
+        return await self._pass_whole(fields)
+
+    async def _pass_whole(self, fields: AnswerFields) -> AttemptEnd:
+        body = bytearray()
+        while part := await self._connection.reader.part():
+            body += part
+            if len(body) > MAX_WHOLE_BYTES:
+                return AttemptEnd(AttemptResult.LOST, "the answer is over the limit")
+        if fields.status < 300:
+            if not fields.is_stamped or (fields.request_id != self._call.fields.request_id):
+                return AttemptEnd(AttemptResult.LOST, "an answer without signature")
+            self._note_first()
+            await self._answer.send_whole(fields.status, fields.forwarded, bytes(body))
+            return AttemptEnd(AttemptResult.DELIVERED)
+        if not fields.is_stamped or fields.status in (408, 421, 429, 503):
+            return AttemptEnd(AttemptResult.LOST, f"HTTP {fields.status} that promises nothing")
+        self._progress.failure = FailedAnswer(fields.status, fields.forwarded, bytes(body))
+        return AttemptEnd(AttemptResult.FAILED, f"HTTP {fields.status}")
+
+    async def _pass_stream(self, head: ResponseHead) -> AttemptEnd:
+        call, answer, stream = self._call, self._answer, self._progress.stream
+        is_resumable = call.route.resumable
+        stream.drop_rest()
+        while True:
+            with anyio.move_on_after(LEAST_STREAM_SILENT_S if is_resumable else None) as scope:
+                part = await self._connection.reader.part()
+            if scope.cancelled_caught:
+                return AttemptEnd(AttemptResult.SILENT, "the stream has paused")
+            if not part:
+                break
+            count = stream.count
+            whole = stream.feed(part)
+            if not whole:
+                continue
+            if not answer.has_begun:
+                await answer.begin(head.status, self._fields.forwarded, whole)
+            else:
+                await answer.send_part(whole)
+            self._note_events(stream.count - count)
+        rest = stream.take_rest()
+        if not answer.has_begun:
+            await answer.begin(head.status, self._fields.forwarded, rest)
+        elif rest:
+            await answer.send_part(rest)
+        await answer.finish()
+        return AttemptEnd(AttemptResult.DELIVERED)
+
+    def _note_events(self, count: int) -> None:
+        now_s = self._gateway.clock.now_s()
+        use = self._use
+        if not use.first_at_s:
+            self._note_first()
+            self._belief.note_first(use, now_s)
+            return
+        use.events += count
+        if use.events >= PACE_EVERY_EVENTS:
+            service = self._call.table.services.get(self._call.service)
+            per_event = service.engine.tokens_per_event if service and service.engine else 1
+            nominal_s = nominal_event_gap_s(per_event, self._belief.total_running)
+            pace_s = (now_s - use.paced_at_s) / use.events
+            self._belief.slowness.note(pace_s / nominal_s)
+            use.events = 0
+            use.paced_at_s = now_s
+
+    def _note_first(self) -> None:
+        if not self._progress.first_s:
+            now_s = self._gateway.clock.now_s()
+            self._progress.first_s = now_s - self._call.arrived_s
+
+    def _silent_s(self) -> float | None:
+        route = self._call.route
+        if not route.is_idempotent:
+            return None
+        least_s = LEAST_STREAM_SILENT_S if route.kind is RouteKind.STREAM else LEAST_SILENT_S
+        return max(SILENT_FACTOR * self._choice.first_s, least_s)
+
+    @staticmethod
+    def _overdue_s(choice: TargetChoice) -> float:
+        return max(OVERDUE_FACTOR * choice.first_s, OVERDUE_LEAST_S)
+
+    def _note_end(self, end: AttemptEnd) -> None:
+        now_s = self._gateway.clock.now_s()
+        result = end.result
+        if result is AttemptResult.DELIVERED:
+            self._belief.failures.note(False, now_s)
+            if self._call.route.kind is not RouteKind.STREAM:
+                self._belief.answer_s.note(now_s - self._use.begun_at_s)
+        elif result is AttemptResult.MISDIRECTED:
+            self._belief.usable_until_s = now_s
+        else:
+            self._belief.failures.note(True, now_s)
+
+    async def _release(self) -> None:
+        connection, fields = self._connection, self._fields
+        reader = connection.reader
+        if fields is not None and reader.is_complete and not reader.is_spoilt and fields.keep_alive:
+            now_s = self._gateway.clock.now_s()
+            await self._gateway.connections.keep(connection, fields.idle_s, now_s)
+        else:
+            await connection.aclose()
--- /dev/null
+++ b/guavawalk/connection/tasks/follow_registry.py
@@ -0,0 +1,166 @@
+"""The tasks of a gateway's two connections to the registry: routes and registrations."""
+
+from __future__ import annotations
+
+import random
+from typing import TYPE_CHECKING
+
+import anyio
+
+from guavawalk import events
+from guavawalk.connection.registry import Registry, TargetNews
+from guavawalk.exception import HistoryGone, PlatformUnavailable
+from guavawalk.version.registrations import Registration
+from guavawalk.version.routes import RouteTable
+
+if TYPE_CHECKING:
+    from guavawalk.process.gateway.state import Gateway
+
+__all__ = ["follow_routes", "follow_targets", "take_routes"]
+
+# Each call to the registry is charged, so a calm watch waits long; what it might miss through a
+# lost answer the other gateways tell.
+WATCH_S = 10.0
+# After trouble a watch waits briefly for a while, since its answer may be lost.
+TROUBLED_WATCH_S = 1.5
+TROUBLED_FOR_S = 12.0
+# Pause after a failed call: grows to the last, so that a refusing registry isn't pressed.
+FIRST_PAUSE_S = 0.1
+LAST_PAUSE_S = 0.8
+# Entries that lapsed while the registry was away are back within this time of its return.
+LAPSE_S = 2.5
+
+
+class _Contact:
+    """One connection's luck with the registry."""
+
+    def __init__(self, gateway: Gateway, what: str) -> None:
+        self._gateway = gateway
+        self._what = what
+        self._failures = 0
+        self._lost_at_s = 0.0
+        self._back_at_s = -TROUBLED_FOR_S
+
+    def note_success(self) -> None:
+        now_s = self._gateway.clock.now_s()
+        if self._failures:
+            self._back_at_s = now_s
+            self._gateway.log.emit(
+                events.REGISTRY_BACK,
+                what=self._what,
+                failures=self._failures,
+                lost_for_ms=int((now_s - self._lost_at_s) * 1000),
+            )
+        self._failures = 0
+
+    async def note_failure(self, error: PlatformUnavailable) -> None:
+        if not self._failures:
+            self._lost_at_s = self._gateway.clock.now_s()
+            self._gateway.log.emit(events.REGISTRY_LOST, what=self._what, reason=str(error))
+        self._failures += 1
+        self._gateway.metrics.count("registry_failures_total", what=self._what)
+        bound_s = min(FIRST_PAUSE_S * 2**self._failures, LAST_PAUSE_S)
+        await anyio.sleep(random.uniform(bound_s / 2, bound_s))
+
+    def watch_s(self) -> float:
+        since_s = self._gateway.clock.now_s() - self._back_at_s
+        return WATCH_S if since_s >= TROUBLED_FOR_S else TROUBLED_WATCH_S
+
+    def is_just_back(self) -> bool:
+        return self._gateway.clock.now_s() - self._back_at_s < LAPSE_S
+
+
+async def follow_routes(gateway: Gateway, registry: Registry) -> None:
+    """Keep the routes in force that were published last."""
+    contact = _Contact(gateway, "routes")
+    as_of: int | None = None
+    while True:
+        try:
+            if as_of is None:
+                news = await registry.read_routes()
+            else:
+                news = await registry.watch_routes(as_of, contact.watch_s())
+            contact.note_success()
+            as_of = news.as_of
+            for problem in news.problems:
+                gateway.log.emit(events.ROUTES_INVALID, reason=problem, revision=news.as_of)
+            if news.table is not None:
+                take_routes(gateway, news.table, "registry")
+            elif not gateway.routes.table.version:
+                as_of = None
+                await anyio.sleep(FIRST_PAUSE_S)
+        except HistoryGone:
+            as_of = None
+        except PlatformUnavailable as error:
+            as_of = None
+            await contact.note_failure(error)
+
+
+def take_routes(gateway: Gateway, table: RouteTable, source: str) -> None:
+    """Bring routes into force if they are newer than those held."""
+    before = gateway.routes.table.version
+    if gateway.routes.take(table):
+        gateway.log.emit(
+            events.ROUTES_IN_FORCE,
+            version=table.version,
+            before=before,
+            source=source,
+            routes=sum(len(routes) for routes in table.routes_by_host.values()),
+        )
+
+
+async def follow_targets(gateway: Gateway, registry: Registry) -> None:
+    """Keep the targets that are registered."""
+    contact = _Contact(gateway, "targets")
+    as_of: int | None = None
+    while True:
+        try:
+            if as_of is None:
+                news = await registry.read_targets()
+                contact.note_success()
+                listed = {registration.target_id for registration in news.registered}
+                missing = gateway.targets.ids() - listed
+                news = news._replace(removed=tuple(missing))
+            else:
+                news = await registry.watch_targets(as_of, contact.watch_s())
+                contact.note_success()
+            as_of = news.as_of
+            gateway.targets.is_known = True
+            await _take_targets(gateway, news, contact.is_just_back())
+        except HistoryGone:
+            as_of = None
+        except PlatformUnavailable as error:
+            as_of = None
+            await contact.note_failure(error)
+
+
+async def _take_targets(gateway: Gateway, news: TargetNews, is_just_back: bool) -> None:
+    targets = gateway.targets
+    now_s = gateway.clock.now_s()
+    for problem in news.problems:
+        gateway.log.emit(events.REGISTRATION_INVALID, reason=problem, revision=news.as_of)
+    for registration in news.registered:
+        if targets.put(registration):
+            _tell_registered(gateway, registration, news.last_change)
+    for target_id in news.removed:
+        if targets.remove(target_id, now_s, is_just_back):
+            gateway.log.emit(
+                events.TARGET_GONE,
+                target=target_id,
+                reason="entry lapsed" if is_just_back else "entry removed",
+                revision=news.as_of,
+            )
+            await gateway.connections.drop(target_id)
+    targets.revision = max(targets.revision, news.last_change)
+
+
+def _tell_registered(gateway: Gateway, registration: Registration, revision: int) -> None:
+    gateway.log.emit(
+        events.TARGET_REGISTERED,
+        target=registration.target_id,
+        service=registration.service,
+        address=registration.address,
+        data_centre=registration.data_centre,
+        draining=registration.draining,
+        revision=revision,
+    )
--- /dev/null
+++ b/guavawalk/connection/tasks/forward_call.py
@@ -0,0 +1,163 @@
+"""The part of a caller's task that takes one call to targets until it has its answer."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import anyio
+
+from guavawalk import events
+from guavawalk.codes import ResultCode, describe_code
+from guavawalk.connection.caller_answer import CallerAnswer
+from guavawalk.connection.tasks.attempt_call import Progress, attempt_call
+from guavawalk.exception import RequestError
+from guavawalk.platform.requests import encode_retry_after
+from guavawalk.request.call import Call
+from guavawalk.request.repeat import AttemptResult, StepKind, decide_next
+from guavawalk.request.target_choice import TargetChoice, choose_target
+
+if TYPE_CHECKING:
+    from guavawalk.process.gateway.state import Gateway
+
+__all__ = ["forward_call", "refuse_call"]
+
+# When a caller that was refused may come back, in seconds, where nothing better is known.
+RETRY_AFTER_S = 0.2
+# A caller heeds a wait of up to this part of the time that it has left.
+HEEDED_PART = 0.3
+# An attempt that could not end before the deadline isn't made, in seconds.
+LEAST_ATTEMPT_S = 0.02
+
+
+async def refuse_call(
+    gateway: Gateway, request_id: str, error: RequestError, answer: CallerAnswer
+) -> None:
+    """Answer a call that has not run and won't."""
+    info = describe_code(error.code)
+    wait_ms = error.retry_after_ms
+    gateway.log.emit(
+        events.CALL_REFUSED,
+        request_id=request_id,
+        code=int(error.code),
+        code_name=error.code.name,
+        status=info.http_status,
+        reason=str(error),
+        retry_after_ms=wait_ms,
+        routes_version=gateway.routes.table.version,
+    )
+    gateway.metrics.count("calls_total", code=error.code.name)
+    headers = () if wait_ms is None else (encode_retry_after(wait_ms / 1000),)
+    await answer.send_whole(info.http_status, headers)
+
+
+async def forward_call(gateway: Gateway, call: Call, answer: CallerAnswer) -> None:
+    """Send a call to targets until one has answered it, or it is refused or given up."""
+    progress = Progress()
+    gateway.retries.note_request(call.service, call.arrived_s)
+    with anyio.CancelScope(deadline=call.deadline_s) as scope:
+        code = await _run_attempts(gateway, call, progress, answer)
+    if scope.cancelled_caught:
+        code = await _end_late(gateway, call, progress, answer)
+    _tell_end(gateway, call, progress, answer, code)
+
+
+async def _run_attempts(
+    gateway: Gateway, call: Call, progress: Progress, answer: CallerAnswer
+) -> ResultCode:
+    while True:
+        choice = _choose(gateway, call, progress)
+        if choice is None:
+            return await _give_up(gateway, call, progress, answer, ResultCode.NO_TARGET)
+        end = await attempt_call(gateway, call, choice, progress, answer)
+        may_retry = _may_retry(gateway, call, progress, end.result)
+        step = decide_next(call, end, progress.sent, progress.has_run, answer.has_begun, may_retry)
+        gateway.log.emit(
+            events.CALL_ATTEMPT_ENDED,
+            request_id=call.fields.request_id,
+            target=choice.target_id,
+            result=end.result.value,
+            detail=end.detail,
+            sent=progress.sent,
+            may_retry=may_retry,
+            next=step.kind.value,
+        )
+        if step.kind is StepKind.REPEAT:
+            gateway.metrics.count("repeats_total", result=end.result.name)
+            continue
+        if step.kind is StepKind.FINISHED:
+            return ResultCode.COMPLETED
+        if step.kind is StepKind.RELAY and progress.failure is not None:
+            failed = progress.failure
+            await answer.send_whole(failed.status, failed.headers, failed.body)
+            return step.code
+        if step.kind is StepKind.BREAK:
+            answer.keep_alive = False
+            return step.code
+        return await _give_up(gateway, call, progress, answer, step.code)
+
+
+def _choose(gateway: Gateway, call: Call, progress: Progress) -> TargetChoice | None:
+    service = call.table.services.get(call.service)
+    is_engine = service is not None and service.engine is not None
+    now_s = gateway.clock.now_s()
+    conditions = gateway.targets.conditions(call, is_engine, progress.tried, now_s)
+    return choose_target(call, gateway.settings.data_centre, conditions, now_s)
+
+
+def _may_retry(gateway: Gateway, call: Call, progress: Progress, result: AttemptResult) -> bool:
+    now_s = gateway.clock.now_s()
+    if result is AttemptResult.DELIVERED or call.deadline_s - now_s < LEAST_ATTEMPT_S:
+        return False
+    if not progress.sent:
+        return True
+    return gateway.retries.take(call.service, gateway.peers.count(), now_s)
+
+
+async def _give_up(
+    gateway: Gateway, call: Call, progress: Progress, answer: CallerAnswer, code: ResultCode
+) -> ResultCode:
+    """Answer with a failure of this system's own."""
+    if answer.has_begun:
+        answer.keep_alive = False
+        return code
+    if progress.has_run and code is ResultCode.NO_TARGET:
+        code = ResultCode.OUTCOME_UNKNOWN
+    headers = ()
+    if not progress.has_run:
+        left_s = call.deadline_s - gateway.clock.now_s()
+        headers = (encode_retry_after(max(min(RETRY_AFTER_S, HEEDED_PART * left_s), 0.0)),)
+    await answer.send_whole(describe_code(code).http_status, headers)
+    return code
+
+
+async def _end_late(
+    gateway: Gateway, call: Call, progress: Progress, answer: CallerAnswer
+) -> ResultCode:
+    if answer.has_begun:
+        answer.keep_alive = False
+        return ResultCode.TARGET_LOST
+    if progress.has_run:
+        await answer.send_whole(describe_code(ResultCode.LINK_LOST).http_status, ())
+        return ResultCode.LINK_LOST
+    return await _give_up(gateway, call, progress, answer, ResultCode.DEADLINE_UNREACHABLE)
+
+
+def _tell_end(
+    gateway: Gateway, call: Call, progress: Progress, answer: CallerAnswer, code: ResultCode
+) -> None:
+    total_s = gateway.clock.now_s() - call.arrived_s
+    gateway.metrics.count("calls_total", code=code.name)
+    gateway.metrics.observe("call_seconds", total_s, kind=call.route.kind.value)
+    if progress.first_s:
+        gateway.metrics.observe("first_event_seconds", progress.first_s, rank=str(call.rank))
+    gateway.log.emit(
+        events.CALL_ENDED,
+        request_id=call.fields.request_id,
+        code=int(code),
+        code_name=code.name,
+        status=answer.status,
+        is_whole=answer.is_whole,
+        first_ms=int(progress.first_s * 1000),
+        after_ms=int(total_s * 1000),
+        events=progress.stream.count,
+    )
--- /dev/null
+++ b/guavawalk/connection/tasks/gossip.py
@@ -0,0 +1,148 @@
+"""The tasks that tell the other gateways of this one, and hear of them.
+
+Reports go as datagrams; whatever one lacks is in the next. Routes and registrations that another
+gateway has and the registry has not given go over a connection to it.
+"""
+
+from __future__ import annotations
+
+import random
+from typing import TYPE_CHECKING
+
+import anyio
+import msgspec
+import msgspec.msgpack
+from anyio.abc import UDPSocket
+
+from guavawalk import events
+from guavawalk.connection.address import split_address
+from guavawalk.connection.http_client import create_http_client
+from guavawalk.connection.tasks.follow_registry import take_routes
+from guavawalk.exception import TargetError
+from guavawalk.process.gateway.peers import (
+    PeerReport,
+    TargetUse,
+    decode_report,
+    encode_report,
+)
+from guavawalk.version.routes import RouteTable
+
+if TYPE_CHECKING:
+    from guavawalk.process.gateway.state import Gateway
+
+__all__ = ["ROUTES_PATH", "hear_peers", "make_report", "tell_peers"]
+
+ROUTES_PATH = "/routes"
+# Time between reports where a few gateways hear each other, in seconds. With more of them it grows
+# in proportion, so that a gateway's bytes stay the same.
+REPORT_EVERY_S = 0.2
+REPORT_GATEWAYS = 6
+# A newer version told by another gateway is fetched after this time unless the registry gives it.
+FETCH_AFTER_S = 0.25
+FETCH_TIMEOUT_S = 1.0
+# Parts sent lately that one report passes on.
+MAX_PARTS = 32
+
+
+def make_report(gateway: Gateway, incarnation: int, sequence: int) -> PeerReport:
+    """Return what this gateway tells now."""
+    uses = tuple(
+        TargetUse(
+            belief.registration.target_id,
+            belief.running,
+            belief.prefill_tokens,
+            round(belief.slowness.value, 2) if belief.slowness.count else 0.0,
+        )
+        for belief in gateway.targets
+        if belief.running
+    )
+    parts = gateway.targets.take_sent_parts(MAX_PARTS)
+    return PeerReport(
+        address=gateway.settings.peer_listen,
+        incarnation=incarnation,
+        sequence=sequence,
+        routes_version=gateway.routes.table.version,
+        targets_revision=gateway.targets.revision,
+        is_leaving=gateway.callers.is_draining and not gateway.callers.calls,
+        uses=uses,
+        admitted={name: round(total) for name, total in gateway.quotas.admitted.items()},
+        sent_parts=parts,
+        suspects=gateway.suspects.shared(),
+        addresses=tuple(report.address for report in gateway.peers.heard()),
+    )
+
+
+async def tell_peers(gateway: Gateway, socket: UDPSocket, incarnation: int) -> None:
+    """Send reports to all gateways known, and to the seeds while none is heard."""
+    sequence = 0
+    seeds = [seed for seed in gateway.settings.peers if seed != gateway.settings.peer_listen]
+    while True:
+        sequence += 1
+        data = encode_report(make_report(gateway, incarnation, sequence))
+        addresses = gateway.peers.addresses()
+        for address in {*addresses, *(() if list(gateway.peers.heard()) else seeds)}:
+            try:
+                await socket.sendto(data, *split_address(address))
+            except OSError as error:
+                gateway.log.emit(events.PEER_UNREACHABLE, peer=address, reason=str(error))
+        pause_s = REPORT_EVERY_S * max(gateway.peers.count() / REPORT_GATEWAYS, 1.0)
+        await anyio.sleep(random.uniform(0.8, 1.2) * pause_s)
+        for address in gateway.peers.expire(gateway.clock.now_s()):
+            gateway.log.emit(events.GATEWAY_SILENT, peer=address)
+
+
+async def hear_peers(gateway: Gateway, socket: UDPSocket) -> None:
+    """Take the reports of other gateways, and fetch routes newer than those in force."""
+    newest = anyio.Event()
+    told: list[PeerReport] = []
+
+    async def fetch_newer() -> None:
+        nonlocal newest
+        while True:
+            await newest.wait()
+            newest = anyio.Event()
+            await anyio.sleep(FETCH_AFTER_S)
+            await _fetch_routes(gateway, told.pop())
+            told.clear()
+
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(fetch_newer)
+        async for data, (host, port) in socket:
+            try:
+                report = decode_report(data)
+            except msgspec.DecodeError as error:
+                gateway.log.emit(
+                    events.LINK_REJECTED, peer=f"{host}:{port}", reason=f"{error}"[:200]
+                )
+                continue
+            _take_report(gateway, report)
+            if report.routes_version > gateway.routes.table.version:
+                told.append(report)
+                newest.set()
+
+
+def _take_report(gateway: Gateway, report: PeerReport) -> None:
+    if gateway.peers.take(report, gateway.clock.now_s()):
+        gateway.log.emit(
+            events.GATEWAY_HEARD,
+            peer=report.address,
+            incarnation=report.incarnation,
+            routes_version=report.routes_version,
+        )
+    gateway.suspects.merge(report.suspects)
+    gateway.peers.note_addresses(report.addresses)
+
+
+async def _fetch_routes(gateway: Gateway, report: PeerReport) -> None:
+    if report.routes_version <= gateway.routes.table.version:
+        return
+    client = create_http_client(report.address)
+    try:
+        answer = await client.get(ROUTES_PATH, FETCH_TIMEOUT_S)
+        table = msgspec.msgpack.decode(answer.body, type=RouteTable)
+    except (TargetError, msgspec.DecodeError) as error:
+        gateway.log.emit(events.PEER_UNREACHABLE, peer=report.address, reason=str(error))
+        return
+    finally:
+        await client.aclose()
+    take_routes(gateway, table, report.address)
--- /dev/null
+++ b/guavawalk/connection/tasks/serve_caller.py
@@ -0,0 +1,134 @@
+"""The task of a caller's connection to a gateway."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import anyio
+from anyio.abc import ByteStream
+
+from guavawalk import events
+from guavawalk.codes import ResultCode, describe_code
+from guavawalk.connection.caller_answer import CallerAnswer
+from guavawalk.connection.http_messages import ReceivedRequest, RequestReader
+from guavawalk.connection.streams import close_stream, watch_peer
+from guavawalk.connection.tasks.forward_call import forward_call, refuse_call
+from guavawalk.exception import CallerGone, HttpInvalid, RequestError
+from guavawalk.platform.requests import decode_call
+from guavawalk.request.admission import admit_call
+from guavawalk.request.call import Call
+
+if TYPE_CHECKING:
+    from guavawalk.process.gateway.state import Gateway
+
+__all__ = ["serve_caller"]
+
+# What a caller that sent something unreadable may still send before the connection is reset, so
+# that the answer is not lost with what was left unread.
+LINGER_S = 0.5
+LINGER_READ_BYTES = 65_536
+
+
+async def serve_caller(gateway: Gateway, stream: ByteStream) -> None:
+    """Answer the requests of one connection, one after the other, until it closes."""
+    try:
+        watch_peer(stream)
+        reader = RequestReader(stream, gateway.routes.table.limits)
+        with gateway.callers.connection():
+            while await _serve_next(gateway, stream, reader):
+                pass
+    except (CallerGone, OSError):
+        gateway.metrics.count("callers_lost_total")
+    finally:
+        await close_stream(stream)
+
+
+async def _serve_next(gateway: Gateway, stream: ByteStream, reader: RequestReader) -> bool:
+    request = None
+    try:
+        with gateway.callers.idle():
+            request = await reader.next(gateway.routes.table.limits)
+    except HttpInvalid as error:
+        await _reject(gateway, stream, error)
+        return False
+    if request is None:
+        return False
+    with gateway.callers.call():
+        keep_alive = request.keep_alive and not gateway.callers.is_draining
+        answer = CallerAnswer(stream, keep_alive)
+        await _answer_request(gateway, request, reader, answer)
+    return answer.is_whole and answer.keep_alive
+
+
+async def _answer_request(
+    gateway: Gateway, request: ReceivedRequest, reader: RequestReader, answer: CallerAnswer
+) -> None:
+    call = None
+    now_s = gateway.clock.now_s()
+    try:
+        fields = decode_call(request.headers)
+        table = gateway.routes.table
+        call = admit_call(table, fields, request.method, request.target, request.body, now_s)
+        _take_quota(gateway, call)
+    except HttpInvalid as error:
+        gateway.log.emit(events.CALL_REJECTED, status=error.status, reason=error.problem)
+        await answer.send_whole(error.status, ())
+        return
+    except RequestError as error:
+        await refuse_call(gateway, fields.request_id, error, answer)
+        return
+    await _forward_while_caller_waits(gateway, call, reader, answer)
+
+
+def _take_quota(gateway: Gateway, call: Call) -> None:
+    workspace = call.workspace
+    quota = workspace.quota
+    amount = call.tokens if quota.in_tokens else 1
+    wait_s = gateway.quotas.take(
+        workspace.name, quota, amount, gateway.peers.heard_share(), gateway.clock.now_s()
+    )
+    if wait_s:
+        code = ResultCode.LIMIT_TOKENS if quota.in_tokens else ResultCode.LIMIT_REQUESTS
+        raise RequestError(
+            code, f"workspace {workspace.name}, {amount} asked", max(int(wait_s * 1000), 1)
+        )
+
+
+async def _forward_while_caller_waits(
+    gateway: Gateway, call: Call, reader: RequestReader, answer: CallerAnswer
+) -> None:
+    has_left = False
+
+    async def watch_caller(scope: anyio.CancelScope) -> None:
+        nonlocal has_left
+        await reader.wait_closed()
+        has_left = True
+        scope.cancel()
+
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(watch_caller, tasks.cancel_scope)
+        await forward_call(gateway, call, answer)
+        tasks.cancel_scope.cancel()
+    if has_left and not answer.is_whole:
+        gateway.metrics.count("calls_total", code=ResultCode.CALLER_LEFT.name)
+        gateway.log.emit(
+            events.CALL_ENDED,
+            request_id=call.fields.request_id,
+            code=int(ResultCode.CALLER_LEFT),
+            code_name=ResultCode.CALLER_LEFT.name,
+            after_ms=int((gateway.clock.now_s() - call.arrived_s) * 1000),
+        )
+        raise CallerGone(describe_code(ResultCode.CALLER_LEFT).message)
+
+
+async def _reject(gateway: Gateway, stream: ByteStream, error: HttpInvalid) -> None:
+    gateway.metrics.count("requests_rejected_total", status=str(error.status))
+    gateway.log.emit(events.CALL_REJECTED, status=error.status, reason=error.problem)
+    await CallerAnswer(stream, keep_alive=False).send_whole(error.status, ())
+    with anyio.move_on_after(LINGER_S):
+        try:
+            await stream.send_eof()
+            while await stream.receive(LINGER_READ_BYTES):
+                pass
+        except (anyio.EndOfStream, anyio.BrokenResourceError, anyio.ClosedResourceError):
+            return
--- a/guavawalk/connection/tcp.py
+++ b/guavawalk/connection/tcp.py
@@ -11,12 +11,13 @@
 from anyio.streams.buffered import BufferedByteReceiveStream
 from anyio.streams.tls import TLSListener, TLSStream
 
+from guavawalk.connection.address import format_address, split_address
 from guavawalk.connection.codec import MAX_FRAME_BYTES, decode_message, encode_message
 from guavawalk.connection.link import Link, LinkHandler, Network
 from guavawalk.connection.messages import Hello, Message
 from guavawalk.exception import LinkBroken, LinkRefused
 
-__all__ = ["create_tcp_network", "format_address", "split_address"]
+__all__ = ["create_tcp_network"]
 
 CONNECT_TIMEOUT_S = 0.5
 UNACKNOWLEDGED_LIMIT_MS = 30_000
@@ -25,25 +26,6 @@
 _BROKEN_FRAME = (*_BROKEN, anyio.IncompleteRead, anyio.DelimiterNotFound)
 
 
-def split_address(address: str) -> tuple[str, int]:
-    """Split `IP:port`.
-
-    Examples
-    --------
-    >>> split_address("127.0.0.1:80")
-    ('127.0.0.1', 80)
-    >>> split_address("[::1]:80")
-    ('::1', 80)
-    """
-    host, _, port = address.rpartition(":")
-    return host.strip("[]"), int(port)
-
-
-def format_address(host: str, port: int) -> str:
-    """Join an IP number and a port."""
-    return f"[{host}]:{port}" if ":" in host else f"{host}:{port}"
-
-
 def _limit_unacknowledged(stream: ByteStream) -> None:
     # The kernel breaks a connection whose peer takes nothing, so no send needs a timer.
     raw = stream.extra(SocketAttribute.raw_socket)
--- a/guavawalk/events.py
+++ b/guavawalk/events.py
@@ -44,11 +44,26 @@
 SHUTDOWN_FORCED = _event(1005, "shutdown_forced", logging.WARNING, "work was cut off")
 TASK_FAILED = _event(1006, "task_failed", logging.ERROR, "a task ended by an unexpected error")
 
+SETTINGS_CHANGED = _event(1007, "settings_changed", logging.INFO, "new settings were read")
+SETTINGS_REJECTED = _event(
+    1008, "settings_rejected", logging.ERROR, "new settings can't be obeyed; the old ones stay"
+)
+LOG_LINES_DROPPED = _event(
+    1009, "log_lines_dropped", logging.WARNING, "log lines were dropped, counted by kind"
+)
+
 REQUEST_ENDED = _event(2001, "request_ended", logging.INFO, "a request has ended")
 REQUEST_INVALID = _event(2002, "request_invalid", logging.WARNING, "a request was refused")
 ATTEMPT_ENDED = _event(2003, "attempt_ended", logging.INFO, "an attempt has ended")
 ATTEMPT_REFUSED = _event(2004, "attempt_refused", logging.INFO, "an attempt was refused")
 
+CALL_REJECTED = _event(2010, "call_rejected", logging.WARNING, "no call could be read")
+CALL_REFUSED = _event(2011, "call_refused", logging.INFO, "a call was refused before any attempt")
+CALL_SENT = _event(2012, "call_sent", logging.INFO, "a call goes to a target")
+CALL_ATTEMPT_ENDED = _event(2013, "call_attempt_ended", logging.INFO, "an attempt has ended")
+CALL_ENDED = _event(2014, "call_ended", logging.INFO, "a call has ended")
+CALL_WAITS = _event(2015, "call_waits", logging.INFO, "a call waits for room at a target")
+
 OFFER_NOT_RUN = _event(2070, "offer_not_run", logging.INFO, "a target did not run an offer")
 
 LINK_REJECTED = _event(3001, "link_rejected", logging.WARNING, "a link was rejected")
@@ -67,6 +82,16 @@
     4004, "platform_unavailable", logging.WARNING, "the platform's service gave no answer"
 )
 
+ROUTES_IN_FORCE = _event(4010, "routes_in_force", logging.INFO, "newer routes are in force")
+ROUTES_INVALID = _event(4011, "routes_invalid", logging.ERROR, "published routes can't be taken")
+TARGET_REGISTERED = _event(4012, "target_registered", logging.INFO, "a target's entry is taken")
+TARGET_GONE = _event(4013, "target_gone", logging.INFO, "a target is no longer used")
+REGISTRATION_INVALID = _event(
+    4014, "registration_invalid", logging.WARNING, "an entry names no usable target"
+)
+REGISTRY_LOST = _event(4015, "registry_lost", logging.WARNING, "the registry gave no answer")
+REGISTRY_BACK = _event(4016, "registry_back", logging.INFO, "the registry answers again")
+
 ADMIN_DRAINED = _event(7001, "admin_drained", AUDIT, "an operator let the target leave")
 ADMIN_ADMITTING_STOPPED = _event(
     7002, "admin_admitting_stopped", AUDIT, "an operator let the entry admit no more"
@@ -83,6 +108,9 @@
 PROCESS_WAS_PAUSED = _event(
     5003, "process_was_paused", logging.WARNING, "this process was paused and looks again"
 )
+GATEWAY_HEARD = _event(5020, "gateway_heard", logging.INFO, "another gateway is heard")
+GATEWAY_SILENT = _event(5021, "gateway_silent", logging.INFO, "a gateway is no longer heard")
+
 LEAVING_BEGUN = _event(5010, "leaving_begun", logging.INFO, "the target takes no new work")
 LEAVING_ENDED = _event(5011, "leaving_ended", logging.INFO, "a reason to leave has gone")
 
--- a/guavawalk/exception.py
+++ b/guavawalk/exception.py
@@ -4,14 +4,18 @@
 
 __all__ = [
     "AdminError",
+    "CallerGone",
     "ConfigurationError",
     "DamagedValue",
     "GuavawalkError",
+    "HistoryGone",
+    "HttpInvalid",
     "LinkBroken",
     "LinkError",
     "LinkRefused",
     "LogFileError",
     "PlatformUnavailable",
+    "RegistrationInvalid",
     "RequestError",
     "ResultsError",
     "SettingsError",
@@ -95,6 +99,48 @@
     """The platform's service did not answer, or not with something usable."""
 
 
+class HistoryGone(PlatformUnavailable):
+    """The platform no longer holds the history that a watch asked for."""
+
+
+class RegistrationInvalid(GuavawalkError):
+    """A registration that names no usable target.
+
+    Parameters
+    ----------
+    key : str
+        Key of the entry.
+    problem : str
+        What was found.
+    """
+
+    def __init__(self, key: str, problem: str) -> None:
+        super().__init__(f"{key}: {problem}")
+        self.key = key
+        self.problem = problem
+
+
+class CallerGone(GuavawalkError):
+    """The caller closed its connection while its request was under way."""
+
+
+class HttpInvalid(GuavawalkError):
+    """Bytes that are no message of HTTP/1.1, or one over the limits.
+
+    Parameters
+    ----------
+    status : int
+        What to answer a caller that sent it.
+    problem : str
+        What was found.
+    """
+
+    def __init__(self, status: int, problem: str) -> None:
+        super().__init__(problem)
+        self.status = status
+        self.problem = problem
+
+
 class RequestError(GuavawalkError):
     """A request that ends with a numbered code.
 
--- /dev/null
+++ b/guavawalk/platform/__init__.py
@@ -0,0 +1,19 @@
+"""The users' platform: its names, formats and calls, decoded into the project's types."""
+
+from guavawalk.lazy import attach_exports
+
+_EXPORTS = {
+    "configuration": ["decode_configuration"],
+    "registrations": ["PREFIX", "decode_registration"],
+    "requests": [
+        "decode_answer",
+        "decode_call",
+        "encode_forwarded",
+        "encode_retry_after",
+        "is_misdirected",
+    ],
+    "settings": ["settings_path"],
+    "store": ["create_store"],
+}
+
+__getattr__, __dir__, __all__ = attach_exports(__name__, _EXPORTS)
--- /dev/null
+++ b/guavawalk/platform/configuration.py
@@ -0,0 +1,126 @@
+"""The operator's configuration, decoded from the store's value into a route table."""
+
+from collections.abc import Iterable
+from typing import Any
+
+import msgspec
+import msgspec.json
+
+from guavawalk.exception import ConfigurationError
+from guavawalk.version.routes import (
+    CallerLimits,
+    EngineProfile,
+    Quota,
+    Route,
+    RouteKind,
+    RouteTable,
+    Service,
+    ServiceShare,
+    WorkspaceAccess,
+    build_route_table,
+)
+
+__all__ = ["decode_configuration"]
+
+KINDS = {"safe": RouteKind.SAFE, "unsafe": RouteKind.UNSAFE, "streaming": RouteKind.STREAM}
+ALL_WEIGHT = 100.0
+
+
+def decode_configuration(content: bytes) -> RouteTable:
+    """Decode a configuration.
+
+    Raises
+    ------
+    ConfigurationError
+        If it isn't one, with the place and what was found.
+    """
+    try:
+        document = msgspec.json.decode(content)
+    except msgspec.DecodeError as error:
+        raise ConfigurationError("$", str(error)) from error
+    place = "$"
+    try:
+        place = "version"
+        version = int(document["version"])
+        place = "routes"
+        routes = tuple(_route(row) for row in document.get("routes", ()))
+        place = "services"
+        services = tuple(_service(row) for row in document.get("services", ()))
+        place = "limits"
+        limits = _limits(document.get("limits") or {})
+        place = "tenants"
+        tenants = document.get("tenants")
+        by_key = None if tenants is None else _workspaces_by_key(tenants)
+    except (KeyError, TypeError, ValueError, AttributeError) as error:
+        raise ConfigurationError(place, f"{type(error).__name__}: {error}") from error
+    return build_route_table(version, routes, services, limits, by_key)
+
+
+def _route(row: dict[str, Any]) -> Route:
+    split = row.get("trafficSplit")
+    if split:
+        shares = tuple(ServiceShare(part["service"], float(part["weight"])) for part in split)
+    else:
+        shares = (ServiceShare(row["service"], ALL_WEIGHT),)
+    return Route(
+        name=row["name"],
+        host=row["hostname"],
+        prefix=row["prefix"],
+        kind=KINDS[row["routeType"]],
+        services=shares,
+        timeout_s=row["timeoutMs"] / 1000,
+        goal_s=row.get("latencyGoalMs", row["timeoutMs"]) / 1000,
+        rank=int(row.get("priority", 0)),
+        max_targets=max(int(row.get("maxAttempts", 1)), 1),
+        anonymous=bool(row.get("anonymous", False)),
+        resumable=bool(row.get("resumable", False)),
+        gap_goal_s=row.get("gapGoalMs", 0) / 1000,
+    )
+
+
+def _service(row: dict[str, Any]) -> Service:
+    engine = row.get("engine")
+    return Service(
+        row["name"],
+        row.get("healthPath", "/"),
+        int(row.get("maxConnections", Service._field_defaults["max_connections"])),
+        None if engine is None else _engine(engine),
+    )
+
+
+def _engine(row: dict[str, Any]) -> EngineProfile:
+    return EngineProfile(
+        # "capacity" counts requests in a batch; "kvCapacity" counts tokens of memory.
+        batch_slots=int(row["capacity"]),
+        cache_tokens=int(row["kvCapacity"]),
+        token_bytes=int(row["kvTokenBytes"]),
+        tokens_per_event=int(row.get("stride", 1)),
+        can_move=bool(row.get("moves", False)),
+        can_back_up=bool(row.get("backups", False)),
+    )
+
+
+def _limits(row: dict[str, Any]) -> CallerLimits:
+    defaults = CallerLimits()
+    return CallerLimits(
+        head_bytes=int(row.get("maxHeaderBytes", defaults.head_bytes)),
+        body_bytes=int(row.get("maxBodyBytes", defaults.body_bytes)),
+        head_timeout_s=row.get("headerTimeoutMs", defaults.head_timeout_s * 1000) / 1000,
+        idle_timeout_s=row.get("idleTimeoutMs", defaults.idle_timeout_s * 1000) / 1000,
+    )
+
+
+def _workspaces_by_key(rows: Iterable[dict[str, Any]]) -> dict[str, WorkspaceAccess]:
+    by_key = {}
+    for row in rows:
+        rank = row.get("priority")
+        quota = Quota(
+            per_s=float(row.get("ratePerS") or 0.0),
+            burst=float(row.get("burst") or 0.0),
+            in_tokens=row.get("unit") == "tokens",
+            plain_tokens=int(row.get("plainTokens") or 1),
+        )
+        access = WorkspaceAccess(row["name"], None if rank is None else int(rank), quota)
+        for key in row.get("apiKeys", ()):
+            by_key[key] = access
+    return by_key
--- /dev/null
+++ b/guavawalk/platform/registrations.py
@@ -0,0 +1,60 @@
+"""Servers' entries in the store, decoded into registrations."""
+
+from typing import Any
+
+import msgspec
+import msgspec.json
+
+from guavawalk.exception import RegistrationInvalid
+from guavawalk.version.registrations import Registration
+
+__all__ = ["PREFIX", "decode_registration"]
+
+PREFIX = "servers/"
+STATES = {"ready": False, "draining": True}
+
+
+def decode_registration(key: str, content: bytes) -> Registration:
+    """Decode the entry under a key.
+
+    Raises
+    ------
+    RegistrationInvalid
+        If a field is missing or of another type, or its state has no meaning here.
+    """
+    try:
+        row = msgspec.json.decode(content)
+        return Registration(
+            target_id=key.removeprefix(PREFIX),
+            service=_text(row, "service"),
+            address=_address(row),
+            data_centre=_text(row, "zone"),
+            slots=_whole(row, "capacity"),
+            draining=STATES[_text(row, "state")],
+            cold_s=float(row.get("warmupLeftMs") or 0) / 1000,
+            born_ms=_whole(row, "born") if "born" in row else 0,
+        )
+    except (msgspec.DecodeError, KeyError, TypeError, ValueError, AttributeError) as error:
+        raise RegistrationInvalid(key, f"{type(error).__name__}: {error}") from error
+
+
+def _text(row: dict[str, Any], name: str) -> str:
+    value = row[name]
+    if not isinstance(value, str) or not value:
+        raise TypeError(f"{name} is {value!r:.40}")
+    return value
+
+
+def _whole(row: dict[str, Any], name: str) -> int:
+    value = row[name]
+    if type(value) is not int or value < 0:
+        raise TypeError(f"{name} is {value!r:.40}")
+    return value
+
+
+def _address(row: dict[str, Any]) -> str:
+    address = _text(row, "address")
+    host, _, port = address.rpartition(":")
+    if not host or not 0 < int(port) < 65536:
+        raise ValueError(f"address is {address!r:.40}")
+    return address
--- /dev/null
+++ b/guavawalk/platform/store.py
@@ -0,0 +1,153 @@
+"""The platform's metadata store, read and watched."""
+
+from base64 import b64decode
+from typing import Any
+from urllib.parse import quote
+
+import msgspec
+import msgspec.json
+
+from guavawalk.connection.http_client import HttpClient, create_http_client
+from guavawalk.connection.registry import Registry, RouteNews, TargetNews
+from guavawalk.exception import (
+    ConfigurationError,
+    HistoryGone,
+    PlatformUnavailable,
+    RegistrationInvalid,
+    TargetError,
+)
+from guavawalk.platform.configuration import decode_configuration
+from guavawalk.platform.registrations import PREFIX, decode_registration
+
+__all__ = ["create_store"]
+
+CONFIGURATION_KEY = "op/config"
+# A read takes a few ms; a slow store takes up to 0.4 s.
+READ_TIMEOUT_S = 1.0
+# What a watch may take beyond the time that it waits.
+WATCH_SLACK_S = 1.0
+NOT_FOUND_STATUS = 404
+HISTORY_GONE_STATUS = 410
+
+
+class Store:
+    """The store over HTTP; routes and registrations have a connection each."""
+
+    def __init__(self, address: str) -> None:
+        self._routes = create_http_client(address)
+        self._targets = create_http_client(address)
+
+    async def read_routes(self) -> RouteNews:
+        """Read the configuration."""
+        path = f"/kv-key?key={quote(CONFIGURATION_KEY, safe='/')}"
+        document = await _get(self._routes, path, READ_TIMEOUT_S)
+        if document is None:
+            return RouteNews(None, 0)
+        # "revision" is the item's last change; "asOf" is the store's own count at the answer.
+        return _route_news([document], int(document.get("asOf", document["revision"])))
+
+    async def watch_routes(self, after: int, wait_s: float) -> RouteNews:
+        """Watch the configuration."""
+        document = await _watch(self._routes, CONFIGURATION_KEY, after, wait_s)
+        return _route_news(document["events"], int(document["asOf"]))
+
+    async def read_targets(self) -> TargetNews:
+        """Read the servers' entries, page by page."""
+        items: list[dict[str, Any]] = []
+        as_of: int | None = None
+        after = ""
+        while True:
+            page = f"&after={quote(after, safe='/')}" if after else ""
+            document = await _get(self._targets, f"/kv-range?prefix={PREFIX}{page}", READ_TIMEOUT_S)
+            if document is None:
+                raise PlatformUnavailable("the list of servers: not found")
+            items += document["items"]
+            # Pages are no snapshot: what changes between them is told by a watch from the first.
+            as_of = int(document["asOf"]) if as_of is None else as_of
+            if not document.get("truncated") or not document["items"]:
+                return _target_news(items, as_of)
+            after = items[-1]["key"]
+
+    async def watch_targets(self, after: int, wait_s: float) -> TargetNews:
+        """Watch the servers' entries."""
+        document = await _watch(self._targets, PREFIX, after, wait_s)
+        return _target_news(document["events"], int(document["asOf"]))
+
+    async def aclose(self) -> None:
+        """Close both connections."""
+        await self._routes.aclose()
+        await self._targets.aclose()
+
+
+async def _watch(client: HttpClient, prefix: str, after: int, wait_s: float) -> dict[str, Any]:
+    path = f"/kv-watch?prefix={prefix}&after={after}&waitMs={int(wait_s * 1000)}"
+    document = await _get(client, path, wait_s + WATCH_SLACK_S)
+    if document is None:
+        raise PlatformUnavailable(f"watch of {prefix}: not found")
+    return document
+
+
+async def _get(client: HttpClient, path: str, timeout_s: float) -> dict[str, Any] | None:
+    try:
+        answer = await client.get(path, timeout_s)
+    except TargetError as error:
+        raise PlatformUnavailable(f"{path}: {error}") from error
+    if answer.status == NOT_FOUND_STATUS:
+        return None
+    if answer.status == HISTORY_GONE_STATUS:
+        raise HistoryGone(path)
+    if answer.status != 200:
+        raise PlatformUnavailable(f"{path}: HTTP {answer.status}")
+    try:
+        return msgspec.json.decode(answer.body, type=dict)
+    except msgspec.DecodeError as error:
+        raise PlatformUnavailable(f"{path}: {error}") from error
+
+
+def _route_news(items: list[dict[str, Any]], as_of: int) -> RouteNews:
+    table = None
+    problems = []
+    for item in items:
+        if item.get("key") != CONFIGURATION_KEY or item.get("removed"):
+            continue
+        try:
+            found = decode_configuration(_value(item))
+        except ConfigurationError as error:
+            problems.append(str(error))
+            continue
+        if table is None or found.version > table.version:
+            table = found
+    return RouteNews(table, as_of, tuple(problems))
+
+
+def _target_news(items: list[dict[str, Any]], as_of: int) -> TargetNews:
+    registered = {}
+    removed = {}
+    problems = []
+    for item in items:
+        key = item["key"]
+        target_id = key.removeprefix(PREFIX)
+        registered.pop(target_id, None)
+        removed.pop(target_id, None)
+        if item.get("removed"):
+            removed[target_id] = True
+            continue
+        try:
+            registered[target_id] = decode_registration(key, _value(item))
+        except RegistrationInvalid as error:
+            # An entry that can't be read names no target to use.
+            removed[target_id] = True
+            problems.append(str(error))
+    last_change = max((int(item["revision"]) for item in items), default=0)
+    return TargetNews(
+        tuple(registered.values()), tuple(removed), as_of, last_change, tuple(problems)
+    )
+
+
+def _value(item: dict[str, Any]) -> bytes:
+    return b64decode(item.get("value") or "")
+
+
+def create_store(address: str) -> Registry:
+    """Create the client of the store at `IP:port`."""
+    return Store(address)
--- a/guavawalk/process/bench/relay.py
+++ b/guavawalk/process/bench/relay.py
@@ -8,7 +8,7 @@
 
 import anyio
 
-from guavawalk.connection.tcp import split_address
+from guavawalk.connection.address import split_address
 
 __all__ = ["RelayLoad", "RelaySample", "measure_relay", "quantile_ms", "read_process_cost"]
 
--- a/guavawalk/process/entry_daemon.py
+++ b/guavawalk/process/entry_daemon.py
@@ -31,7 +31,8 @@
 from guavawalk.process.entry.view import create_fleet_view
 from guavawalk.process.http_server import serve_asgi
 from guavawalk.process.observe.gauges import GaugeValues, report_gauges
-from guavawalk.process.observe.log import EventLog, create_event_log
+from guavawalk.process.observe.json_log import create_event_log
+from guavawalk.process.observe.log import EventLog
 from guavawalk.process.observe.observations import create_observations
 from guavawalk.process.pauses import Nap
 from guavawalk.process.settings import EntrySettings, client_tls_context, server_tls_context
--- /dev/null
+++ b/guavawalk/process/gateway/__init__.py
@@ -0,0 +1,3 @@
+"""What lives as long as a gateway process."""
+
+__all__: list[str] = []
--- /dev/null
+++ b/guavawalk/process/gateway/peers.py
@@ -0,0 +1,206 @@
+"""The other gateways, and what they last told."""
+
+from collections.abc import Iterable
+from typing import NamedTuple
+
+import msgspec
+import msgspec.msgpack
+
+from guavawalk.process.gateway.quota import QuotaBuckets
+from guavawalk.process.gateway.targets import TargetTable
+from guavawalk.request.call import PromptPart
+
+__all__ = [
+    "PeerReport",
+    "PeerTable",
+    "TargetUse",
+    "create_peer_table",
+    "decode_report",
+    "encode_report",
+]
+
+# A gateway not heard for this long no longer counts for loads: several reports are missing.
+SILENT_S = 1.5
+# A gateway not heard for this long no longer counts for shares of quotas.
+FORGOTTEN_S = 20.0
+# Addresses that a report passes on, and the most that are known.
+MAX_ADDRESSES = 64
+
+
+class TargetUse(NamedTuple):
+    """What one gateway has at one target."""
+
+    target_id: str
+    running: int
+    prefill_tokens: int
+    slowness: float = 0.0
+
+
+class PeerReport(NamedTuple):
+    """What a gateway tells the others.
+
+    Attributes
+    ----------
+    address : str
+        Where it hears reports, `IP:port`.
+    incarnation : int
+        Differs between starts of the process.
+    sequence : int
+        Grows with each report of an incarnation.
+    routes_version : int
+        Version in force.
+    targets_revision : int
+        Revision of the registration that it took last.
+    is_leaving : bool
+        Whether it ends now.
+    admitted : dict
+        Running totals of admitted amounts by workspace.
+    sent_parts : tuple
+        Prompt parts that it has lately sent, with their target.
+    suspects : tuple of int
+        Requests that crashed targets, as `SuspectTable.shared` gives them.
+    addresses : tuple of str
+        Gateways that it has heard itself.
+    """
+
+    address: str
+    incarnation: int
+    sequence: int
+    routes_version: int = 0
+    targets_revision: int = 0
+    is_leaving: bool = False
+    uses: tuple[TargetUse, ...] = ()
+    admitted: dict[str, float] = {}
+    sent_parts: tuple[tuple[str, str], ...] = ()
+    suspects: tuple[int, ...] = ()
+    addresses: tuple[str, ...] = ()
+
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(PeerReport)
+
+
+def encode_report(report: PeerReport) -> bytes:
+    """Return a report as one datagram."""
+    return _encoder.encode(report)
+
+
+def decode_report(data: bytes) -> PeerReport:
+    """Return the report of a datagram.
+
+    Raises
+    ------
+    msgspec.DecodeError
+        If it isn't one.
+    """
+    return _decoder.decode(data)
+
+
+class _Peer:
+    def __init__(self, report: PeerReport, heard_s: float) -> None:
+        self.report = report
+        self.heard_s = heard_s
+        self.counts = False
+
+
+class PeerTable:
+    """Reports by address; sums them into what is believed of targets and quotas."""
+
+    def __init__(self, own_address: str, targets: TargetTable, quotas: QuotaBuckets) -> None:
+        self.own_address = own_address
+        self._targets = targets
+        self._quotas = quotas
+        self._peers: dict[str, _Peer] = {}
+        self._introduced: set[str] = set()
+
+    def take(self, report: PeerReport, now_s: float) -> bool:
+        """Take a report; say whether its gateway was not heard before.
+
+        Notes
+        -----
+        Datagrams may come late or twice; one older than the last is dropped.
+        """
+        if report.address == self.own_address:
+            return False
+        peer = self._peers.get(report.address)
+        is_new = peer is None or not peer.counts
+        if peer is None:
+            peer = self._peers[report.address] = _Peer(report, now_s)
+        elif peer.report.incarnation == report.incarnation:
+            if report.sequence <= peer.report.sequence:
+                return False
+        self._discount(peer)
+        if report.is_leaving:
+            del self._peers[report.address]
+            return False
+        peer.report, peer.heard_s = report, now_s
+        self._count(peer)
+        self._quotas.merge(f"{report.address}/{report.incarnation}", report.admitted)
+        for target_id, part_id in report.sent_parts:
+            belief = self._targets.get(target_id)
+            if belief is not None:
+                belief.note_parts((PromptPart(part_id, 0),), now_s)
+        return is_new
+
+    def expire(self, now_s: float) -> list[str]:
+        """Stop counting the gateways that are silent; return those that have just become so."""
+        silent = []
+        for address, peer in list(self._peers.items()):
+            if peer.counts and now_s - peer.heard_s > SILENT_S:
+                self._discount(peer)
+                silent.append(address)
+            if now_s - peer.heard_s > FORGOTTEN_S:
+                self._quotas.forget(f"{address}/{peer.report.incarnation}")
+                del self._peers[address]
+        return silent
+
+    def note_addresses(self, addresses: Iterable[str]) -> None:
+        """Note gateways that another one hears, to be told of this one."""
+        for address in addresses:
+            if address != self.own_address and len(self._introduced) < MAX_ADDRESSES:
+                if address not in self._peers:
+                    self._introduced.add(address)
+
+    def heard(self) -> Iterable[PeerReport]:
+        """Return the last reports of the gateways that are heard."""
+        return [peer.report for peer in self._peers.values() if peer.counts]
+
+    def addresses(self) -> list[str]:
+        """Return the addresses to report to: the gateways known, silent ones too, and those
+        that others have named since the last call.
+        """
+        introduced, self._introduced = self._introduced, set()
+        return [*self._peers, *introduced]
+
+    def count(self) -> int:
+        """Return how many gateways there are, with this one and those lately silent."""
+        return len(self._peers) + 1
+
+    def heard_share(self) -> float:
+        """Return the part of all gateways that is heard, this one included."""
+        return (sum(peer.counts for peer in self._peers.values()) + 1) / self.count()
+
+    def _count(self, peer: _Peer) -> None:
+        peer.counts = True
+        for use in peer.report.uses:
+            belief = self._targets.get(use.target_id)
+            if belief is not None:
+                belief.peer_running += use.running
+                belief.peer_prefill_tokens += use.prefill_tokens
+                if use.slowness and not belief.slowness.count:
+                    belief.slowness.value = use.slowness
+
+    def _discount(self, peer: _Peer) -> None:
+        if not peer.counts:
+            return
+        peer.counts = False
+        for use in peer.report.uses:
+            belief = self._targets.get(use.target_id)
+            if belief is not None:
+                belief.peer_running = max(belief.peer_running - use.running, 0)
+                belief.peer_prefill_tokens = max(belief.peer_prefill_tokens - use.prefill_tokens, 0)
+
+
+def create_peer_table(own_address: str, targets: TargetTable, quotas: QuotaBuckets) -> PeerTable:
+    """Create a table without gateways."""
+    return PeerTable(own_address, targets, quotas)
--- /dev/null
+++ b/guavawalk/process/gateway/state.py
@@ -0,0 +1,68 @@
+"""What one gateway process holds."""
+
+from typing import NamedTuple
+
+from guavawalk.process.clock import Clock
+from guavawalk.process.gateway.callers import CallerGauge, create_caller_gauge
+from guavawalk.process.gateway.connections import ConnectionPool, create_connection_pool
+from guavawalk.process.gateway.held_routes import HeldRoutes, create_held_routes
+from guavawalk.process.gateway.peers import PeerTable, create_peer_table
+from guavawalk.process.gateway.quota import QuotaBuckets, create_quota_buckets
+from guavawalk.process.gateway.retry_window import (
+    RetryBounds,
+    RetryWindows,
+    create_retry_windows,
+)
+from guavawalk.process.gateway.settings import GatewaySettings
+from guavawalk.process.gateway.targets import TargetTable, create_target_table
+from guavawalk.process.observe.exposition import MetricSet, create_metric_set
+from guavawalk.process.observe.log import EventLog
+from guavawalk.process.suspects import SuspectTable, create_suspect_table
+
+__all__ = ["Gateway", "create_gateway"]
+
+
+class Gateway(NamedTuple):
+    """The parts of a gateway."""
+
+    settings: GatewaySettings
+    clock: Clock
+    log: EventLog
+    metrics: MetricSet
+    routes: HeldRoutes
+    targets: TargetTable
+    connections: ConnectionPool
+    retries: RetryWindows
+    quotas: QuotaBuckets
+    suspects: SuspectTable
+    peers: PeerTable
+    callers: CallerGauge
+
+    def is_ready(self) -> bool:
+        """Say whether new connections are welcome."""
+        return (
+            bool(self.routes.table.version)
+            and self.targets.is_known
+            and not self.callers.is_draining
+        )
+
+
+def create_gateway(settings: GatewaySettings, clock: Clock, log: EventLog) -> Gateway:
+    """Assemble a gateway that knows nothing yet."""
+    bounds = RetryBounds(settings.retry_ratio, settings.retry_slack, settings.retry_window_s)
+    targets = create_target_table()
+    quotas = create_quota_buckets()
+    return Gateway(
+        settings=settings,
+        clock=clock,
+        log=log,
+        metrics=create_metric_set(),
+        routes=create_held_routes(),
+        targets=targets,
+        connections=create_connection_pool(),
+        retries=create_retry_windows(bounds),
+        quotas=quotas,
+        suspects=create_suspect_table(clock),
+        peers=create_peer_table(settings.peer_listen, targets, quotas),
+        callers=create_caller_gauge(),
+    )
--- /dev/null
+++ b/guavawalk/process/gateway/targets.py
@@ -0,0 +1,250 @@
+"""The targets that a gateway knows, and what it believes of each."""
+
+from collections import OrderedDict, deque
+from collections.abc import Iterable, Iterator
+
+from guavawalk.process.gateway.decay import DecayingShare, MovingAverage
+from guavawalk.request.call import Call, PromptPart
+from guavawalk.request.target_choice import TargetCondition
+from guavawalk.version.registrations import Registration
+
+__all__ = ["RunningCall", "TargetBelief", "TargetTable", "create_target_table"]
+
+# A target that has failed is tried again soon: half of its failures are forgotten after this.
+FAILURE_HALF_LIFE_S = 3.0
+# Successes taken as seen, so that one failure of an unknown target weighs a third.
+FAILURE_PRIOR = 2.0
+SLOWNESS_WEIGHT = 0.2
+ANSWER_WEIGHT = 0.1
+# Time to an answer of a plain service that has given none yet.
+USUAL_ANSWER_S = 0.05
+# A target whose entry lapsed while the registry was unavailable goes on being used for so long;
+# below the time that a leaving target still serves.
+LAPSED_TRUST_S = 1.5
+# Prompt parts that one target is believed to hold; older ones are taken as evicted.
+MAX_CACHED_PARTS = 512
+# Parts that have not been used for this long no longer count as held.
+CACHED_FOR_S = 30.0
+
+
+class RunningCall:
+    """One call of this gateway at a target.
+
+    Attributes
+    ----------
+    prefill_tokens : int
+        Tokens of its prompt that the target has to read.
+    first_at_s : float
+        When its first event came; 0 before.
+    paced_at_s, events
+        Since when, and how many, events have been counted for the target's pace.
+    """
+
+    def __init__(self, prefill_tokens: int, begun_at_s: float, overdue_at_s: float) -> None:
+        self.prefill_tokens = prefill_tokens
+        self.begun_at_s = begun_at_s
+        self.overdue_at_s = overdue_at_s
+        self.first_at_s = 0.0
+        self.paced_at_s = 0.0
+        self.events = 0
+
+
+class TargetBelief:
+    """What is believed of one target.
+
+    Attributes
+    ----------
+    calls : set of RunningCall
+        Calls of this gateway there.
+    prefill_tokens : int
+        Prompt tokens of those that have given no event yet.
+    peer_running, peer_prefill_tokens : int
+        The same of the other gateways, as they last told.
+    usable_until_s : float
+        When a target without an entry is given up.
+    """
+
+    def __init__(self, registration: Registration) -> None:
+        self.registration = registration
+        self.calls: set[RunningCall] = set()
+        self.prefill_tokens = 0
+        self.peer_running = 0
+        self.peer_prefill_tokens = 0
+        self.slowness = MovingAverage(1.0, SLOWNESS_WEIGHT)
+        self.answer_s = MovingAverage(USUAL_ANSWER_S, ANSWER_WEIGHT)
+        self.failures = DecayingShare(FAILURE_HALF_LIFE_S, FAILURE_PRIOR)
+        self.usable_until_s = float("inf")
+        self._parts: OrderedDict[str, float] = OrderedDict()
+
+    @property
+    def running(self) -> int:
+        """Calls of this gateway at the target."""
+        return len(self.calls)
+
+    @property
+    def total_running(self) -> int:
+        """Calls of all gateways at the target."""
+        return len(self.calls) + self.peer_running
+
+    def begin(self, call: Call, now_s: float, overdue_after_s: float) -> RunningCall:
+        """Count a call that is sent now."""
+        parts = call.fields.prompt_parts
+        fresh = max(call.fields.prompt_tokens - self.cached_tokens(parts, now_s), 0)
+        running = RunningCall(fresh, now_s, now_s + overdue_after_s)
+        self.calls.add(running)
+        self.prefill_tokens += fresh
+        self.note_parts(parts, now_s)
+        return running
+
+    def note_first(self, running: RunningCall, now_s: float) -> None:
+        """Note a call's first event: its prompt has been read."""
+        running.first_at_s = running.paced_at_s = now_s
+        self.prefill_tokens -= running.prefill_tokens
+
+    def end(self, running: RunningCall) -> None:
+        """Count a call no more."""
+        self.calls.discard(running)
+        if not running.first_at_s:
+            self.prefill_tokens -= running.prefill_tokens
+
+    def overdue(self, now_s: float) -> int:
+        """Return how many calls have given nothing for far longer than expected."""
+        return sum(not run.first_at_s and run.overdue_at_s < now_s for run in self.calls)
+
+    def note_parts(self, parts: Iterable[PromptPart], now_s: float) -> None:
+        """Note the parts of a prompt that the target reads now."""
+        for part in parts:
+            self._parts[part.part_id] = now_s
+            self._parts.move_to_end(part.part_id)
+        while len(self._parts) > MAX_CACHED_PARTS:
+            self._parts.popitem(last=False)
+
+    def cached_tokens(self, parts: Iterable[PromptPart], now_s: float) -> int:
+        """Return the tokens of the longest run of leading parts that the target holds."""
+        tokens = 0
+        for part in parts:
+            if self._parts.get(part.part_id, -CACHED_FOR_S) + CACHED_FOR_S < now_s:
+                break
+            tokens += part.tokens
+        return tokens
+
+    def forget_parts(self) -> None:
+        """Take its cache as lost."""
+        self._parts.clear()
+
+
+class TargetTable:
+    """Targets by id.
+
+    Attributes
+    ----------
+    is_known : bool
+        Whether the registry has been read at all.
+    revision : int
+        Of the last change taken.
+    """
+
+    def __init__(self) -> None:
+        self.is_known = False
+        self.revision = 0
+        self._beliefs: dict[str, TargetBelief] = {}
+        self._sent_parts: deque[tuple[str, str]] = deque(maxlen=MAX_CACHED_PARTS)
+
+    def __iter__(self) -> Iterator[TargetBelief]:
+        """Iterate over what is believed of each."""
+        return iter(self._beliefs.values())
+
+    def __len__(self) -> int:
+        """Count the targets."""
+        return len(self._beliefs)
+
+    def get(self, target_id: str) -> TargetBelief | None:
+        """Return what is believed of a target; None if it is not known."""
+        return self._beliefs.get(target_id)
+
+    def put(self, registration: Registration) -> bool:
+        """Take an entry; say whether it changes which targets are used."""
+        target_id = registration.target_id
+        known = self._beliefs.get(target_id)
+        if known is None or _is_new_start(known.registration, registration):
+            self._beliefs[target_id] = TargetBelief(registration)
+            return True
+        changed = known.registration != registration
+        known.registration = registration
+        known.usable_until_s = float("inf")
+        return changed
+
+    def remove(self, target_id: str, now_s: float, has_lapsed: bool) -> bool:
+        """Drop a target whose entry is gone; say whether it was known.
+
+        Parameters
+        ----------
+        has_lapsed : bool
+            Whether the entry may have lapsed because the registry was unavailable.
+        """
+        known = self._beliefs.get(target_id)
+        if known is None:
+            return False
+        if has_lapsed and not known.registration.draining:
+            known.usable_until_s = min(known.usable_until_s, now_s + LAPSED_TRUST_S)
+        else:
+            del self._beliefs[target_id]
+        return True
+
+    def expire(self, now_s: float) -> list[str]:
+        """Drop the targets whose time without an entry is over; return their ids."""
+        gone = [key for key, known in self._beliefs.items() if known.usable_until_s <= now_s]
+        for key in gone:
+            del self._beliefs[key]
+        return gone
+
+    def ids(self) -> frozenset[str]:
+        """Return the ids of all targets."""
+        return frozenset(self._beliefs)
+
+    def note_sent(self, target_id: str, parts: Iterable[PromptPart]) -> None:
+        """Note the parts of a prompt that was sent, for the other gateways."""
+        self._sent_parts.extend((target_id, part.part_id) for part in parts)
+
+    def take_sent_parts(self, most: int) -> tuple[tuple[str, str], ...]:
+        """Return parts sent since the last call, the oldest first."""
+        sent = self._sent_parts
+        return tuple(sent.popleft() for _ in range(min(most, len(sent))))
+
+    def conditions(
+        self, call: Call, is_engine: bool, tried: Iterable[str], now_s: float
+    ) -> Iterator[TargetCondition]:
+        """Yield the condition of each target that may be sent a call."""
+        for belief in self._beliefs.values():
+            registration = belief.registration
+            if (
+                registration.service != call.service
+                or registration.draining
+                or registration.target_id in tried
+                or belief.usable_until_s <= now_s
+            ):
+                continue
+            yield TargetCondition(
+                registration.target_id,
+                registration.data_centre,
+                registration.slots,
+                belief.total_running,
+                belief.prefill_tokens + belief.peer_prefill_tokens,
+                belief.slowness.value,
+                belief.answer_s.value,
+                belief.failures.share(now_s),
+                belief.overdue(now_s),
+                belief.cached_tokens(call.fields.prompt_parts, now_s),
+                is_engine,
+            )
+
+
+def _is_new_start(before: Registration, after: Registration) -> bool:
+    return before.address != after.address or (
+        bool(before.born_ms and after.born_ms) and before.born_ms != after.born_ms
+    )
+
+
+def create_target_table() -> TargetTable:
+    """Create a table without targets."""
+    return TargetTable()
--- /dev/null
+++ b/guavawalk/process/gateway_daemon.py
@@ -0,0 +1,153 @@
+"""The gateway process: assembly, serving and shutdown.
+
+Started as a module it needs no command line, since loading one would cost it time at each start.
+"""
+
+import os
+import signal
+import sys
+from functools import partial
+from pathlib import Path
+
+import anyio
+import msgspec
+import msgspec.msgpack
+from anyio.abc import SocketAttribute
+
+from guavawalk import events
+from guavawalk.connection.address import split_address
+from guavawalk.connection.tasks.follow_registry import follow_routes, follow_targets
+from guavawalk.connection.tasks.gossip import ROUTES_PATH, hear_peers, tell_peers
+from guavawalk.connection.tasks.serve_caller import serve_caller
+from guavawalk.connection.tasks.serve_probe import PageAnswer, serve_pages
+from guavawalk.exception import SettingsError
+from guavawalk.platform.settings import settings_path
+from guavawalk.platform.store import create_store
+from guavawalk.process.clock import create_clock
+from guavawalk.process.event_loop import run_tasks
+from guavawalk.process.gateway.settings import read_gateway_settings
+from guavawalk.process.gateway.state import Gateway, create_gateway
+from guavawalk.process.observe.bounded_log import create_bounded_log
+
+__all__ = ["main", "run_gateway"]
+
+SWEEP_EVERY_S = 0.5
+# The balancer asks once a second and takes two misses; a connection may be on its way then.
+NOTICE_S = 2.6
+# Before the process is killed, in seconds: what is still under way is given up then.
+EXIT_BEFORE_KILL_S = 0.3
+BACKLOG = 1024
+OK_STATUS = 200
+UNREADY_STATUS = 503
+STDOUT = 1
+ERROR_EXIT = 2
+
+
+async def run_gateway(path: Path) -> int:
+    """Run a gateway until it is told to stop; return its exit code."""
+    settings = read_gateway_settings(path)
+    log = create_bounded_log("gateway", settings.instance, settings.log_level)
+    gateway = create_gateway(settings, create_clock(), log)
+    incarnation = int.from_bytes(os.urandom(6), "big")
+    log.emit(events.PROCESS_STARTED, incarnation=incarnation, listen=settings.listen)
+    registry = create_store(settings.registry)
+    host, port = split_address(settings.peer_listen)
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(log.write, STDOUT)
+        tasks.start_soon(follow_routes, gateway, registry)
+        tasks.start_soon(follow_targets, gateway, registry)
+        socket = await anyio.create_udp_socket(local_host=host, local_port=port)
+        tasks.start_soon(hear_peers, gateway, socket)
+        tasks.start_soon(tell_peers, gateway, socket, incarnation)
+        tasks.start_soon(_serve_pages, settings.readiness_listen, _readiness_pages(gateway))
+        tasks.start_soon(_serve_pages, f"{host}:{settings.metrics_port}", _metric_pages(gateway))
+        tasks.start_soon(_serve_pages, settings.peer_listen, _peer_pages(gateway))
+        tasks.start_soon(_serve_callers, gateway)
+        tasks.start_soon(_sweep, gateway)
+        tasks.start_soon(_reload_on_signal, gateway, path)
+        await _wait_for_end(gateway)
+        log.emit(events.SHUTDOWN_DONE, left=gateway.callers.calls)
+        log.flush(STDOUT)
+        tasks.cancel_scope.cancel()
+    return 0
+
+
+async def _serve_callers(gateway: Gateway) -> None:
+    host, port = split_address(gateway.settings.listen)
+    listener = await anyio.create_tcp_listener(
+        local_host=host, local_port=port, backlog=BACKLOG, reuse_port=False
+    )
+    gateway.log.emit(
+        events.PROCESS_READY, address=f"{host}:{listener.extra(SocketAttribute.local_port)}"
+    )
+    await listener.serve(partial(serve_caller, gateway))
+
+
+async def _serve_pages(address: str, pages: dict) -> None:
+    host, port = split_address(address)
+    listener = await anyio.create_tcp_listener(local_host=host, local_port=port, backlog=BACKLOG)
+    await listener.serve(partial(serve_pages, pages))
+
+
+def _readiness_pages(gateway: Gateway) -> dict:
+    def readiness() -> PageAnswer:
+        return PageAnswer(OK_STATUS if gateway.is_ready() else UNREADY_STATUS)
+
+    return {b"/readyz": readiness}
+
+
+def _metric_pages(gateway: Gateway) -> dict:
+    return {b"/metrics": lambda: PageAnswer(OK_STATUS, gateway.metrics.render().encode())}
+
+
+def _peer_pages(gateway: Gateway) -> dict:
+    def routes() -> PageAnswer:
+        return PageAnswer(OK_STATUS, msgspec.msgpack.encode(gateway.routes.table))
+
+    return {ROUTES_PATH.encode(): routes}
+
+
+async def _sweep(gateway: Gateway) -> None:
+    while True:
+        await anyio.sleep(SWEEP_EVERY_S)
+        now_s = gateway.clock.now_s()
+        for target_id in gateway.targets.expire(now_s):
+            gateway.log.emit(events.TARGET_GONE, target=target_id, reason="entry stayed away")
+            await gateway.connections.drop(target_id)
+        await gateway.connections.sweep(now_s)
+
+
+async def _reload_on_signal(gateway: Gateway, path: Path) -> None:
+    with anyio.open_signal_receiver(signal.SIGHUP) as signals:
+        async for _ in signals:
+            try:
+                settings = read_gateway_settings(path)
+            except SettingsError as error:
+                gateway.log.emit(events.SETTINGS_REJECTED, reason=str(error))
+                continue
+            gateway.log.emit(events.SETTINGS_CHANGED, changed=settings != gateway.settings)
+
+
+async def _wait_for_end(gateway: Gateway) -> None:
+    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        await anext(signals)
+    gateway.callers.is_draining = True
+    gateway.log.emit(events.SHUTDOWN_BEGUN, running=gateway.callers.calls)
+    patience_s = gateway.settings.grace_ms / 1000 - EXIT_BEFORE_KILL_S
+    with anyio.move_on_after(patience_s):
+        await anyio.sleep(NOTICE_S)
+        gateway.callers.close_idle()
+        await gateway.callers.wait_done()
+
+
+def main() -> None:
+    """Run a gateway with the settings file that the platform names."""
+    try:
+        sys.exit(run_tasks(partial(run_gateway, settings_path())))
+    except SettingsError as error:
+        print(f"guavawalk: {error}", file=sys.stderr)
+        sys.exit(ERROR_EXIT)
+
+
+if __name__ == "__main__":
+    main()
--- a/guavawalk/process/http_server.py
+++ b/guavawalk/process/http_server.py
@@ -9,8 +9,8 @@
 from anyio.abc import TaskStatus
 
 from guavawalk.codes import ResultCode
+from guavawalk.connection.address import format_address, split_address
 from guavawalk.connection.http_listener import HEAD_TIMEOUT_S, create_h11_protocol
-from guavawalk.connection.tcp import format_address, split_address
 
 __all__ = ["serve_asgi"]
 
--- a/guavawalk/process/observe/__init__.py
+++ b/guavawalk/process/observe/__init__.py
@@ -1,31 +1,28 @@
 """Logs, metrics and histograms of a process."""
 
-from guavawalk.process.observe import (
-    gauges,
-    histograms,
-    log,
-    metrics,
-    names,
-    observations,
-    refusals,
-    trace,
-)
-from guavawalk.process.observe.gauges import *
-from guavawalk.process.observe.histograms import *
-from guavawalk.process.observe.log import *
-from guavawalk.process.observe.metrics import *
-from guavawalk.process.observe.names import *
-from guavawalk.process.observe.observations import *
-from guavawalk.process.observe.refusals import *
-from guavawalk.process.observe.trace import *
+from guavawalk.lazy import attach_exports
 
-__all__ = [
-    *gauges.__all__,
-    *histograms.__all__,
-    *log.__all__,
-    *metrics.__all__,
-    *names.__all__,
-    *observations.__all__,
-    *refusals.__all__,
-    *trace.__all__,
-]
+_EXPORTS = {
+    "bounded_log": ["BoundedLog", "create_bounded_log"],
+    "exposition": ["MetricSet", "create_metric_set"],
+    "gauges": ["GaugeValues", "report_gauges"],
+    "heaviest": ["HeaviestKeys", "KeyWeight", "create_heaviest_keys"],
+    "histograms": [
+        "HistogramKey",
+        "HistogramSummary",
+        "Histograms",
+        "Measure",
+        "create_histograms",
+        "create_null_histograms",
+    ],
+    "json_log": ["create_event_log"],
+    "log": ["LOG_LEVELS", "EventLog", "create_null_log"],
+    "memory": ["resident_bytes"],
+    "metrics": ["Metrics", "create_null_metrics", "create_statsd_metrics"],
+    "names": ["METRICS", "MetricName", "metric_part"],
+    "observations": ["Observations", "create_observations"],
+    "refusals": ["Refusal", "Refusals", "create_refusals"],
+    "trace": ["Trace", "TraceLine", "read_trace"],
+}
+
+__getattr__, __dir__, __all__ = attach_exports(__name__, _EXPORTS)
--- /dev/null
+++ b/guavawalk/process/observe/exposition.py
@@ -0,0 +1,99 @@
+"""Counters, gauges and histograms in the text format that metric collectors read."""
+
+from bisect import bisect_left
+from collections.abc import Callable, Mapping
+
+__all__ = ["MetricSet", "create_metric_set"]
+
+# Upper bounds of the histograms' buckets, in seconds: from an event's pass to a long answer.
+BUCKETS_S = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 0.8, 1.0, 2.5, 5.0, 10.0, 15.0)
+# Series of one metric; more label values than these are counted under "other".
+MAX_SERIES = 200
+PREFIX = "guavawalk_"
+Labels = tuple[tuple[str, str], ...]
+
+
+class _Histogram:
+    def __init__(self) -> None:
+        self.counts = [0] * (len(BUCKETS_S) + 1)
+        self.sum = 0.0
+
+    def note(self, value: float) -> None:
+        self.counts[bisect_left(BUCKETS_S, value)] += 1
+        self.sum += value
+
+
+class MetricSet:
+    """The metrics of one process, bounded in their series."""
+
+    def __init__(self) -> None:
+        self._counters: dict[str, dict[Labels, float]] = {}
+        self._histograms: dict[str, dict[Labels, _Histogram]] = {}
+        self._gauges: dict[str, Callable[[], Mapping[Labels, float]]] = {}
+
+    def count(self, name: str, amount: float = 1.0, **labels: str) -> None:
+        """Add to a counter."""
+        series = self._counters.setdefault(name, {})
+        key = _series_key(series, labels)
+        series[key] = series.get(key, 0.0) + amount
+
+    def observe(self, name: str, seconds: float, **labels: str) -> None:
+        """Add an observation to a histogram."""
+        series = self._histograms.setdefault(name, {})
+        key = _series_key(series, labels)
+        found = series.get(key)
+        if found is None:
+            found = series[key] = _Histogram()
+        found.note(seconds)
+
+    def gauge(self, name: str, read: Callable[[], Mapping[Labels, float]]) -> None:
+        """Register a gauge that is read when the metrics are fetched."""
+        self._gauges[name] = read
+
+    def render(self) -> str:
+        """Return all metrics as text."""
+        lines: list[str] = []
+        for name, series in sorted(self._counters.items()):
+            lines.append(f"# TYPE {PREFIX}{name} counter")
+            lines += [f"{PREFIX}{name}{_text(key)} {value:g}" for key, value in series.items()]
+        for name, read in sorted(self._gauges.items()):
+            lines.append(f"# TYPE {PREFIX}{name} gauge")
+            lines += [f"{PREFIX}{name}{_text(key)} {value:g}" for key, value in read().items()]
+        for name, histograms in sorted(self._histograms.items()):
+            lines.append(f"# TYPE {PREFIX}{name} histogram")
+            for key, found in histograms.items():
+                lines += _histogram_lines(name, key, found)
+        return "\n".join(lines) + "\n"
+
+
+def _series_key(series: Mapping[Labels, object], labels: dict[str, str]) -> Labels:
+    key = tuple(labels.items())
+    if key in series or len(series) < MAX_SERIES:
+        return key
+    return tuple((name, "other") for name in labels)
+
+
+def _histogram_lines(name: str, key: Labels, found: _Histogram) -> list[str]:
+    lines = []
+    total = 0
+    for bound, count in zip((*map(str, BUCKETS_S), "+Inf"), found.counts):
+        total += count
+        lines.append(f"{PREFIX}{name}_bucket{_text((*key, ('le', bound)))} {total}")
+    lines.append(f"{PREFIX}{name}_sum{_text(key)} {found.sum:g}")
+    lines.append(f"{PREFIX}{name}_count{_text(key)} {total}")
+    return lines
+
+
+def _text(labels: Labels) -> str:
+    if not labels:
+        return ""
+    return "{" + ",".join(f'{name}="{_escaped(value)}"' for name, value in labels) + "}"
+
+
+def _escaped(value: str) -> str:
+    return value.replace("\\", r"\\").replace('"', r"\"").replace("\n", r"\n")
+
+
+def create_metric_set() -> MetricSet:
+    """Create a set without metrics."""
+    return MetricSet()
--- a/guavawalk/process/observe/log.py
+++ b/guavawalk/process/observe/log.py
@@ -1,14 +1,10 @@
-"""Structured logs: one JSON line for each numbered event."""
+"""Where numbered events go."""
 
-import logging
-import sys
-from typing import Any, Protocol, TextIO
-
-from pythonjsonlogger.json import JsonFormatter
+from typing import Any, Protocol
 
 from guavawalk.events import Event
 
-__all__ = ["LOG_LEVELS", "EventLog", "create_event_log", "create_null_log"]
+__all__ = ["LOG_LEVELS", "EventLog", "create_null_log"]
 
 
 LOG_LEVELS = ("DEBUG", "INFO", "WARNING", "ERROR")
@@ -30,30 +26,6 @@
         ...
 
 
-class JsonEventLog:
-    """Events as JSON lines."""
-
-    def __init__(self, logger: logging.Logger, common: dict[str, Any]) -> None:
-        self._logger = logger
-        self._common = common
-
-    @property
-    def level(self) -> str:
-        """Level below which events are dropped."""
-        return logging.getLevelName(self._logger.level)
-
-    @level.setter
-    def level(self, level: str) -> None:
-        self._logger.setLevel(level)
-
-    def emit(self, event: Event, **fields: Any) -> None:
-        """Log one line."""
-        if not self._logger.isEnabledFor(event.level):
-            return
-        extra = {"event": event.number, "event_name": event.name, **self._common, **fields}
-        self._logger.log(event.level, event.message, extra=extra)
-
-
 class NullLog:
     """Nowhere."""
 
@@ -64,20 +36,6 @@
         """Drop the event."""
 
 
-def create_event_log(
-    role: str, instance: str, level: str = "INFO", stream: TextIO | None = None
-) -> EventLog:
-    """Create a log of JSON lines on a stream, standard error by default."""
-    handler = logging.StreamHandler(stream or sys.stderr)
-    formatter = JsonFormatter(
-        "%(levelname)s %(message)s", timestamp="time", rename_fields={"levelname": "level"}
-    )
-    handler.setFormatter(formatter)
-    logger = logging.Logger(f"guavawalk.{role}.{instance}", level)
-    logger.addHandler(handler)
-    return JsonEventLog(logger, {"role": role, "instance": instance})
-
-
 def create_null_log() -> EventLog:
     """Create a log that drops all events."""
     return NullLog()
--- a/guavawalk/process/sidecar_daemon.py
+++ b/guavawalk/process/sidecar_daemon.py
@@ -23,7 +23,8 @@
 from guavawalk.process.admin.sidecar_node import create_sidecar_node
 from guavawalk.process.clock import Clock, create_clock
 from guavawalk.process.observe.gauges import GaugeValues, report_gauges
-from guavawalk.process.observe.log import EventLog, create_event_log
+from guavawalk.process.observe.json_log import create_event_log
+from guavawalk.process.observe.log import EventLog
 from guavawalk.process.observe.metrics import (
     Metrics,
     create_null_metrics,
--- a/guavawalk/request/__init__.py
+++ b/guavawalk/request/__init__.py
@@ -1,49 +1,38 @@
 """What lives as long as one request."""
 
-from guavawalk.request import (
-    affinity,
-    answer,
-    attempt,
-    cost,
-    expected_cost,
-    explain,
-    placement,
-    policies,
-    prompt,
-    rules,
-    target_view,
-    ticket,
-    types,
-    waste,
-)
-from guavawalk.request.affinity import *
-from guavawalk.request.answer import *
-from guavawalk.request.attempt import *
-from guavawalk.request.cost import *
-from guavawalk.request.expected_cost import *
-from guavawalk.request.explain import *
-from guavawalk.request.placement import *
-from guavawalk.request.policies import *
-from guavawalk.request.prompt import *
-from guavawalk.request.rules import *
-from guavawalk.request.target_view import *
-from guavawalk.request.ticket import *
-from guavawalk.request.types import *
-from guavawalk.request.waste import *
+from guavawalk.lazy import attach_exports
 
-__all__ = [
-    *affinity.__all__,
-    *answer.__all__,
-    *attempt.__all__,
-    *cost.__all__,
-    *expected_cost.__all__,
-    *explain.__all__,
-    *placement.__all__,
-    *policies.__all__,
-    *prompt.__all__,
-    *rules.__all__,
-    *target_view.__all__,
-    *ticket.__all__,
-    *types.__all__,
-    *waste.__all__,
-]
+_EXPORTS = {
+    "admission": ["admit_call"],
+    "affinity": ["AFFINITY_LEVELS", "affinity_key", "affinity_order", "affinity_tokens"],
+    "answer": ["Answer", "create_answer"],
+    "attempt": ["Attempt", "AttemptState", "create_attempt"],
+    "call": ["Call", "CallFields", "PromptPart"],
+    "cost": ["OUTPUT_TOKEN_COST", "offer_cost_tokens"],
+    "engine_time": ["nominal_event_gap_s", "nominal_first_event_s", "nominal_prefill_s"],
+    "event_stream": ["EventStream"],
+    "expected_cost": ["CostParts", "ExpectedCost", "cost_parts", "create_expected_cost", "is_long"],
+    "explain": ["Explanation", "explain_placement"],
+    "placement": [
+        "Candidate",
+        "Placement",
+        "TargetViews",
+        "capable_targets",
+        "create_least_reported_load",
+        "create_random_of_two",
+        "create_round_robin",
+        "group_of",
+    ],
+    "policies": ["DEFAULT_PLACEMENT", "PLACEMENTS", "create_placement"],
+    "prompt": ["BLOCK_CHARS", "CHARS_PER_TOKEN", "estimate_tokens", "fingerprint", "prefix_hashes"],
+    "repeat": ["AttemptEnd", "AttemptResult", "NextStep", "StepKind", "decide_next"],
+    "rules": ["find_model", "find_service", "find_tier"],
+    "target_answer": ["AnswerFields"],
+    "target_choice": ["TargetChoice", "TargetCondition", "choose_target", "expected_first_s"],
+    "target_view": ["StaticViews", "TargetView"],
+    "ticket": ["TICKET_PREFIX", "TicketFields", "code_for_key", "read_ticket"],
+    "types": ["LoadReport", "Offer", "Outcome", "Usage", "Work"],
+    "waste": ["Prefill", "Waste", "WasteCause", "waste_of"],
+}
+
+__getattr__, __dir__, __all__ = attach_exports(__name__, _EXPORTS)
--- /dev/null
+++ b/guavawalk/request/target_choice.py
@@ -0,0 +1,107 @@
+"""Choosing the target that runs a call next.
+
+The cost of a target is the share of the call's worth that is expected to be lost there: by a late
+first event, by a failure, by crossing between data centres, and by filling the target for others.
+"""
+
+from collections.abc import Iterable
+from typing import NamedTuple
+
+from guavawalk.request.call import Call
+from guavawalk.request.engine_time import nominal_first_event_s
+
+__all__ = ["TargetChoice", "TargetCondition", "choose_target", "expected_first_s"]
+
+# Share of a call's worth that the traffic between two data centres costs, after the deployments'
+# price of bytes and the usual size of requests and answers.
+CROSSING_COST = 0.04
+# Cost of a target whose slots are all taken against an empty one: what the call's tokens slow down.
+LOAD_COST = 0.10
+# Of its goal, the part that a first event may take without a risk of being late, and the part from
+# which it is late for certain; the estimates are that exact.
+SAFE_PART = 0.55
+LATE_PART = 1.25
+# Share of the worth that a late answer loses.
+LATE_COST = 0.7
+# Further loss for each goal's length that the first event is later still.
+LATER_COST = 0.1
+# Time that a call waits behind each one over the target's slots, as a part of a run's usual time.
+QUEUED_RUN_S = 0.8
+
+
+class TargetCondition(NamedTuple):
+    """What is believed of one target, for one call.
+
+    Attributes
+    ----------
+    running : int
+        Requests that all gateways have there.
+    prefill_tokens : int
+        Prompt tokens of those that have given no event yet.
+    slowness : float
+        Its times as a multiple of the nominal ones.
+    answer_s : float
+        Usual time to an answer of a plain service.
+    failure_share : float
+        Share of lately sent requests that it failed.
+    overdue : int
+        Requests there that have given nothing for far longer than expected.
+    cached_tokens : int
+        Tokens of the call's prompt that it is believed to hold.
+    is_engine : bool
+        Whether it runs a model; else a plain service.
+    """
+
+    target_id: str
+    data_centre: str
+    slots: int
+    running: int = 0
+    prefill_tokens: int = 0
+    slowness: float = 1.0
+    answer_s: float = 0.05
+    failure_share: float = 0.0
+    overdue: int = 0
+    cached_tokens: int = 0
+    is_engine: bool = True
+
+
+class TargetChoice(NamedTuple):
+    """A target with the time and cost expected there."""
+
+    target_id: str
+    first_s: float
+    cost: float
+
+
+def expected_first_s(call: Call, condition: TargetCondition) -> float:
+    """Return the time until the first event, or the answer of a plain service, in seconds."""
+    over = condition.running - condition.slots + 1
+    if not condition.is_engine:
+        wait_s = max(over, 0) * condition.answer_s / max(condition.slots, 1)
+        return condition.answer_s + wait_s
+    first_s = nominal_first_event_s(
+        call.fields.prompt_tokens, condition.cached_tokens, condition.prefill_tokens
+    )
+    wait_s = max(over, 0) * QUEUED_RUN_S / max(condition.slots, 1)
+    return condition.slowness * (first_s + wait_s)
+
+
+def target_cost(call: Call, here: str, condition: TargetCondition, now_s: float) -> TargetChoice:
+    """Return the share of a call's worth that is expected to be lost at a target."""
+    first_s = expected_first_s(call, condition)
+    part = (now_s + first_s - call.arrived_s) / max(call.route.goal_s, 0.001)
+    late = min(max((part - SAFE_PART) / (LATE_PART - SAFE_PART), 0.0), 1.0)
+    cost = LATE_COST * late + LATER_COST * max(part - LATE_PART, 0.0)
+    cost += condition.failure_share + 0.5 * min(condition.overdue, 2)
+    cost += LOAD_COST * condition.running / max(condition.slots, 1)
+    if condition.data_centre != here:
+        cost += CROSSING_COST
+    return TargetChoice(condition.target_id, first_s, cost)
+
+
+def choose_target(
+    call: Call, here: str, conditions: Iterable[TargetCondition], now_s: float
+) -> TargetChoice | None:
+    """Return the target with the least expected loss; None if there is none."""
+    costs = (target_cost(call, here, condition, now_s) for condition in conditions)
+    return min(costs, key=lambda choice: choice.cost, default=None)
--- a/guavawalk/version/__init__.py
+++ b/guavawalk/version/__init__.py
@@ -1,22 +1,65 @@
 """What lives as long as one version of the configuration."""
 
-from guavawalk.version import build, documents, group, held, publish, shards, types, window
-from guavawalk.version.build import *
-from guavawalk.version.documents import *
-from guavawalk.version.group import *
-from guavawalk.version.held import *
-from guavawalk.version.publish import *
-from guavawalk.version.shards import *
-from guavawalk.version.types import *
-from guavawalk.version.window import *
+from guavawalk.lazy import attach_exports
 
-__all__ = [
-    *build.__all__,
-    *documents.__all__,
-    *group.__all__,
-    *held.__all__,
-    *publish.__all__,
-    *shards.__all__,
-    *types.__all__,
-    *window.__all__,
-]
+_EXPORTS = {
+    "build": [
+        "BuiltVersion",
+        "build_configuration",
+        "build_in_steps",
+        "build_version",
+        "stamp_of_root",
+    ],
+    "checks": ["REFERENCE_KINDS", "check_targets", "check_tiers", "check_workspaces"],
+    "documents": [
+        "FORMAT",
+        "MAX_VALUE_BYTES",
+        "ROOT_KEY",
+        "RootDocument",
+        "ShardDocument",
+        "ShardReference",
+        "VersionDocuments",
+        "digest_bytes",
+        "read_root",
+        "read_shard",
+        "shard_key",
+    ],
+    "group": ["create_target_group", "groups_of_targets"],
+    "held": ["HeldVersion", "Taken", "create_held_version"],
+    "publish": ["published_values", "render_documents"],
+    "registrations": ["Registration"],
+    "routes": [
+        "NO_ROUTES",
+        "CallerLimits",
+        "EngineProfile",
+        "Quota",
+        "Route",
+        "RouteKind",
+        "RouteTable",
+        "Service",
+        "ServiceShare",
+        "WorkspaceAccess",
+        "build_route_table",
+        "find_route",
+    ],
+    "shards": ["ALL_KINDS", "NAMED_KINDS", "SIDECAR_KINDS", "ParsedShard", "parse_shard"],
+    "types": [
+        "NO_VERSION",
+        "Configuration",
+        "Crossing",
+        "DataCentre",
+        "DesiredState",
+        "Generation",
+        "Model",
+        "Service",
+        "Target",
+        "TargetGroup",
+        "Tier",
+        "VersionStamp",
+        "Workspace",
+        "WorkspaceLimits",
+    ],
+    "window": ["FIRST_TOKEN_TARGET_MS", "GAP_TARGET_MS", "WindowRules", "window_rules"],
+}
+
+__getattr__, __dir__, __all__ = attach_exports(__name__, _EXPORTS)
--- /dev/null
+++ b/guavawalk/version/registrations.py
@@ -0,0 +1,34 @@
+"""What targets register of themselves, as one revision of the registry holds it."""
+
+from typing import NamedTuple
+
+__all__ = ["Registration"]
+
+
+class Registration(NamedTuple):
+    """One target's entry.
+
+    Attributes
+    ----------
+    target_id : str
+        Of this start or an earlier one; an address may be used again under another id.
+    address : str
+        `IP:port`.
+    slots : int
+        Requests that it runs at once.
+    draining : bool
+        Whether it takes no more work and will leave.
+    cold_s : float
+        How much longer it is slow after its start, when it registered.
+    born_ms : int
+        Unix time of its start; 0 where it isn't stated.
+    """
+
+    target_id: str
+    service: str
+    address: str
+    data_centre: str
+    slots: int
+    draining: bool = False
+    cold_s: float = 0.0
+    born_ms: int = 0
