--- a/guavawalk/connection/tasks/gossip.py
+++ b/guavawalk/connection/tasks/gossip.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import random
+from contextlib import suppress
 from typing import TYPE_CHECKING
 
 import anyio
@@ -93,19 +94,14 @@
 
 async def hear_peers(gateway: Gateway, socket: UDPSocket) -> None:
     """Take the reports of other gateways, and fetch routes newer than those in force."""
-    newest = anyio.Event()
-    told: list[PeerReport] = []
+    tell_newer, newer = anyio.create_memory_object_stream[PeerReport](1)
 
     async def fetch_newer() -> None:
-        nonlocal newest
-        while True:
-            await newest.wait()
-            newest = anyio.Event()
+        async for report in newer:
             await anyio.sleep(FETCH_AFTER_S)
-            await _fetch_routes(gateway, told.pop())
-            told.clear()
+            await _fetch_routes(gateway, report)
 
-    async with anyio.create_task_group() as tasks:
+    async with newer, tell_newer, anyio.create_task_group() as tasks:
         tasks.start_soon(fetch_newer)
         async for data, (host, port) in socket:
             try:
@@ -117,8 +113,9 @@
                 continue
             _take_report(gateway, report)
             if report.routes_version > gateway.routes.table.version:
-                told.append(report)
-                newest.set()
+                # While a fetch is under way the next report asks again.
+                with suppress(anyio.WouldBlock):
+                    tell_newer.send_nowait(report)
 
 
 def _take_report(gateway: Gateway, report: PeerReport) -> None:
--- a/guavawalk/process/gateway/callers.py
+++ b/guavawalk/process/gateway/callers.py
@@ -14,7 +14,9 @@
     Attributes
     ----------
     is_draining : bool
-        Whether the process is ending: connections close after their answer.
+        Whether the process is ending: answers announce that their connection closes.
+    is_closing : bool
+        Whether calls that come now are refused, since they might not end in time.
     calls : int
         Calls under way.
     connections : int
@@ -23,6 +25,7 @@
 
     def __init__(self) -> None:
         self.is_draining = False
+        self.is_closing = False
         self.calls = 0
         self.connections = 0
         self._idle: set[anyio.CancelScope] = set()
--- a/guavawalk/process/gateway_daemon.py
+++ b/guavawalk/process/gateway_daemon.py
@@ -12,7 +12,7 @@
 import anyio
 import msgspec
 import msgspec.msgpack
-from anyio.abc import SocketAttribute
+from anyio.abc import ByteStream, SocketAttribute
 
 from guavawalk import events
 from guavawalk.connection.address import split_address
@@ -28,6 +28,7 @@
 from guavawalk.process.gateway.settings import read_gateway_settings
 from guavawalk.process.gateway.state import Gateway, create_gateway
 from guavawalk.process.observe.bounded_log import create_bounded_log
+from guavawalk.process.supervise import run_guarded, run_restarting
 
 __all__ = ["main", "run_gateway"]
 
@@ -52,19 +53,27 @@
     log.emit(events.PROCESS_STARTED, incarnation=incarnation, listen=settings.listen)
     registry = create_store(settings.registry)
     host, port = split_address(settings.peer_listen)
+    socket = await anyio.create_udp_socket(local_host=host, local_port=port)
+    lasting = {
+        "log": partial(log.write, STDOUT),
+        "routes": partial(follow_routes, gateway, registry),
+        "targets": partial(follow_targets, gateway, registry),
+        "hear peers": partial(hear_peers, gateway, socket),
+        "tell peers": partial(tell_peers, gateway, socket, incarnation),
+        "sweep": partial(_sweep, gateway),
+        "reload": partial(_reload_on_signal, gateway, path),
+    }
+    pages = {
+        settings.readiness_listen: _readiness_pages(gateway),
+        f"{host}:{settings.metrics_port}": _metric_pages(gateway),
+        settings.peer_listen: _peer_pages(gateway),
+    }
     async with anyio.create_task_group() as tasks:
-        tasks.start_soon(log.write, STDOUT)
-        tasks.start_soon(follow_routes, gateway, registry)
-        tasks.start_soon(follow_targets, gateway, registry)
-        socket = await anyio.create_udp_socket(local_host=host, local_port=port)
-        tasks.start_soon(hear_peers, gateway, socket)
-        tasks.start_soon(tell_peers, gateway, socket, incarnation)
-        tasks.start_soon(_serve_pages, settings.readiness_listen, _readiness_pages(gateway))
-        tasks.start_soon(_serve_pages, f"{host}:{settings.metrics_port}", _metric_pages(gateway))
-        tasks.start_soon(_serve_pages, settings.peer_listen, _peer_pages(gateway))
+        for name, task in lasting.items():
+            tasks.start_soon(run_restarting, log, name, task)
+        for address, made in pages.items():
+            tasks.start_soon(_serve_pages, address, made)
         tasks.start_soon(_serve_callers, gateway)
-        tasks.start_soon(_sweep, gateway)
-        tasks.start_soon(_reload_on_signal, gateway, path)
         await _wait_for_end(gateway)
         log.emit(events.SHUTDOWN_DONE, left=gateway.callers.calls)
         log.flush(STDOUT)
@@ -80,7 +89,11 @@
     gateway.log.emit(
         events.PROCESS_READY, address=f"{host}:{listener.extra(SocketAttribute.local_port)}"
     )
-    await listener.serve(partial(serve_caller, gateway))
+
+    async def serve(stream: ByteStream) -> None:
+        await run_guarded(gateway.log, "caller", partial(serve_caller, gateway, stream))
+
+    await listener.serve(serve)
 
 
 async def _serve_pages(address: str, pages: dict) -> None:
@@ -136,6 +149,7 @@
     patience_s = gateway.settings.grace_ms / 1000 - EXIT_BEFORE_KILL_S
     with anyio.move_on_after(patience_s):
         await anyio.sleep(NOTICE_S)
+        gateway.callers.is_closing = True
         gateway.callers.close_idle()
         await gateway.callers.wait_done()
 
