Keep calls at the gateway until a target has a place for them

Change: a dispatcher sends what a target can begin at once and orders the rest by what can still be in time, then rank.

--- a/guavawalk/connection/tasks/attempt_call.py
+++ b/guavawalk/connection/tasks/attempt_call.py
@@ -13,17 +13,16 @@
 from guavawalk.exception import TargetConnectError, TargetLost
 from guavawalk.platform.requests import decode_answer, encode_forwarded, is_misdirected
 from guavawalk.process.gateway.connections import TargetConnection
+from guavawalk.process.gateway.dispatch import Placed
 from guavawalk.request.call import Call
 from guavawalk.request.engine_time import nominal_event_gap_s
 from guavawalk.request.event_stream import EventStream
 from guavawalk.request.repeat import AttemptEnd, AttemptResult
 from guavawalk.request.target_answer import AnswerFields
-from guavawalk.request.target_choice import TargetChoice
 from guavawalk.version.routes import RouteKind
 
 if TYPE_CHECKING:
     from guavawalk.process.gateway.state import Gateway
-    from guavawalk.process.gateway.targets import TargetBelief
 
 __all__ = ["Progress", "attempt_call"]
 
@@ -35,9 +34,6 @@
 SILENT_FACTOR = 4.0
 LEAST_SILENT_S = 0.35
 LEAST_STREAM_SILENT_S = 0.9
-# A call that has given nothing for this multiple of the expected time counts against its target.
-OVERDUE_FACTOR = 3.0
-OVERDUE_LEAST_S = 0.4
 # Events after which a stream's pace is taken into the target's slowness.
 PACE_EVERY_EVENTS = 8
 # Largest answer that is kept whole before it is passed on, in bytes.
@@ -79,23 +75,24 @@
 
 
 async def attempt_call(
-    gateway: Gateway, call: Call, choice: TargetChoice, progress: Progress, answer: CallerAnswer
+    gateway: Gateway, call: Call, placed: Placed, progress: Progress, answer: CallerAnswer
 ) -> AttemptEnd:
-    """Send a call to a target and pass on what it answers."""
+    """Send a call to the target where it has a place, and pass on what that answers."""
+    choice, belief = placed.choice, placed.belief
     progress.tried.append(choice.target_id)
-    belief = gateway.targets.get(choice.target_id)
-    if belief is None:
-        return AttemptEnd(AttemptResult.UNREACHED, "the target has gone")
-    now_s = gateway.clock.now_s()
     idle_s = ANY_IDLE_S if call.route.is_idempotent else TRUSTED_IDLE_S
     address = belief.registration.address
     try:
-        connection = await gateway.connections.take(choice.target_id, address, idle_s, now_s)
+        connection = await gateway.connections.take(
+            choice.target_id, address, idle_s, gateway.clock.now_s()
+        )
+        attempt = _Attempt(gateway, call, placed, progress, answer, connection)
+        return await attempt.run()
     except TargetConnectError as error:
         belief.failures.note(True, gateway.clock.now_s())
         return AttemptEnd(AttemptResult.UNREACHED, str(error))
-    attempt = _Attempt(gateway, call, choice, progress, answer, belief, connection)
-    return await attempt.run()
+    finally:
+        gateway.dispatch.release(placed)
 
 
 class _Attempt:
@@ -105,20 +102,19 @@
         self,
         gateway: Gateway,
         call: Call,
-        choice: TargetChoice,
+        placed: Placed,
         progress: Progress,
         answer: CallerAnswer,
-        belief: TargetBelief,
         connection: TargetConnection,
     ) -> None:
         self._gateway = gateway
         self._call = call
-        self._choice = choice
+        self._choice = placed.choice
         self._progress = progress
         self._answer = answer
-        self._belief = belief
+        self._belief = placed.belief
+        self._use = placed.running
         self._connection = connection
-        self._use = belief.begin(call, gateway.clock.now_s(), self._overdue_s(choice))
         self._fields: AnswerFields | None = None
         self._had_run = progress.has_run
 
@@ -127,7 +123,6 @@
         try:
             end = await self._exchange()
         finally:
-            self._belief.end(self._use)
             with anyio.CancelScope(shield=True):
                 await self._release()
         self._note_end(end)
@@ -281,10 +276,6 @@
         least_s = LEAST_STREAM_SILENT_S if route.kind is RouteKind.STREAM else LEAST_SILENT_S
         return max(SILENT_FACTOR * self._choice.first_s, least_s)
 
-    @staticmethod
-    def _overdue_s(choice: TargetChoice) -> float:
-        return max(OVERDUE_FACTOR * choice.first_s, OVERDUE_LEAST_S)
-
     def _note_end(self, end: AttemptEnd) -> None:
         now_s = self._gateway.clock.now_s()
         result = end.result
--- a/guavawalk/connection/tasks/follow_registry.py
+++ b/guavawalk/connection/tasks/follow_registry.py
@@ -151,6 +151,7 @@
                 revision=news.as_of,
             )
             await gateway.connections.drop(target_id)
+    gateway.dispatch.dispatch_all()
     targets.revision = max(targets.revision, news.last_change)
 
 
--- a/guavawalk/connection/tasks/forward_call.py
+++ b/guavawalk/connection/tasks/forward_call.py
@@ -14,7 +14,6 @@
 from guavawalk.platform.requests import encode_retry_after
 from guavawalk.request.call import Call
 from guavawalk.request.repeat import AttemptResult, StepKind, decide_next
-from guavawalk.request.target_choice import TargetChoice, choose_target
 
 if TYPE_CHECKING:
     from guavawalk.process.gateway.state import Gateway
@@ -25,6 +24,8 @@
 RETRY_AFTER_S = 0.2
 # A caller heeds a wait of up to this part of the time that it has left.
 HEEDED_PART = 0.3
+# Statuses that promise nothing about a call having run.
+UNKNOWN_STATUSES = (502, 504)
 # An attempt that could not end before the deadline isn't made, in seconds.
 LEAST_ATTEMPT_S = 0.02
 
@@ -65,16 +66,17 @@
     gateway: Gateway, call: Call, progress: Progress, answer: CallerAnswer
 ) -> ResultCode:
     while True:
-        choice = _choose(gateway, call, progress)
-        if choice is None:
-            return await _give_up(gateway, call, progress, answer, ResultCode.NO_TARGET)
-        end = await attempt_call(gateway, call, choice, progress, answer)
+        try:
+            placed = await gateway.dispatch.place(call, progress.tried, answer.has_begun)
+        except RequestError as error:
+            return await _give_up(gateway, call, progress, answer, error)
+        end = await attempt_call(gateway, call, placed, progress, answer)
         may_retry = _may_retry(gateway, call, progress, end.result)
         step = decide_next(call, end, progress.sent, progress.has_run, answer.has_begun, may_retry)
         gateway.log.emit(
             events.CALL_ATTEMPT_ENDED,
             request_id=call.fields.request_id,
-            target=choice.target_id,
+            target=placed.choice.target_id,
             result=end.result.value,
             detail=end.detail,
             sent=progress.sent,
@@ -93,15 +95,7 @@
         if step.kind is StepKind.BREAK:
             answer.keep_alive = False
             return step.code
-        return await _give_up(gateway, call, progress, answer, step.code)
-
-
-def _choose(gateway: Gateway, call: Call, progress: Progress) -> TargetChoice | None:
-    service = call.table.services.get(call.service)
-    is_engine = service is not None and service.engine is not None
-    now_s = gateway.clock.now_s()
-    conditions = gateway.targets.conditions(call, is_engine, progress.tried, now_s)
-    return choose_target(call, gateway.settings.data_centre, conditions, now_s)
+        return await _give_up(gateway, call, progress, answer, RequestError(step.code))
 
 
 def _may_retry(gateway: Gateway, call: Call, progress: Progress, result: AttemptResult) -> bool:
@@ -114,20 +108,27 @@
 
 
 async def _give_up(
-    gateway: Gateway, call: Call, progress: Progress, answer: CallerAnswer, code: ResultCode
+    gateway: Gateway, call: Call, progress: Progress, answer: CallerAnswer, error: RequestError
 ) -> ResultCode:
-    """Answer with a failure of this system's own."""
+    """Answer with a failure of this system's own, if no answer has begun."""
     if answer.has_begun:
         answer.keep_alive = False
+        return ResultCode.TARGET_LOST
+    if progress.failure is not None:
+        failed = progress.failure
+        await answer.send_whole(failed.status, failed.headers, failed.body)
+        return ResultCode.TARGET_ERROR
+    if progress.has_run:
+        code = error.code
+        if describe_code(code).http_status not in UNKNOWN_STATUSES:
+            code = ResultCode.OUTCOME_UNKNOWN
+        await answer.send_whole(describe_code(code).http_status, ())
         return code
-    if progress.has_run and code is ResultCode.NO_TARGET:
-        code = ResultCode.OUTCOME_UNKNOWN
-    headers = ()
-    if not progress.has_run:
-        left_s = call.deadline_s - gateway.clock.now_s()
-        headers = (encode_retry_after(max(min(RETRY_AFTER_S, HEEDED_PART * left_s), 0.0)),)
-    await answer.send_whole(describe_code(code).http_status, headers)
-    return code
+    left_s = call.deadline_s - gateway.clock.now_s()
+    wait_s = RETRY_AFTER_S if error.retry_after_ms is None else error.retry_after_ms / 1000
+    headers = (encode_retry_after(max(min(wait_s, HEEDED_PART * left_s), 0.0)),)
+    await answer.send_whole(describe_code(error.code).http_status, headers)
+    return error.code
 
 
 async def _end_late(
@@ -139,7 +140,8 @@
     if progress.has_run:
         await answer.send_whole(describe_code(ResultCode.LINK_LOST).http_status, ())
         return ResultCode.LINK_LOST
-    return await _give_up(gateway, call, progress, answer, ResultCode.DEADLINE_UNREACHABLE)
+    error = RequestError(ResultCode.DEADLINE_UNREACHABLE)
+    return await _give_up(gateway, call, progress, answer, error)
 
 
 def _tell_end(
--- a/guavawalk/connection/tasks/gossip.py
+++ b/guavawalk/connection/tasks/gossip.py
@@ -126,6 +126,8 @@
             incarnation=report.incarnation,
             routes_version=report.routes_version,
         )
+    gateway.dispatch.gateways = gateway.peers.count()
+    gateway.dispatch.dispatch_all()
     gateway.suspects.merge(report.suspects)
     gateway.peers.note_addresses(report.addresses)
 
--- a/guavawalk/process/gateway/state.py
+++ b/guavawalk/process/gateway/state.py
@@ -5,6 +5,7 @@
 from guavawalk.process.clock import Clock
 from guavawalk.process.gateway.callers import CallerGauge, create_caller_gauge
 from guavawalk.process.gateway.connections import ConnectionPool, create_connection_pool
+from guavawalk.process.gateway.dispatch import Dispatcher, create_dispatcher
 from guavawalk.process.gateway.held_routes import HeldRoutes, create_held_routes
 from guavawalk.process.gateway.peers import PeerTable, create_peer_table
 from guavawalk.process.gateway.quota import QuotaBuckets, create_quota_buckets
@@ -37,6 +38,7 @@
     suspects: SuspectTable
     peers: PeerTable
     callers: CallerGauge
+    dispatch: Dispatcher
 
     def is_ready(self) -> bool:
         """Say whether new connections are welcome."""
@@ -65,4 +67,5 @@
         suspects=create_suspect_table(clock),
         peers=create_peer_table(settings.peer_listen, targets, quotas),
         callers=create_caller_gauge(),
+        dispatch=create_dispatcher(targets, settings.data_centre, clock),
     )
