Count quotas over the platform's sliding window; silence ends only attempts that may be followed

Change: a sliding window of rate x window + burst over all gateways' admissions; a silent attempt is left only where another target may be asked.

--- a/guavawalk/connection/tasks/attempt_call.py
+++ b/guavawalk/connection/tasks/attempt_call.py
@@ -63,6 +63,10 @@
         Targets that are not to be asked again.
     first_s : float
         Time until the first event or the whole answer; 0 before it.
+    last_event_at_s : float
+        When events came last; 0 before any.
+    longest_pause_s : float
+        Longest time between two events.
     """
 
     def __init__(self) -> None:
@@ -72,6 +76,14 @@
         self.stream = EventStream()
         self.failure: FailedAnswer | None = None
         self.first_s = 0.0
+        self.last_event_at_s = 0.0
+        self.longest_pause_s = 0.0
+
+    def note_events(self, now_s: float) -> None:
+        """Note that events have come."""
+        if self.last_event_at_s:
+            self.longest_pause_s = max(self.longest_pause_s, now_s - self.last_event_at_s)
+        self.last_event_at_s = now_s
 
 
 async def attempt_call(
@@ -221,10 +233,10 @@
 
     async def _pass_stream(self, head: ResponseHead) -> AttemptEnd:
         call, answer, stream = self._call, self._answer, self._progress.stream
-        is_resumable = call.route.resumable
+        may_resume = call.route.resumable and self._progress.sent < call.route.max_targets
         stream.drop_rest()
         while True:
-            with anyio.move_on_after(LEAST_STREAM_SILENT_S if is_resumable else None) as scope:
+            with anyio.move_on_after(LEAST_STREAM_SILENT_S if may_resume else None) as scope:
                 part = await self._connection.reader.part()
             if scope.cancelled_caught:
                 return AttemptEnd(AttemptResult.SILENT, "the stream has paused")
@@ -249,6 +261,7 @@
 
     def _note_events(self, count: int) -> None:
         now_s = self._gateway.clock.now_s()
+        self._progress.note_events(now_s)
         use = self._use
         if not use.first_at_s:
             self._note_first()
@@ -271,7 +284,7 @@
 
     def _silent_s(self) -> float | None:
         route = self._call.route
-        if not route.is_idempotent:
+        if not route.is_idempotent or self._progress.sent >= route.max_targets:
             return None
         least_s = LEAST_STREAM_SILENT_S if route.kind is RouteKind.STREAM else LEAST_SILENT_S
         return max(SILENT_FACTOR * self._choice.first_s, least_s)
--- a/guavawalk/connection/tasks/forward_call.py
+++ b/guavawalk/connection/tasks/forward_call.py
@@ -160,6 +160,7 @@
         status=answer.status,
         is_whole=answer.is_whole,
         first_ms=int(progress.first_s * 1000),
+        longest_pause_ms=int(progress.longest_pause_s * 1000),
         after_ms=int(total_s * 1000),
         events=progress.stream.count,
     )
--- a/guavawalk/process/gateway/peers.py
+++ b/guavawalk/process/gateway/peers.py
@@ -6,7 +6,7 @@
 import msgspec
 import msgspec.msgpack
 
-from guavawalk.process.gateway.quota import QuotaBuckets
+from guavawalk.process.gateway.quota import QuotaWindows
 from guavawalk.process.gateway.targets import TargetTable
 from guavawalk.request.call import PromptPart
 
@@ -106,7 +106,7 @@
 class PeerTable:
     """Reports by address; sums them into what is believed of targets and quotas."""
 
-    def __init__(self, own_address: str, targets: TargetTable, quotas: QuotaBuckets) -> None:
+    def __init__(self, own_address: str, targets: TargetTable, quotas: QuotaWindows) -> None:
         self.own_address = own_address
         self._targets = targets
         self._quotas = quotas
@@ -135,7 +135,7 @@
             return False
         peer.report, peer.heard_s = report, now_s
         self._count(peer)
-        self._quotas.merge(f"{report.address}/{report.incarnation}", report.admitted)
+        self._quotas.merge(f"{report.address}/{report.incarnation}", report.admitted, now_s)
         for target_id, part_id in report.sent_parts:
             belief = self._targets.get(target_id)
             if belief is not None:
@@ -201,6 +201,6 @@
                 belief.peer_prefill_tokens = max(belief.peer_prefill_tokens - use.prefill_tokens, 0)
 
 
-def create_peer_table(own_address: str, targets: TargetTable, quotas: QuotaBuckets) -> PeerTable:
+def create_peer_table(own_address: str, targets: TargetTable, quotas: QuotaWindows) -> PeerTable:
     """Create a table without gateways."""
     return PeerTable(own_address, targets, quotas)
--- a/guavawalk/process/gateway/quota.py
+++ b/guavawalk/process/gateway/quota.py
@@ -1,24 +1,45 @@
 """Workspaces' quotas over all gateways, from what each tells the others.
 
-Every gateway runs the same bucket: it takes its own admissions at once and the others' as they
-tell their running totals. While some are not heard, it refills by the share of those heard.
+A quota bounds what a workspace may have in each sliding window. Every gateway counts its own
+admissions at once and the others' as they tell their running totals. While some are not heard, a
+gateway admits only the share of those that are.
 """
 
+from collections import deque
 from collections.abc import Mapping
 
 from guavawalk.version.routes import Quota
 
-__all__ = ["QuotaBuckets", "create_quota_buckets"]
+__all__ = ["QuotaWindows", "create_quota_windows"]
 
 
-class _Bucket:
-    def __init__(self, level: float, now_s: float) -> None:
-        self.level = level
-        self.at_s = now_s
+class _Window:
+    """Amounts admitted in the last window, by this gateway and by others."""
 
+    def __init__(self) -> None:
+        self.amounts: deque[tuple[float, float]] = deque()
+        self.total = 0.0
+
+    def add(self, amount: float, now_s: float) -> None:
+        self.amounts.append((now_s, amount))
+        self.total += amount
+
+    def expire(self, horizon_s: float) -> None:
+        amounts = self.amounts
+        while amounts and amounts[0][0] <= horizon_s:
+            self.total -= amounts.popleft()[1]
+
+    def free_at_s(self, excess: float, window_s: float, now_s: float) -> float:
+        """Return when so much will have left the window."""
+        for at_s, amount in self.amounts:
+            excess -= amount
+            if excess <= 0.0:
+                return at_s + window_s
+        return now_s + window_s
 
-class QuotaBuckets:
-    """The buckets of all workspaces.
+
+class QuotaWindows:
+    """The windows of all workspaces.
 
     Attributes
     ----------
@@ -26,56 +47,54 @@
         Running total of what this gateway admitted, by workspace.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, window_s: float) -> None:
         self.admitted: dict[str, float] = {}
-        self._buckets: dict[str, _Bucket] = {}
+        self._window_s = window_s
+        self._windows: dict[str, _Window] = {}
         self._told: dict[str, dict[str, float]] = {}
 
     def take(
         self, workspace: str, quota: Quota, amount: float, heard_share: float, now_s: float
     ) -> float:
-        """Take an amount; return 0, or the seconds until it would be there.
+        """Take an amount; return 0, or the seconds until it could be taken.
 
         Parameters
         ----------
         heard_share : float
             Part of all gateways that are heard now, this one included.
         """
-        if not quota.per_s:
-            return 0.0
-        bucket = self._filled(workspace, quota, heard_share, now_s)
-        needed = min(amount, quota.burst)
-        if bucket.level < needed:
-            return (needed - bucket.level) / (quota.per_s * heard_share)
-        bucket.level -= amount
+        window = self._windows.setdefault(workspace, _Window())
+        window.expire(now_s - self._window_s)
+        if quota.per_s:
+            limit = (quota.per_s * self._window_s + quota.burst) * heard_share
+            excess = window.total + amount - limit
+            if excess > 0.0 and window.total > 0.0:
+                return max(window.free_at_s(excess, self._window_s, now_s) - now_s, 0.001)
+        window.add(amount, now_s)
         self.admitted[workspace] = self.admitted.get(workspace, 0.0) + amount
         return 0.0
 
-    def merge(self, gateway: str, totals: Mapping[str, float]) -> None:
+    def merge(self, gateway: str, totals: Mapping[str, float], now_s: float) -> None:
         """Take another gateway's running totals; `gateway` names one incarnation of it."""
         told = self._told.setdefault(gateway, {})
         for workspace, total in totals.items():
-            # What it admitted before it was first heard is spent and refilled already.
-            new = total - told.get(workspace, total)
+            # What it admitted before it was first heard may have left the window already.
+            new = total - told.get(workspace, total if not told else 0.0)
             told[workspace] = total
-            bucket = self._buckets.get(workspace)
-            if bucket is not None and new > 0:
-                bucket.level -= new
+            if new > 0:
+                self._windows.setdefault(workspace, _Window()).add(new, now_s)
 
     def forget(self, gateway: str) -> None:
         """Forget a gateway that is gone."""
         self._told.pop(gateway, None)
 
-    def _filled(self, workspace: str, quota: Quota, share: float, now_s: float) -> _Bucket:
-        bucket = self._buckets.get(workspace)
-        if bucket is None:
-            bucket = self._buckets[workspace] = _Bucket(quota.burst, now_s)
-        gained = (now_s - bucket.at_s) * quota.per_s * share
-        bucket.level = min(bucket.level + gained, quota.burst)
-        bucket.at_s = now_s
-        return bucket
 
+def create_quota_windows(window_s: float) -> QuotaWindows:
+    """Create windows without admissions.
 
-def create_quota_buckets() -> QuotaBuckets:
-    """Create full buckets."""
-    return QuotaBuckets()
+    Parameters
+    ----------
+    window_s : float
+        Length of the sliding window over which quotas count.
+    """
+    return QuotaWindows(window_s)
--- a/guavawalk/process/gateway/settings.py
+++ b/guavawalk/process/gateway/settings.py
@@ -34,6 +34,8 @@
         How long a leaving target goes on serving.
     retry_ratio, retry_slack, retry_window_s
         Bound on repeats at a service, over all gateways.
+    quota_window_s : float
+        Span over which quotas count.
     max_descriptors : int
         Files and sockets that the process may have open.
     """
@@ -52,6 +54,7 @@
     retry_ratio: float = 0.2
     retry_slack: float = 20.0
     retry_window_s: float = 10.0
+    quota_window_s: float = 8.0
     max_descriptors: int = 1_024
     log_level: str = "INFO"
 
--- a/guavawalk/process/gateway/state.py
+++ b/guavawalk/process/gateway/state.py
@@ -8,7 +8,7 @@
 from guavawalk.process.gateway.dispatch import Dispatcher, create_dispatcher
 from guavawalk.process.gateway.held_routes import HeldRoutes, create_held_routes
 from guavawalk.process.gateway.peers import PeerTable, create_peer_table
-from guavawalk.process.gateway.quota import QuotaBuckets, create_quota_buckets
+from guavawalk.process.gateway.quota import QuotaWindows, create_quota_windows
 from guavawalk.process.gateway.retry_window import (
     RetryBounds,
     RetryWindows,
@@ -34,7 +34,7 @@
     targets: TargetTable
     connections: ConnectionPool
     retries: RetryWindows
-    quotas: QuotaBuckets
+    quotas: QuotaWindows
     suspects: SuspectTable
     peers: PeerTable
     callers: CallerGauge
@@ -53,7 +53,7 @@
     """Assemble a gateway that knows nothing yet."""
     bounds = RetryBounds(settings.retry_ratio, settings.retry_slack, settings.retry_window_s)
     targets = create_target_table()
-    quotas = create_quota_buckets()
+    quotas = create_quota_windows(settings.quota_window_s)
     return Gateway(
         settings=settings,
         clock=clock,
