--- a/guavawalk/connection/tasks/follow_registry.py
+++ b/guavawalk/connection/tasks/follow_registry.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Iterable
 from typing import TYPE_CHECKING
 
 import anyio
@@ -10,19 +11,19 @@
 from guavawalk import events
 from guavawalk.connection.registry import Registry, TargetNews
 from guavawalk.exception import HistoryGone, PlatformUnavailable
-from guavawalk.version.registrations import Registration
+from guavawalk.version.registrations import ListedTargets, Registration
 from guavawalk.version.routes import RouteTable
 
 if TYPE_CHECKING:
     from guavawalk.process.gateway.state import Gateway
 
-__all__ = ["follow_routes", "follow_targets", "take_routes"]
+__all__ = ["follow_routes", "follow_targets", "take_listed", "take_routes"]
 
-# Each call to the registry is charged, so a calm watch waits long; what it might miss through a
-# lost answer the other gateways tell.
-WATCH_S = 10.0
+# Each call to the registry is charged, so a calm watch waits nearly as long as the registry
+# allows; what it might miss through a lost answer the other gateways tell.
+WATCH_S = 28.0
 # After trouble a watch waits briefly for a while, since its answer may be lost.
-TROUBLED_WATCH_S = 1.5
+TROUBLED_WATCH_S = 2.5
 TROUBLED_FOR_S = 12.0
 # Pause after a failed call: grows to the last, so that a refusing registry isn't pressed.
 FIRST_PAUSE_S = 0.1
@@ -118,9 +119,7 @@
             if as_of is None:
                 news = await registry.read_targets()
                 contact.note_success()
-                listed = {registration.target_id for registration in news.registered}
-                missing = gateway.targets.ids() - listed
-                news = news._replace(removed=tuple(missing))
+                news = news._replace(removed=_missing(gateway, news.registered))
             else:
                 news = await registry.watch_targets(as_of, contact.watch_s())
                 contact.note_success()
@@ -134,6 +133,22 @@
             await contact.note_failure(error)
 
 
+async def take_listed(gateway: Gateway, listed: ListedTargets, source: str) -> None:
+    """Take the entries that another gateway holds, if they are of a later revision."""
+    if listed.revision <= gateway.targets.revision:
+        return
+    removed = _missing(gateway, listed.registrations)
+    news = TargetNews(listed.registrations, removed, listed.revision, listed.revision)
+    gateway.targets.is_known = True
+    gateway.log.emit(events.TARGETS_FETCHED, peer=source, revision=listed.revision)
+    await _take_targets(gateway, news, is_just_back=True)
+
+
+def _missing(gateway: Gateway, registered: Iterable[Registration]) -> tuple[str, ...]:
+    listed = {registration.target_id for registration in registered}
+    return tuple(gateway.targets.ids() - listed)
+
+
 async def _take_targets(gateway: Gateway, news: TargetNews, is_just_back: bool) -> None:
     targets = gateway.targets
     now_s = gateway.clock.now_s()
--- a/guavawalk/connection/tasks/gossip.py
+++ b/guavawalk/connection/tasks/gossip.py
@@ -18,7 +18,7 @@
 from guavawalk import events
 from guavawalk.connection.address import split_address
 from guavawalk.connection.http_client import create_http_client
-from guavawalk.connection.tasks.follow_registry import take_routes
+from guavawalk.connection.tasks.follow_registry import take_listed, take_routes
 from guavawalk.exception import TargetError
 from guavawalk.process.gateway.peers import (
     PeerReport,
@@ -26,14 +26,16 @@
     decode_report,
     encode_report,
 )
+from guavawalk.version.registrations import ListedTargets
 from guavawalk.version.routes import RouteTable
 
 if TYPE_CHECKING:
     from guavawalk.process.gateway.state import Gateway
 
-__all__ = ["ROUTES_PATH", "hear_peers", "make_report", "tell_peers"]
+__all__ = ["ROUTES_PATH", "TARGETS_PATH", "hear_peers", "make_report", "tell_peers"]
 
 ROUTES_PATH = "/routes"
+TARGETS_PATH = "/targets"
 # Time between reports where a few gateways hear each other, in seconds. With more of them it grows
 # in proportion, so that a gateway's bytes stay the same.
 REPORT_EVERY_S = 0.2
@@ -41,6 +43,8 @@
 # A newer version told by another gateway is fetched after this time unless the registry gives it.
 FETCH_AFTER_S = 0.25
 FETCH_TIMEOUT_S = 1.0
+# Of so many reports one tells everything, in case the others were lost.
+FULL_EVERY = 8
 # Parts sent lately that one report passes on.
 MAX_PARTS = 32
 
@@ -57,31 +61,30 @@
         for belief in gateway.targets
         if belief.running
     )
-    parts = gateway.targets.take_sent_parts(MAX_PARTS)
+    is_full = sequence % FULL_EVERY == 1
+    peers = gateway.peers
     return PeerReport(
         address=gateway.settings.peer_listen,
         incarnation=incarnation,
         sequence=sequence,
         routes_version=gateway.routes.table.version,
         targets_revision=gateway.targets.revision,
-        is_leaving=gateway.callers.is_draining and not gateway.callers.calls,
+        is_leaving=gateway.callers.is_closing,
         uses=uses,
-        admitted={name: round(total) for name, total in gateway.quotas.admitted.items()},
-        sent_parts=parts,
+        admitted=gateway.quotas.take_admitted(is_full),
+        sent_parts=gateway.targets.take_sent_parts(MAX_PARTS),
         suspects=gateway.suspects.shared(),
-        addresses=tuple(report.address for report in gateway.peers.heard()),
+        addresses=tuple(report.address for report in peers.heard()) if is_full else (),
     )
 
 
 async def tell_peers(gateway: Gateway, socket: UDPSocket, incarnation: int) -> None:
-    """Send reports to all gateways known, and to the seeds while none is heard."""
+    """Send reports to all gateways known, and to the seeds of which none is heard."""
     sequence = 0
-    seeds = [seed for seed in gateway.settings.peers if seed != gateway.settings.peer_listen]
     while True:
         sequence += 1
         data = encode_report(make_report(gateway, incarnation, sequence))
-        addresses = gateway.peers.addresses()
-        for address in {*addresses, *(() if list(gateway.peers.heard()) else seeds)}:
+        for address in gateway.peers.addresses():
             try:
                 await socket.sendto(data, *split_address(address))
             except OSError as error:
@@ -99,7 +102,7 @@
     async def fetch_newer() -> None:
         async for report in newer:
             await anyio.sleep(FETCH_AFTER_S)
-            await _fetch_routes(gateway, report)
+            await _fetch_newer(gateway, report)
 
     async with newer, tell_newer, anyio.create_task_group() as tasks:
         tasks.start_soon(fetch_newer)
@@ -112,7 +115,7 @@
                 )
                 continue
             _take_report(gateway, report)
-            if report.routes_version > gateway.routes.table.version:
+            if _is_ahead(gateway, report):
                 # While a fetch is under way the next report asks again.
                 with suppress(anyio.WouldBlock):
                     tell_newer.send_nowait(report)
@@ -132,16 +135,26 @@
     gateway.peers.note_addresses(report.addresses)
 
 
-async def _fetch_routes(gateway: Gateway, report: PeerReport) -> None:
-    if report.routes_version <= gateway.routes.table.version:
-        return
+def _is_ahead(gateway: Gateway, report: PeerReport) -> bool:
+    return (
+        report.routes_version > gateway.routes.table.version
+        or report.targets_revision > gateway.targets.revision
+    )
+
+
+async def _fetch_newer(gateway: Gateway, report: PeerReport) -> None:
+    """Take from a gateway what it has and the registry has not given here meanwhile."""
     client = create_http_client(report.address)
     try:
-        answer = await client.get(ROUTES_PATH, FETCH_TIMEOUT_S)
-        table = msgspec.msgpack.decode(answer.body, type=RouteTable)
+        if report.routes_version > gateway.routes.table.version:
+            answer = await client.get(ROUTES_PATH, FETCH_TIMEOUT_S)
+            table = msgspec.msgpack.decode(answer.body, type=RouteTable)
+            take_routes(gateway, table, report.address)
+        if report.targets_revision > gateway.targets.revision:
+            answer = await client.get(TARGETS_PATH, FETCH_TIMEOUT_S)
+            listed = msgspec.msgpack.decode(answer.body, type=ListedTargets)
+            await take_listed(gateway, listed, report.address)
     except (TargetError, msgspec.DecodeError) as error:
         gateway.log.emit(events.PEER_UNREACHABLE, peer=report.address, reason=str(error))
-        return
     finally:
         await client.aclose()
-    take_routes(gateway, table, report.address)
--- a/guavawalk/events.py
+++ b/guavawalk/events.py
@@ -89,6 +89,9 @@
 REGISTRATION_INVALID = _event(
     4014, "registration_invalid", logging.WARNING, "an entry names no usable target"
 )
+TARGETS_FETCHED = _event(
+    4017, "targets_fetched", logging.INFO, "another gateway gave newer entries"
+)
 REGISTRY_LOST = _event(4015, "registry_lost", logging.WARNING, "the registry gave no answer")
 REGISTRY_BACK = _event(4016, "registry_back", logging.INFO, "the registry answers again")
 
--- a/guavawalk/process/gateway/peers.py
+++ b/guavawalk/process/gateway/peers.py
@@ -96,6 +96,10 @@
     return _decoder.decode(data)
 
 
+def _is_later(report: PeerReport, known: PeerReport) -> bool:
+    return report.incarnation != known.incarnation or report.sequence > known.sequence
+
+
 class _Peer:
     def __init__(self, report: PeerReport, heard_s: float) -> None:
         self.report = report
@@ -104,10 +108,23 @@
 
 
 class PeerTable:
-    """Reports by address; sums them into what is believed of targets and quotas."""
+    """Reports by address; sums them into what is believed of targets and quotas.
+
+    Attributes
+    ----------
+    seeds : tuple of str
+        Addresses of some gateways, perhaps old ones.
+    """
 
-    def __init__(self, own_address: str, targets: TargetTable, quotas: QuotaWindows) -> None:
+    def __init__(
+        self,
+        own_address: str,
+        seeds: Iterable[str],
+        targets: TargetTable,
+        quotas: QuotaWindows,
+    ) -> None:
         self.own_address = own_address
+        self.seeds = tuple(seeds)
         self._targets = targets
         self._quotas = quotas
         self._peers: dict[str, _Peer] = {}
@@ -126,9 +143,8 @@
         is_new = peer is None or not peer.counts
         if peer is None:
             peer = self._peers[report.address] = _Peer(report, now_s)
-        elif peer.report.incarnation == report.incarnation:
-            if report.sequence <= peer.report.sequence:
-                return False
+        elif not _is_later(report, peer.report):
+            return False
         self._discount(peer)
         if report.is_leaving:
             del self._peers[report.address]
@@ -157,20 +173,25 @@
     def note_addresses(self, addresses: Iterable[str]) -> None:
         """Note gateways that another one hears, to be told of this one."""
         for address in addresses:
-            if address != self.own_address and len(self._introduced) < MAX_ADDRESSES:
-                if address not in self._peers:
-                    self._introduced.add(address)
+            is_new = address != self.own_address and address not in self._peers
+            if is_new and len(self._introduced) < MAX_ADDRESSES:
+                self._introduced.add(address)
 
-    def heard(self) -> Iterable[PeerReport]:
+    def heard(self) -> list[PeerReport]:
         """Return the last reports of the gateways that are heard."""
         return [peer.report for peer in self._peers.values() if peer.counts]
 
-    def addresses(self) -> list[str]:
-        """Return the addresses to report to: the gateways known, silent ones too, and those
-        that others have named since the last call.
+    def addresses(self) -> set[str]:
+        """Return the addresses to report to.
+
+        Notes
+        -----
+        Those of the gateways known, silent ones too, those that others have named since the last
+        call, and the seeds while fewer gateways than these are heard.
         """
         introduced, self._introduced = self._introduced, set()
-        return [*self._peers, *introduced]
+        seeds = self.seeds if len(self.heard()) < len(self.seeds) else ()
+        return {*self._peers, *introduced, *seeds} - {self.own_address}
 
     def count(self) -> int:
         """Return how many gateways there are, with this one and those lately silent."""
@@ -201,6 +222,8 @@
                 belief.peer_prefill_tokens = max(belief.peer_prefill_tokens - use.prefill_tokens, 0)
 
 
-def create_peer_table(own_address: str, targets: TargetTable, quotas: QuotaWindows) -> PeerTable:
+def create_peer_table(
+    own_address: str, seeds: Iterable[str], targets: TargetTable, quotas: QuotaWindows
+) -> PeerTable:
     """Create a table without gateways."""
-    return PeerTable(own_address, targets, quotas)
+    return PeerTable(own_address, seeds, targets, quotas)
--- a/guavawalk/process/gateway/quota.py
+++ b/guavawalk/process/gateway/quota.py
@@ -49,6 +49,7 @@
 
     def __init__(self, window_s: float) -> None:
         self.admitted: dict[str, float] = {}
+        self._untold: set[str] = set()
         self._window_s = window_s
         self._windows: dict[str, _Window] = {}
         self._told: dict[str, dict[str, float]] = {}
@@ -72,8 +73,16 @@
                 return max(window.free_at_s(excess, self._window_s, now_s) - now_s, 0.001)
         window.add(amount, now_s)
         self.admitted[workspace] = self.admitted.get(workspace, 0.0) + amount
+        self._untold.add(workspace)
         return 0.0
 
+    def take_admitted(self, is_full: bool) -> dict[str, float]:
+        """Return the totals that have grown since the last call, or all of them."""
+        names = self.admitted if is_full else self._untold
+        told = {name: float(round(self.admitted[name])) for name in names}
+        self._untold.clear()
+        return told
+
     def merge(self, gateway: str, totals: Mapping[str, float], now_s: float) -> None:
         """Take another gateway's running totals; `gateway` names one incarnation of it."""
         told = self._told.setdefault(gateway, {})
--- a/guavawalk/process/gateway/state.py
+++ b/guavawalk/process/gateway/state.py
@@ -65,7 +65,7 @@
         retries=create_retry_windows(bounds),
         quotas=quotas,
         suspects=create_suspect_table(clock),
-        peers=create_peer_table(settings.peer_listen, targets, quotas),
+        peers=create_peer_table(settings.peer_listen, settings.peers, targets, quotas),
         callers=create_caller_gauge(),
         dispatch=create_dispatcher(targets, settings.data_centre, clock),
     )
--- a/guavawalk/process/gateway/targets.py
+++ b/guavawalk/process/gateway/targets.py
@@ -23,6 +23,8 @@
 LAPSED_TRUST_S = 1.5
 # Prompt parts that one target is believed to hold; older ones are taken as evicted.
 MAX_CACHED_PARTS = 512
+# Parts shorter than this, in tokens, are read again sooner than their news is worth its bytes.
+TOLD_PART_TOKENS = 512
 # Parts that have not been used for this long no longer count as held.
 CACHED_FOR_S = 30.0
 
@@ -203,8 +205,10 @@
         return frozenset(self._beliefs)
 
     def note_sent(self, target_id: str, parts: Iterable[PromptPart]) -> None:
-        """Note the parts of a prompt that was sent, for the other gateways."""
-        self._sent_parts.extend((target_id, part.part_id) for part in parts)
+        """Note the long parts of a prompt that was sent, for the other gateways."""
+        self._sent_parts.extend(
+            (target_id, part.part_id) for part in parts if part.tokens >= TOLD_PART_TOKENS
+        )
 
     def take_sent_parts(self, most: int) -> tuple[tuple[str, str], ...]:
         """Return parts sent since the last call, the oldest first."""
--- a/guavawalk/process/gateway_daemon.py
+++ b/guavawalk/process/gateway_daemon.py
@@ -17,7 +17,7 @@
 from guavawalk import events
 from guavawalk.connection.address import split_address
 from guavawalk.connection.tasks.follow_registry import follow_routes, follow_targets
-from guavawalk.connection.tasks.gossip import ROUTES_PATH, hear_peers, tell_peers
+from guavawalk.connection.tasks.gossip import ROUTES_PATH, TARGETS_PATH, hear_peers, tell_peers
 from guavawalk.connection.tasks.serve_caller import serve_caller
 from guavawalk.connection.tasks.serve_probe import PageAnswer, serve_pages
 from guavawalk.exception import SettingsError
@@ -29,6 +29,7 @@
 from guavawalk.process.gateway.state import Gateway, create_gateway
 from guavawalk.process.observe.bounded_log import create_bounded_log
 from guavawalk.process.supervise import run_guarded, run_restarting
+from guavawalk.version.registrations import ListedTargets
 
 __all__ = ["main", "run_gateway"]
 
@@ -117,7 +118,12 @@
     def routes() -> PageAnswer:
         return PageAnswer(OK_STATUS, msgspec.msgpack.encode(gateway.routes.table))
 
-    return {ROUTES_PATH.encode(): routes}
+    def targets() -> PageAnswer:
+        registrations = tuple(belief.registration for belief in gateway.targets)
+        listed = ListedTargets(gateway.targets.revision, registrations)
+        return PageAnswer(OK_STATUS, msgspec.msgpack.encode(listed))
+
+    return {ROUTES_PATH.encode(): routes, TARGETS_PATH.encode(): targets}
 
 
 async def _sweep(gateway: Gateway) -> None:
--- a/guavawalk/version/registrations.py
+++ b/guavawalk/version/registrations.py
@@ -2,7 +2,7 @@
 
 from typing import NamedTuple
 
-__all__ = ["Registration"]
+__all__ = ["ListedTargets", "Registration"]
 
 
 class Registration(NamedTuple):
@@ -32,3 +32,16 @@
     draining: bool = False
     cold_s: float = 0.0
     born_ms: int = 0
+
+
+class ListedTargets(NamedTuple):
+    """All entries, as one process holds them.
+
+    Attributes
+    ----------
+    revision : int
+        Of the last change among them.
+    """
+
+    revision: int
+    registrations: tuple[Registration, ...]
