--- a/guavawalk/connection/tasks/attempt_call.py
+++ b/guavawalk/connection/tasks/attempt_call.py
@@ -23,6 +23,7 @@
 
 if TYPE_CHECKING:
     from guavawalk.process.gateway.state import Gateway
+    from guavawalk.process.gateway.targets import TargetBelief
 
 __all__ = ["Progress", "attempt_call"]
 
@@ -101,12 +102,27 @@
         attempt = _Attempt(gateway, call, placed, progress, answer, connection)
         return await attempt.run()
     except TargetConnectError as error:
-        belief.failures.note(True, gateway.clock.now_s())
+        _note_unreached(gateway, belief)
         return AttemptEnd(AttemptResult.UNREACHED, str(error))
     finally:
         gateway.dispatch.release(placed)
 
 
+def _note_unreached(gateway: Gateway, belief: TargetBelief) -> None:
+    now_s = gateway.clock.now_s()
+    belief.failures.note(True, now_s)
+    belief.forget_parts()
+    target_id = belief.registration.target_id
+    for fingerprint in belief.take_crash_suspects(now_s):
+        gateway.suspects.note_death(fingerprint, target_id)
+        gateway.log.emit(
+            events.CALL_SUSPECTED,
+            target=target_id,
+            fingerprint=fingerprint,
+            blocked=gateway.suspects.is_blocked(fingerprint),
+        )
+
+
 class _Attempt:
     """One attempt; it lives inside its caller's task."""
 
@@ -300,6 +316,10 @@
             self._belief.usable_until_s = now_s
         else:
             self._belief.failures.note(True, now_s)
+        if result is AttemptResult.LOST:
+            self._belief.note_lost(self._call.fingerprint, now_s)
+        elif result is AttemptResult.DELIVERED:
+            self._gateway.suspects.note_completed(self._call.fingerprint)
 
     async def _release(self) -> None:
         connection, fields = self._connection, self._fields
--- a/guavawalk/connection/tasks/forward_call.py
+++ b/guavawalk/connection/tasks/forward_call.py
@@ -7,11 +7,11 @@
 import anyio
 
 from guavawalk import events
-from guavawalk.codes import ResultCode, describe_code
+from guavawalk.codes import ResultCode
 from guavawalk.connection.caller_answer import CallerAnswer
 from guavawalk.connection.tasks.attempt_call import Progress, attempt_call
 from guavawalk.exception import RequestError
-from guavawalk.platform.requests import encode_retry_after
+from guavawalk.platform.requests import encode_retry_after, encode_status
 from guavawalk.request.call import Call
 from guavawalk.request.repeat import AttemptResult, StepKind, decide_next
 
@@ -34,21 +34,21 @@
     gateway: Gateway, request_id: str, error: RequestError, answer: CallerAnswer
 ) -> None:
     """Answer a call that has not run and won't."""
-    info = describe_code(error.code)
+    status = encode_status(error.code)
     wait_ms = error.retry_after_ms
     gateway.log.emit(
         events.CALL_REFUSED,
         request_id=request_id,
         code=int(error.code),
         code_name=error.code.name,
-        status=info.http_status,
+        status=status,
         reason=str(error),
         retry_after_ms=wait_ms,
         routes_version=gateway.routes.table.version,
     )
     gateway.metrics.count("calls_total", code=error.code.name)
     headers = () if wait_ms is None else (encode_retry_after(wait_ms / 1000),)
-    await answer.send_whole(info.http_status, headers)
+    await answer.send_whole(status, headers)
 
 
 async def forward_call(gateway: Gateway, call: Call, answer: CallerAnswer) -> None:
@@ -120,14 +120,14 @@
         return ResultCode.TARGET_ERROR
     if progress.has_run:
         code = error.code
-        if describe_code(code).http_status not in UNKNOWN_STATUSES:
+        if encode_status(code) not in UNKNOWN_STATUSES:
             code = ResultCode.OUTCOME_UNKNOWN
-        await answer.send_whole(describe_code(code).http_status, ())
+        await answer.send_whole(encode_status(code), ())
         return code
     left_s = call.deadline_s - gateway.clock.now_s()
     wait_s = RETRY_AFTER_S if error.retry_after_ms is None else error.retry_after_ms / 1000
     headers = (encode_retry_after(max(min(wait_s, HEEDED_PART * left_s), 0.0)),)
-    await answer.send_whole(describe_code(error.code).http_status, headers)
+    await answer.send_whole(encode_status(error.code), headers)
     return error.code
 
 
@@ -138,7 +138,7 @@
         answer.keep_alive = False
         return ResultCode.TARGET_LOST
     if progress.has_run:
-        await answer.send_whole(describe_code(ResultCode.LINK_LOST).http_status, ())
+        await answer.send_whole(encode_status(ResultCode.LINK_LOST), ())
         return ResultCode.LINK_LOST
     error = RequestError(ResultCode.DEADLINE_UNREACHABLE)
     return await _give_up(gateway, call, progress, answer, error)
--- a/guavawalk/connection/tasks/serve_caller.py
+++ b/guavawalk/connection/tasks/serve_caller.py
@@ -71,6 +71,8 @@
             raise RequestError(ResultCode.DRAINING, retry_after_ms=0)
         table = gateway.routes.table
         call = admit_call(table, fields, request.method, request.target, request.body, now_s)
+        if gateway.suspects.is_blocked(call.fingerprint):
+            raise RequestError(ResultCode.CRASH_SUSPECT)
         _take_quota(gateway, call)
     except HttpInvalid as error:
         gateway.log.emit(events.CALL_REJECTED, status=error.status, reason=error.problem)
--- a/guavawalk/events.py
+++ b/guavawalk/events.py
@@ -64,6 +64,10 @@
 CALL_ENDED = _event(2014, "call_ended", logging.INFO, "a call has ended")
 CALL_WAITS = _event(2015, "call_waits", logging.INFO, "a call waits for room at a target")
 
+CALL_SUSPECTED = _event(
+    2016, "call_suspected", logging.WARNING, "a target died while a call was in flight there"
+)
+
 OFFER_NOT_RUN = _event(2070, "offer_not_run", logging.INFO, "a target did not run an offer")
 
 LINK_REJECTED = _event(3001, "link_rejected", logging.WARNING, "a link was rejected")
--- a/guavawalk/platform/requests.py
+++ b/guavawalk/platform/requests.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable, Sequence
 
+from guavawalk.codes import CodeClass, ResultCode, code_class, describe_code
 from guavawalk.connection.http_messages import Header, ResponseHead
 from guavawalk.exception import HttpInvalid
 from guavawalk.request.call import CallFields, PromptPart
@@ -12,6 +13,7 @@
     "decode_call",
     "encode_forwarded",
     "encode_retry_after",
+    "encode_status",
     "is_misdirected",
 ]
 
@@ -24,6 +26,8 @@
 STAMP = b"server-stamp"
 KEY_SCHEME = "bearer "
 MISDIRECTED_STATUS = 421
+UNAVAILABLE_STATUS = 503
+NOT_RUN_STATUSES = (429, UNAVAILABLE_STATUS)
 
 # Headers that concern one connection only.
 HOP_BY_HOP = frozenset(
@@ -41,6 +45,8 @@
         b"expect",
     )
 )
+# Headers of which a request has one at most.
+SINGLE = frozenset((b"host", b"request-id", b"deadline-ms", b"authorization", b"token-count"))
 # Headers that only the system sets; a caller's own are dropped.
 RESERVED = frozenset(
     (
@@ -72,9 +78,8 @@
     per_connection = _named_by_connection(headers)
     for name, value in headers:
         lower = name.lower()
-        if lower in (b"host", b"request-id", b"deadline-ms", b"authorization", b"token-count"):
-            if lower in singles:
-                raise HttpInvalid(400, f"{name.decode('latin-1')} comes twice")
+        if lower in SINGLE and lower in singles:
+            raise HttpInvalid(400, f"{name.decode('latin-1')} comes twice")
         singles[lower] = value.decode("latin-1")
         if lower not in NOT_FORWARDED and lower not in per_connection:
             forwarded.append((name, value))
@@ -170,6 +175,19 @@
     return headers
 
 
+def encode_status(code: ResultCode) -> int:
+    """Return the status for an outcome of the system's own.
+
+    Notes
+    -----
+    Callers take 429 and 503 as a promise that nothing ran, and most other failures as none.
+    """
+    status = describe_code(code).http_status
+    if code_class(code) is CodeClass.NOT_RUN and status not in NOT_RUN_STATUSES:
+        return UNAVAILABLE_STATUS
+    return status
+
+
 def encode_retry_after(wait_s: float) -> Header:
     """Return the header that tells a caller when to come back."""
     return RETRY_AFTER, b"%.2f" % wait_s
--- a/guavawalk/process/gateway/targets.py
+++ b/guavawalk/process/gateway/targets.py
@@ -21,6 +21,10 @@
 # A target whose entry lapsed while the registry was unavailable goes on being used for so long;
 # below the time that a leaving target still serves.
 LAPSED_TRUST_S = 1.5
+# A refused connection so soon after an answer was cut off shows that the target died, in seconds.
+CRASH_EVIDENCE_S = 1.5
+# Cut-off calls of one target that are remembered: more than its slots.
+MAX_LOST_CALLS = 64
 # Prompt parts that one target is believed to hold; older ones are taken as evicted.
 MAX_CACHED_PARTS = 512
 # Parts shorter than this, in tokens, are read again sooner than their news is worth its bytes.
@@ -76,6 +80,7 @@
         self.answer_s = MovingAverage(USUAL_ANSWER_S, ANSWER_WEIGHT)
         self.failures = DecayingShare(FAILURE_HALF_LIFE_S, FAILURE_PRIOR)
         self.usable_until_s = float("inf")
+        self._lost_calls: deque[tuple[float, int]] = deque(maxlen=MAX_LOST_CALLS)
         self._parts: OrderedDict[str, float] = OrderedDict()
 
     @property
@@ -109,6 +114,16 @@
         if not running.first_at_s:
             self.prefill_tokens -= running.prefill_tokens
 
+    def note_lost(self, fingerprint: int, now_s: float) -> None:
+        """Note a call whose answer was cut off here: the target may have died of it."""
+        self._lost_calls.append((now_s, fingerprint))
+
+    def take_crash_suspects(self, now_s: float) -> tuple[int, ...]:
+        """Return the calls that were cut off here just before the target proved to be down."""
+        found = {mark for at_s, mark in self._lost_calls if now_s - at_s < CRASH_EVIDENCE_S}
+        self._lost_calls.clear()
+        return tuple(found)
+
     def overdue(self, now_s: float) -> int:
         """Return how many calls have given nothing for far longer than expected."""
         return sum(not run.first_at_s and run.overdue_at_s < now_s for run in self.calls)
--- a/guavawalk/process/gateway_daemon.py
+++ b/guavawalk/process/gateway_daemon.py
@@ -38,6 +38,8 @@
 NOTICE_S = 2.6
 # Before the process is killed, in seconds: what is still under way is given up then.
 EXIT_BEFORE_KILL_S = 0.3
+# How often a settings file is looked at that has changed without a signal, in seconds.
+LOOK_AT_SETTINGS_EVERY_S = 2.0
 BACKLOG = 1024
 OK_STATUS = 200
 UNREADY_STATUS = 503
@@ -62,7 +64,7 @@
         "hear peers": partial(hear_peers, gateway, socket),
         "tell peers": partial(tell_peers, gateway, socket, incarnation),
         "sweep": partial(_sweep, gateway),
-        "reload": partial(_reload_on_signal, gateway, path),
+        "reload": partial(_reload_settings, gateway, path),
     }
     pages = {
         settings.readiness_listen: _readiness_pages(gateway),
@@ -136,15 +138,39 @@
         await gateway.connections.sweep(now_s)
 
 
-async def _reload_on_signal(gateway: Gateway, path: Path) -> None:
+async def _reload_settings(gateway: Gateway, path: Path) -> None:
+    """Read the settings again after SIGHUP, or when the file has changed without it."""
+    taken = gateway.settings
+    modified_ns = _modified_ns(path)
     with anyio.open_signal_receiver(signal.SIGHUP) as signals:
-        async for _ in signals:
+        while True:
+            with anyio.move_on_after(LOOK_AT_SETTINGS_EVERY_S):
+                await anext(signals)
+                modified_ns = 0
+            if modified_ns == (modified_ns := _modified_ns(path)):
+                continue
             try:
                 settings = read_gateway_settings(path)
             except SettingsError as error:
                 gateway.log.emit(events.SETTINGS_REJECTED, reason=str(error))
                 continue
-            gateway.log.emit(events.SETTINGS_CHANGED, changed=settings != gateway.settings)
+            changed = [
+                name
+                for name, before, after in zip(settings._fields, taken, settings)
+                if before != after
+            ]
+            taken = settings
+            gateway.peers.seeds = settings.peers
+            gateway.log.level = settings.log_level
+            gateway.log.emit(events.SETTINGS_CHANGED, changed=changed)
+
+
+def _modified_ns(path: Path) -> int:
+    try:
+        return path.stat().st_mtime_ns
+    except OSError:
+        # It is being replaced; the next look finds it.
+        return 0
 
 
 async def _wait_for_end(gateway: Gateway) -> None:
