--- a/guavawalk/platform/registrations.py
+++ b/guavawalk/platform/registrations.py
@@ -31,7 +31,7 @@
             data_centre=_text(row, "zone"),
             slots=_whole(row, "capacity"),
             draining=STATES[_text(row, "state")],
-            cold_s=float(row.get("warmupLeftMs") or 0) / 1000,
+            cold_s=_whole(row, "warmupLeftMs") / 1000 if "warmupLeftMs" in row else 0.0,
             born_ms=_whole(row, "born") if "born" in row else 0,
         )
     except (msgspec.DecodeError, KeyError, TypeError, ValueError, AttributeError) as error:
--- a/guavawalk/process/gateway/quota.py
+++ b/guavawalk/process/gateway/quota.py
@@ -19,6 +19,14 @@
     def __init__(self) -> None:
         self.amounts: deque[tuple[float, float]] = deque()
         self.total = 0.0
+        self.per_s = 0.0
+
+    def obey(self, quota: Quota) -> None:
+        """Start anew under a lower limit: what was admitted under the one before was allowed."""
+        if quota.per_s < self.per_s:
+            self.amounts.clear()
+            self.total = 0.0
+        self.per_s = quota.per_s
 
     def add(self, amount: float, now_s: float) -> None:
         self.amounts.append((now_s, amount))
@@ -66,6 +74,7 @@
         """
         window = self._windows.setdefault(workspace, _Window())
         window.expire(now_s - self._window_s)
+        window.obey(quota)
         if quota.per_s:
             limit = (quota.per_s * self._window_s + quota.burst) * heard_share
             excess = window.total + amount - limit
--- a/guavawalk/process/gateway/targets.py
+++ b/guavawalk/process/gateway/targets.py
@@ -1,5 +1,6 @@
 """The targets that a gateway knows, and what it believes of each."""
 
+import math
 from collections import OrderedDict, deque
 from collections.abc import Iterable, Iterator
 
@@ -109,7 +110,9 @@
         self.prefill_tokens -= running.prefill_tokens
 
     def end(self, running: RunningCall) -> None:
-        """Count a call no more."""
+        """Count a call no more; one that has ended already changes nothing."""
+        if running not in self.calls:
+            return
         self.calls.discard(running)
         if not running.first_at_s:
             self.prefill_tokens -= running.prefill_tokens
@@ -140,7 +143,7 @@
         """Return the tokens of the longest run of leading parts that the target holds."""
         tokens = 0
         for part in parts:
-            if self._parts.get(part.part_id, -CACHED_FOR_S) + CACHED_FOR_S < now_s:
+            if self._parts.get(part.part_id, -math.inf) + CACHED_FOR_S < now_s:
                 break
             tokens += part.tokens
         return tokens
--- /dev/null
+++ b/tests/connection/test_http_messages.py
@@ -0,0 +1,191 @@
+import anyio
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from guavawalk.connection.http_messages import (
+    BodyFraming,
+    RequestReader,
+    ResponseReader,
+    encode_chunk,
+    encode_request,
+    encode_response,
+)
+from guavawalk.exception import HttpInvalid, TargetLost
+from guavawalk.version.routes import CallerLimits
+from tests.virtual import run_virtually
+
+LIMITS = CallerLimits(head_bytes=300, body_bytes=100, head_timeout_s=3.0, idle_timeout_s=15.0)
+HEAD = b"POST /a/1 HTTP/1.1\r\nHost: h\r\n"
+
+
+class PartsStream:
+    """A stream that gives parts, then its end, an error or silence."""
+
+    def __init__(self, parts, end=anyio.EndOfStream):
+        self._parts = list(parts)
+        self._end = end
+
+    async def receive(self, max_bytes=65536):
+        await anyio.lowlevel.checkpoint()
+        if self._parts:
+            return self._parts.pop(0)
+        if self._end is None:
+            await anyio.sleep_forever()
+        raise self._end
+
+
+def read_requests(*parts, end=anyio.EndOfStream):
+    async def story():
+        reader = RequestReader(PartsStream(parts, end), LIMITS)
+        found = []
+        while (request := await reader.next(LIMITS)) is not None:
+            found.append(request)
+        return found
+
+    return run_virtually(story)
+
+
+def rejected(*parts, end=None):
+    with pytest.raises(HttpInvalid) as caught:
+        read_requests(*parts, end=end)
+    return caught.value.status
+
+
+def read_answer(*parts, end=anyio.EndOfStream):
+    async def story():
+        reader = ResponseReader(PartsStream(parts, end))
+        head = await reader.head()
+        body = b""
+        while part := await reader.part():
+            body += part
+        return head, body, reader
+
+    return run_virtually(story)
+
+
+class TestRequestReader:
+    def test_body_with_length(self):
+        (found,) = read_requests(HEAD + b"Content-Length: 3\r\n\r\nabc")
+        assert (found.method, found.target, found.body) == ("POST", b"/a/1", b"abc")
+        assert found.keep_alive
+
+    def test_body_in_chunks(self):
+        chunks = encode_chunk(b"ab") + encode_chunk(b"c") + b"0\r\n\r\n"
+        (found,) = read_requests(HEAD + b"Transfer-Encoding: chunked\r\n\r\n" + chunks)
+        assert found.body == b"abc"
+
+    def test_pipelined_requests_in_order(self):
+        one = encode_request("GET", b"/1", ())
+        two = encode_request("POST", b"/2", (), b"x")
+        assert [found.target for found in read_requests(one + two + one)] == [b"/1", b"/2", b"/1"]
+
+    @given(st.lists(st.integers(1, 40), max_size=20))
+    def test_any_cuts(self, cuts):
+        data = HEAD + b"Content-Length: 3\r\n\r\nabc" + encode_request("GET", b"/2", ())
+        parts, at = [], 0
+        for cut in cuts:
+            parts.append(data[at : at + cut])
+            at += cut
+        parts = [part for part in [*parts, data[at:]] if part]
+        assert [found.target for found in read_requests(*parts)] == [b"/a/1", b"/2"]
+
+    def test_closes_after_connection_close_or_an_old_version(self):
+        (found,) = read_requests(b"GET / HTTP/1.1\r\nConnection: close\r\n\r\n")
+        assert not found.keep_alive
+        (found,) = read_requests(b"GET / HTTP/1.0\r\nConnection: keep-alive\r\n\r\n")
+        assert not found.keep_alive
+
+    def test_two_lengths(self):
+        assert rejected(HEAD + b"Content-Length: 3\r\nContent-Length: 4\r\n\r\nabcd") == 400
+
+    def test_length_and_chunks(self):
+        data = b"Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"
+        assert rejected(HEAD + data) == 400
+
+    def test_no_http(self):
+        assert rejected(b"\x16\x03\x01\x02\x00\x01\x00") == 400
+
+    def test_upgrade(self):
+        assert rejected(b"GET / HTTP/1.1\r\nConnection: Upgrade\r\nUpgrade: x\r\n\r\n") == 400
+
+    def test_head_over_the_limit(self):
+        assert rejected(HEAD + b"X-A: " + b"x" * 400 + b"\r\n\r\n") == 431
+
+    def test_endless_line_of_a_head(self):
+        assert rejected(HEAD, b"X-A: " + b"x" * 200, b"x" * 200) == 431
+
+    def test_body_over_the_limit(self):
+        assert rejected(HEAD + b"Content-Length: 200\r\n\r\n" + b"x" * 101) == 413
+
+    def test_slow_head(self):
+        assert rejected(HEAD) == 408
+
+    def test_idle_connection_ends_without_an_answer(self):
+        assert read_requests(encode_request("GET", b"/1", ()), end=None)[0].target == b"/1"
+
+    def test_request_that_is_cut_is_none(self):
+        assert read_requests(HEAD + b"Content-Length: 3\r\n\r\nab") == []
+
+    def test_wait_closed_keeps_what_comes(self):
+        async def story():
+            reader = RequestReader(PartsStream([encode_request("GET", b"/1", ())]), LIMITS)
+            await reader.wait_closed()
+            return await reader.next(LIMITS)
+
+        assert run_virtually(story).target == b"/1"
+
+
+class TestResponseReader:
+    def test_length(self):
+        head, body, reader = read_answer(encode_response(200, ((b"A", b"b"),), b"xyz"))
+        assert (head.status, head.framing, body) == (200, BodyFraming.LENGTH, b"xyz")
+        assert reader.is_complete and not reader.is_spoilt
+
+    def test_until_close(self):
+        head, body, reader = read_answer(b"HTTP/1.1 200 OK\r\n\r\nab", b"cd")
+        assert (head.framing, body) == (BodyFraming.UNTIL_CLOSE, b"abcd")
+
+    def test_until_close_but_reset(self):
+        with pytest.raises(TargetLost):
+            read_answer(b"HTTP/1.1 200 OK\r\n\r\nab", end=anyio.BrokenResourceError)
+
+    def test_cut_short(self):
+        with pytest.raises(TargetLost):
+            read_answer(b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nab")
+        with pytest.raises(TargetLost):
+            read_answer(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n")
+
+    def test_garbage(self):
+        with pytest.raises(TargetLost):
+            read_answer(b"\x00\x01 no answer")
+
+    def test_second_answer_spoils_the_connection(self):
+        one = encode_response(200, (), b"a")
+        _, body, reader = read_answer(one + encode_response(200, (), b"b"))
+        assert body == b"a" and reader.is_spoilt
+
+    def test_surplus_bytes_spoil_the_connection(self):
+        _, body, reader = read_answer(encode_response(200, (), b"a") + b"surplus")
+        assert body == b"a" and reader.is_spoilt
+
+    def test_interim_answers_are_skipped(self):
+        data = b"HTTP/1.1 100 Continue\r\n\r\n" + encode_response(200, (), b"a")
+        head, body, _ = read_answer(data)
+        assert (head.status, body) == (200, b"a")
+
+    def test_no_answer(self):
+        with pytest.raises(TargetLost):
+            read_answer()
+
+    @given(st.lists(st.integers(1, 30), max_size=20))
+    def test_any_cuts_of_chunks(self, cuts):
+        data = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        data += encode_chunk(b"hello") + encode_chunk(b"world") + b"0\r\n\r\n"
+        parts, at = [], 0
+        for cut in cuts:
+            parts.append(data[at : at + cut])
+            at += cut
+        parts = [part for part in [*parts, data[at:]] if part]
+        _, body, reader = read_answer(*parts)
+        assert body == b"helloworld" and reader.is_complete and not reader.is_spoilt
--- /dev/null
+++ b/tests/gateway_calls.py
@@ -0,0 +1,63 @@
+"""Calls and routes for tests of the gateway."""
+
+from guavawalk.request.call import Call, CallFields, PromptPart
+from guavawalk.version.registrations import Registration
+from guavawalk.version.routes import (
+    CallerLimits,
+    EngineProfile,
+    Quota,
+    Route,
+    RouteKind,
+    Service,
+    ServiceShare,
+    WorkspaceAccess,
+    build_route_table,
+)
+
+__all__ = ["HOST", "make_call", "make_parts", "make_registration", "make_route", "make_table"]
+
+HOST = "a.example"
+
+
+def make_route(kind=RouteKind.SAFE, service="desk", prefix="/x/", **fields):
+    """Return a route of one service."""
+    fields = {"timeout_s": 2.0, "goal_s": 0.5, **fields}
+    return Route(prefix, HOST, prefix, kind, (ServiceShare(service, 1.0),), **fields)
+
+
+def make_table(*routes, version=1, quota=Quota(), limits=CallerLimits()):
+    """Return a table of routes with the services `desk` and `model` and the key `k1`."""
+    services = (Service("desk"), Service("model", engine=EngineProfile(2, 100_000, 1)))
+    access = {"k1": WorkspaceAccess("w", 0, quota)}
+    return build_route_table(version, routes, services, limits, access)
+
+
+def make_call(route=None, arrived_s=0.0, rank=0, body=b"", parts=(), **fields):
+    """Return a call that arrived at a moment."""
+    route = route or make_route()
+    found = CallFields("r1", HOST, "k1", prompt_parts=parts, **fields)
+    return Call(
+        found,
+        route,
+        WorkspaceAccess("w", rank),
+        route.services[0].service,
+        "POST",
+        b"/x/1",
+        body,
+        arrived_s,
+        arrived_s + route.timeout_s,
+        rank,
+        hash(body) & 0xFFFF,
+        make_table(route),
+    )
+
+
+def make_registration(target_id="i-1", service="desk", address="127.0.0.1:1", **fields):
+    """Return a target's entry."""
+    fields = {"data_centre": "a", "slots": 2, **fields}
+    return Registration(target_id, service, address, **fields)
+
+
+def make_parts(*parts):
+    """Return prompt parts of pairs."""
+    return tuple(PromptPart(*part) for part in parts)
--- /dev/null
+++ b/tests/process/gateway/test_quota.py
@@ -0,0 +1,85 @@
+from hypothesis import given
+from hypothesis import strategies as st
+
+from guavawalk.process.gateway.quota import create_quota_windows
+from guavawalk.version.routes import Quota
+
+QUOTA = Quota(per_s=10.0, burst=20.0)
+LIMIT = 10.0 * 8.0 + 20.0
+
+
+def take(windows, amount, now_s, share=1.0, quota=QUOTA):
+    return windows.take("w", quota, amount, share, now_s)
+
+
+class TestQuotaWindows:
+    def test_no_limit(self):
+        windows = create_quota_windows(8.0)
+        assert take(windows, 1e9, 0.0, quota=Quota()) == 0.0
+
+    def test_refusal_says_when_there_is_room(self):
+        windows = create_quota_windows(8.0)
+        assert take(windows, LIMIT, 1.0) == 0.0
+        assert take(windows, 1.0, 3.0) == 6.0
+        assert take(windows, 1.0, 9.5) == 0.0
+
+    def test_refused_amounts_take_nothing(self):
+        windows = create_quota_windows(8.0)
+        take(windows, LIMIT - 1, 0.0)
+        assert take(windows, 2.0, 0.0) > 0.0
+        assert take(windows, 1.0, 0.0) == 0.0
+
+    def test_one_amount_above_the_limit_passes_alone(self):
+        windows = create_quota_windows(8.0)
+        assert take(windows, 5 * LIMIT, 0.0) == 0.0
+        assert take(windows, 1.0, 1.0) > 0.0
+
+    def test_others_admissions_count(self):
+        windows = create_quota_windows(8.0)
+        windows.merge("g/1", {"w": 0.0}, 0.0)
+        windows.merge("g/1", {"w": LIMIT}, 1.0)
+        assert take(windows, 1.0, 2.0) > 0.0
+        assert take(windows, 1.0, 9.1) == 0.0
+
+    def test_totals_told_twice_count_once(self):
+        windows = create_quota_windows(8.0)
+        windows.merge("g/1", {"w": 0.0}, 0.0)
+        for _ in range(5):
+            windows.merge("g/1", {"w": LIMIT / 2}, 1.0)
+        assert take(windows, LIMIT / 2, 2.0) == 0.0
+
+    def test_history_of_a_gateway_heard_first_now_does_not_count(self):
+        windows = create_quota_windows(8.0)
+        windows.merge("g/1", {"w": 1e9}, 0.0)
+        assert take(windows, LIMIT, 1.0) == 0.0
+
+    def test_share_of_those_heard(self):
+        windows = create_quota_windows(8.0)
+        assert take(windows, LIMIT / 2, 0.0, share=0.5) == 0.0
+        assert take(windows, 1.0, 0.0, share=0.5) > 0.0
+
+    def test_lower_limit_counts_from_its_own_beginning(self):
+        windows = create_quota_windows(8.0)
+        take(windows, LIMIT, 0.0)
+        lower = Quota(per_s=1.0, burst=2.0)
+        assert take(windows, 10.0, 1.0, quota=lower) == 0.0
+        assert take(windows, 1.0, 1.0, quota=lower) > 0.0
+
+    def test_tells_what_has_grown_and_all_at_times(self):
+        windows = create_quota_windows(8.0)
+        take(windows, 5.0, 0.0)
+        assert windows.take_admitted(False) == {"w": 5.0}
+        assert windows.take_admitted(False) == {}
+        assert windows.take_admitted(True) == {"w": 5.0}
+
+    @given(st.lists(st.tuples(st.floats(0.0, 1.0), st.integers(1, 30)), max_size=80))
+    def test_no_window_admits_more_than_the_limit(self, story):
+        windows = create_quota_windows(8.0)
+        now_s, admitted = 0.0, []
+        for pause_s, amount in story:
+            now_s += pause_s
+            if take(windows, float(amount), now_s) == 0.0:
+                admitted.append((now_s, amount))
+        for start_s, _ in admitted:
+            inside = sum(a for at_s, a in admitted if start_s <= at_s < start_s + 8.0)
+            assert inside <= LIMIT
--- /dev/null
+++ b/tests/request/test_target_choice.py
@@ -0,0 +1,76 @@
+from hypothesis import given
+from hypothesis import strategies as st
+
+from guavawalk.request.engine_time import nominal_event_gap_s, nominal_first_event_s
+from guavawalk.request.target_choice import TargetCondition, choose_target, expected_first_s
+from guavawalk.version.routes import RouteKind
+from tests.gateway_calls import make_call, make_route
+
+STREAM = make_route(RouteKind.STREAM, "model", goal_s=0.5)
+
+
+def condition(target_id="i-1", data_centre="a", slots=10, **fields):
+    return TargetCondition(target_id, data_centre, slots, **fields)
+
+
+def chosen(call, *conditions, now_s=0.0):
+    return choose_target(call, "a", conditions, now_s).target_id
+
+
+class TestChooseTarget:
+    def test_none_without_targets(self):
+        assert choose_target(make_call(STREAM), "a", (), 0.0) is None
+
+    def test_near_before_far(self):
+        far = condition("far", "b")
+        assert chosen(make_call(STREAM), far, condition("near")) == "near"
+
+    def test_far_before_late(self):
+        call = make_call(STREAM, prompt_tokens=20_000)
+        slow = condition("slow", slowness=3.0)
+        assert chosen(call, slow, condition("far", "b")) == "far"
+
+    def test_cached_prefix(self):
+        call = make_call(STREAM, prompt_tokens=30_000)
+        warm = condition("warm", cached_tokens=30_000)
+        assert chosen(call, condition("cold"), warm) == "warm"
+
+    def test_failing_target_is_avoided_but_not_given_up(self):
+        failing = condition("failing", failure_share=0.5)
+        assert chosen(make_call(STREAM), failing, condition("far", "b")) == "far"
+        assert chosen(make_call(STREAM), failing) == "failing"
+
+    def test_overdue_calls_count_against_a_target(self):
+        stuck = condition("stuck", overdue=2)
+        assert chosen(make_call(STREAM), stuck, condition("busy", running=8)) == "busy"
+
+    def test_less_running_first(self):
+        assert chosen(make_call(STREAM), condition("b", running=5), condition("a")) == "a"
+
+
+class TestExpectedFirst:
+    @given(st.integers(0, 50_000), st.integers(0, 50_000), st.floats(0.5, 4.0))
+    def test_grows_with_the_prompt_the_backlog_and_the_slowness(self, prompt, ahead, slowness):
+        call = make_call(STREAM, prompt_tokens=prompt)
+        longer = make_call(STREAM, prompt_tokens=prompt + 100)
+        here = condition(prefill_tokens=ahead, slowness=slowness)
+        more = condition(prefill_tokens=ahead + 100, slowness=slowness)
+        assert expected_first_s(call, here) < expected_first_s(longer, here)
+        assert expected_first_s(call, here) < expected_first_s(call, more)
+
+    def test_full_target_adds_a_wait(self):
+        call = make_call(STREAM)
+        full, free = condition(running=10), condition(running=9)
+        assert expected_first_s(call, full) > expected_first_s(call, free)
+
+    def test_plain_service_by_its_usual_time(self):
+        plain = condition(answer_s=0.08, is_engine=False)
+        assert expected_first_s(make_call(), plain) == 0.08
+
+
+class TestEngineTime:
+    def test_cached_tokens_are_not_read(self):
+        assert nominal_first_event_s(5_000, 5_000, 0) == nominal_first_event_s(0, 0, 0)
+
+    def test_gap_grows_with_what_runs(self):
+        assert nominal_event_gap_s(5, 1) < nominal_event_gap_s(5, 10) < nominal_event_gap_s(10, 10)
