Count only the time since a restart against quotas

Change: a process that isn't of the first start admits burst + rate x its age until a window has passed. Test: a restart at any moment stays within the tolerance.

--- a/guavawalk/process/gateway/quota.py
+++ b/guavawalk/process/gateway/quota.py
@@ -5,6 +5,7 @@
 gateway admits only the share of those that are.
 """
 
+import math
 from collections import deque
 from collections.abc import Mapping
 
@@ -55,7 +56,8 @@
         Running total of what this gateway admitted, by workspace.
     """
 
-    def __init__(self, window_s: float) -> None:
+    def __init__(self, window_s: float, blind_from_s: float) -> None:
+        self._blind_from_s = blind_from_s
         self.admitted: dict[str, float] = {}
         self._untold: set[str] = set()
         self._window_s = window_s
@@ -76,7 +78,8 @@
         window.expire(now_s - self._window_s)
         window.obey(quota)
         if quota.per_s:
-            limit = (quota.per_s * self._window_s + quota.burst) * heard_share
+            counted_s = min(now_s - self._blind_from_s, self._window_s)
+            limit = (quota.per_s * counted_s + quota.burst) * heard_share
             excess = window.total + amount - limit
             if excess > 0.0 and window.total > 0.0:
                 return max(window.free_at_s(excess, self._window_s, now_s) - now_s, 0.001)
@@ -107,12 +110,15 @@
         self._told.pop(gateway, None)
 
 
-def create_quota_windows(window_s: float) -> QuotaWindows:
+def create_quota_windows(window_s: float, blind_from_s: float = -math.inf) -> QuotaWindows:
     """Create windows without admissions.
 
     Parameters
     ----------
     window_s : float
         Length of the sliding window over which quotas count.
+    blind_from_s : float, optional
+        When this process started, where another one before it may have admitted what this one
+        has not heard of: until a window has passed only the time since then counts.
     """
-    return QuotaWindows(window_s)
+    return QuotaWindows(window_s, blind_from_s)
--- a/guavawalk/process/gateway/settings.py
+++ b/guavawalk/process/gateway/settings.py
@@ -36,6 +36,8 @@
         Bound on repeats at a service, over all gateways.
     quota_window_s : float
         Span over which quotas count.
+    is_first_start : bool
+        Whether no process of the system has run before.
     max_descriptors : int
         Files and sockets that the process may have open.
     """
@@ -55,6 +57,7 @@
     retry_slack: float = 20.0
     retry_window_s: float = 10.0
     quota_window_s: float = 8.0
+    is_first_start: bool = False
     max_descriptors: int = 1_024
     log_level: str = "INFO"
 
--- a/guavawalk/process/gateway/state.py
+++ b/guavawalk/process/gateway/state.py
@@ -1,5 +1,6 @@
 """What one gateway process holds."""
 
+import math
 from typing import NamedTuple
 
 from guavawalk.process.clock import Clock
@@ -53,7 +54,8 @@
     """Assemble a gateway that knows nothing yet."""
     bounds = RetryBounds(settings.retry_ratio, settings.retry_slack, settings.retry_window_s)
     targets = create_target_table()
-    quotas = create_quota_windows(settings.quota_window_s)
+    blind_from_s = -math.inf if settings.is_first_start else clock.now_s()
+    quotas = create_quota_windows(settings.quota_window_s, blind_from_s)
     return Gateway(
         settings=settings,
         clock=clock,
--- a/tests/process/gateway/test_quota.py
+++ b/tests/process/gateway/test_quota.py
@@ -72,6 +72,31 @@
         assert windows.take_admitted(False) == {}
         assert windows.take_admitted(True) == {"w": 5.0}
 
+    def test_after_a_restart_only_the_time_since_counts(self):
+        windows = create_quota_windows(8.0, blind_from_s=100.0)
+        assert take(windows, 20.0, 100.0) == 0.0
+        assert take(windows, 1.0, 100.0) > 0.0
+        assert take(windows, 20.0, 102.0) == 0.0
+        assert take(windows, 1.0, 102.0) > 0.0
+        assert take(windows, 60.0, 108.1) == 0.0
+
+    @given(
+        st.lists(st.tuples(st.floats(0.0, 1.0), st.integers(1, 12)), max_size=150),
+        st.floats(5.0, 20.0),
+    )
+    def test_a_restart_of_all_stays_within_the_tolerance(self, story, restart_s):
+        windows = create_quota_windows(8.0)
+        now_s, admitted, has_restarted = 0.0, [], False
+        for pause_s, amount in story:
+            now_s += pause_s
+            if now_s > restart_s and not has_restarted:
+                windows, has_restarted = create_quota_windows(8.0, now_s), True
+            if take(windows, float(amount), now_s) == 0.0:
+                admitted.append((now_s, amount))
+        for start_s, _ in admitted:
+            inside = sum(a for at_s, a in admitted if start_s <= at_s < start_s + 8.0)
+            assert inside <= 1.25 * LIMIT
+
     @given(st.lists(st.tuples(st.floats(0.0, 1.0), st.integers(1, 30)), max_size=80))
     def test_no_window_admits_more_than_the_limit(self, story):
         windows = create_quota_windows(8.0)
