--- a/guavawalk/connection/tasks/gossip.py
+++ b/guavawalk/connection/tasks/gossip.py
@@ -20,6 +20,7 @@
 from guavawalk.connection.http_client import create_http_client
 from guavawalk.connection.tasks.follow_registry import take_listed, take_routes
 from guavawalk.exception import TargetError
+from guavawalk.process.gateway.pages import ROUTES_PATH, TARGETS_PATH
 from guavawalk.process.gateway.peers import (
     PeerReport,
     TargetUse,
@@ -32,10 +33,8 @@
 if TYPE_CHECKING:
     from guavawalk.process.gateway.state import Gateway
 
-__all__ = ["ROUTES_PATH", "TARGETS_PATH", "hear_peers", "make_report", "tell_peers"]
+__all__ = ["hear_peers", "make_report", "tell_peers"]
 
-ROUTES_PATH = "/routes"
-TARGETS_PATH = "/targets"
 # Time between reports where a few gateways hear each other, in seconds. With more of them it grows
 # in proportion, so that a gateway's bytes stay the same.
 REPORT_EVERY_S = 0.2
--- a/guavawalk/process/gateway_daemon.py
+++ b/guavawalk/process/gateway_daemon.py
@@ -10,26 +10,24 @@
 from pathlib import Path
 
 import anyio
-import msgspec
-import msgspec.msgpack
 from anyio.abc import ByteStream, SocketAttribute
 
 from guavawalk import events
 from guavawalk.connection.address import split_address
 from guavawalk.connection.tasks.follow_registry import follow_routes, follow_targets
-from guavawalk.connection.tasks.gossip import ROUTES_PATH, TARGETS_PATH, hear_peers, tell_peers
+from guavawalk.connection.tasks.gossip import hear_peers, tell_peers
 from guavawalk.connection.tasks.serve_caller import serve_caller
-from guavawalk.connection.tasks.serve_probe import PageAnswer, serve_pages
+from guavawalk.connection.tasks.serve_probe import serve_pages
 from guavawalk.exception import SettingsError
 from guavawalk.platform.settings import settings_path
 from guavawalk.platform.store import create_store
 from guavawalk.process.clock import create_clock
 from guavawalk.process.event_loop import run_tasks
+from guavawalk.process.gateway.pages import metric_pages, peer_pages, readiness_pages
 from guavawalk.process.gateway.settings import read_gateway_settings
 from guavawalk.process.gateway.state import Gateway, create_gateway
 from guavawalk.process.observe.bounded_log import create_bounded_log
 from guavawalk.process.supervise import run_guarded, run_restarting
-from guavawalk.version.registrations import ListedTargets
 
 __all__ = ["main", "run_gateway"]
 
@@ -41,8 +39,6 @@
 # How often a settings file is looked at that has changed without a signal, in seconds.
 LOOK_AT_SETTINGS_EVERY_S = 2.0
 BACKLOG = 1024
-OK_STATUS = 200
-UNREADY_STATUS = 503
 STDOUT = 1
 ERROR_EXIT = 2
 
@@ -67,9 +63,9 @@
         "reload": partial(_reload_settings, gateway, path),
     }
     pages = {
-        settings.readiness_listen: _readiness_pages(gateway),
-        f"{host}:{settings.metrics_port}": _metric_pages(gateway),
-        settings.peer_listen: _peer_pages(gateway),
+        settings.readiness_listen: readiness_pages(gateway),
+        f"{host}:{settings.metrics_port}": metric_pages(gateway),
+        settings.peer_listen: peer_pages(gateway),
     }
     async with anyio.create_task_group() as tasks:
         for name, task in lasting.items():
@@ -105,29 +101,6 @@
     await listener.serve(partial(serve_pages, pages))
 
 
-def _readiness_pages(gateway: Gateway) -> dict:
-    def readiness() -> PageAnswer:
-        return PageAnswer(OK_STATUS if gateway.is_ready() else UNREADY_STATUS)
-
-    return {b"/readyz": readiness}
-
-
-def _metric_pages(gateway: Gateway) -> dict:
-    return {b"/metrics": lambda: PageAnswer(OK_STATUS, gateway.metrics.render().encode())}
-
-
-def _peer_pages(gateway: Gateway) -> dict:
-    def routes() -> PageAnswer:
-        return PageAnswer(OK_STATUS, msgspec.msgpack.encode(gateway.routes.table))
-
-    def targets() -> PageAnswer:
-        registrations = tuple(belief.registration for belief in gateway.targets)
-        listed = ListedTargets(gateway.targets.revision, registrations)
-        return PageAnswer(OK_STATUS, msgspec.msgpack.encode(listed))
-
-    return {ROUTES_PATH.encode(): routes, TARGETS_PATH.encode(): targets}
-
-
 async def _sweep(gateway: Gateway) -> None:
     while True:
         await anyio.sleep(SWEEP_EVERY_S)
--- /dev/null
+++ b/tests/connection/tasks/test_follow_registry.py
@@ -0,0 +1,174 @@
+import anyio
+
+from guavawalk.connection.tasks.follow_registry import (
+    follow_routes,
+    follow_targets,
+    take_listed,
+    take_routes,
+)
+from guavawalk.platform.store import create_store
+from guavawalk.version.registrations import ListedTargets
+from tests.gateway_calls import make_registration, make_route, make_table
+from tests.gateway_standins import GatewayStory, StandInStore, listen, run_story
+from tests.platform.test_configuration import DOCUMENT
+from tests.platform.test_registrations import ROW
+
+
+def follow(use):
+    """Run a test beside a gateway that follows a store."""
+
+    async def run():
+        stand_in = StandInStore()
+        listener, address = await listen(stand_in.serve)
+        story = GatewayStory()
+        story.gateway.routes.table = story.gateway.routes.table._replace(version=0)
+        story.gateway.targets.is_known = False
+        store = create_store(address)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(listener.serve, stand_in.serve)
+            tasks.start_soon(follow_routes, story.gateway, store)
+            tasks.start_soon(follow_targets, story.gateway, store)
+            await use(story, stand_in)
+            tasks.cancel_scope.cancel()
+
+    run_story(run)
+
+
+async def until(condition):
+    while not condition():
+        await anyio.sleep(0.01)
+
+
+class TestFollowRoutes:
+    def test_each_version_comes_into_force(self):
+        async def use(story, stand_in):
+            for version in (7, 9, 30):
+                stand_in.put("op/config", {**DOCUMENT, "version": version})
+                await until(lambda v=version: story.gateway.routes.table.version == v)
+
+        follow(use)
+
+    def test_never_an_older_one(self):
+        async def use(story, stand_in):
+            stand_in.put("op/config", {**DOCUMENT, "version": 30})
+            await until(lambda: story.gateway.routes.table.version == 30)
+            calls = len(stand_in.calls)
+            stand_in.put("op/config", {**DOCUMENT, "version": 7})
+            await until(lambda: len(stand_in.calls) > calls)
+            assert story.gateway.routes.table.version == 30
+
+        follow(use)
+
+    def test_unreadable_one_leaves_the_last(self):
+        async def use(story, stand_in):
+            stand_in.put("op/config", DOCUMENT)
+            await until(lambda: story.gateway.routes.table.version == 7)
+            stand_in.put("op/config", b"{}")
+            await until(lambda: story.log.named("routes_invalid"))
+            assert story.gateway.routes.table.version == 7
+
+        follow(use)
+
+    def test_after_an_outage(self):
+        async def use(story, stand_in):
+            stand_in.failing = 503
+            stand_in.put("op/config", DOCUMENT)
+            await until(lambda: story.log.named("registry_lost"))
+            assert not story.gateway.is_ready()
+            stand_in.failing = 0
+            await until(story.gateway.is_ready)
+            assert story.log.named("registry_back")
+
+        follow(use)
+
+    def test_after_a_lost_history(self):
+        async def use(story, stand_in):
+            stand_in.put("op/config", DOCUMENT)
+            await until(lambda: story.gateway.routes.table.version == 7)
+            stand_in.items["op/config"] = None
+            stand_in.put("op/config", {**DOCUMENT, "version": 8})
+            stand_in.forget_history()
+            await until(lambda: story.gateway.routes.table.version == 8)
+
+        follow(use)
+
+
+class TestFollowTargets:
+    def test_entries_come_and_go(self):
+        async def use(story, stand_in):
+            targets = story.gateway.targets
+            stand_in.put("servers/i-1", ROW)
+            await until(lambda: targets.ids() == {"i-1"})
+            stand_in.put("servers/i-1", {**ROW, "state": "draining"})
+            await until(lambda: targets.get("i-1").registration.draining)
+            stand_in.remove("servers/i-1")
+            await until(lambda: not targets.ids())
+            assert story.log.named("target_gone")[0]["target"] == "i-1"
+
+        follow(use)
+
+    def test_entry_that_becomes_unreadable_names_no_target(self):
+        async def use(story, stand_in):
+            stand_in.put("servers/i-1", ROW)
+            stand_in.put("servers/i-2", ROW)
+            await until(lambda: len(story.gateway.targets) == 2)
+            stand_in.put("servers/i-1", b"\x00")
+            await until(lambda: story.gateway.targets.ids() == {"i-2"})
+            assert "servers/i-1" in story.log.named("registration_invalid")[0]["reason"]
+
+        follow(use)
+
+    def test_entries_that_lapsed_in_an_outage_are_used_for_a_while(self):
+        async def use(story, stand_in):
+            targets = story.gateway.targets
+            stand_in.put("servers/i-1", ROW)
+            await until(lambda: targets.ids() == {"i-1"})
+            stand_in.failing = 503
+            stand_in.remove("servers/i-1")
+            await until(lambda: story.log.named("registry_lost"))
+            stand_in.failing = 0
+            await until(lambda: story.log.named("target_gone"))
+            assert story.log.named("target_gone")[0]["reason"] == "entry lapsed"
+            assert targets.ids() == {"i-1"}
+            stand_in.put("servers/i-1", ROW)
+            await until(lambda: targets.get("i-1").usable_until_s == float("inf"))
+
+        follow(use)
+
+    def test_what_left_while_the_history_was_lost_is_gone(self):
+        async def use(story, stand_in):
+            stand_in.put("servers/i-1", ROW)
+            stand_in.put("servers/i-2", ROW)
+            await until(lambda: len(story.gateway.targets) == 2)
+            del stand_in.items["servers/i-1"]
+            stand_in.revision += 1
+            stand_in.forget_history()
+            await until(lambda: story.gateway.targets.ids() == {"i-2"})
+
+        follow(use)
+
+
+class TestTakeFromPeers:
+    def test_newer_routes_only(self):
+        story = GatewayStory()
+        take_routes(story.gateway, make_table(make_route(), version=5), "peer")
+        take_routes(story.gateway, make_table(version=4), "peer")
+        assert story.gateway.routes.table.version == 5
+        assert [line["version"] for line in story.log.named("routes_in_force")] == [5]
+
+    def test_newer_entries_only(self):
+        async def run():
+            story = GatewayStory()
+            gateway = story.gateway
+            gateway.targets.put(make_registration("i-old"))
+            gateway.targets.revision = 10
+            listed = (make_registration("i-new"),)
+            await take_listed(gateway, ListedTargets(10, listed), "peer")
+            before = gateway.targets.ids()
+            await take_listed(gateway, ListedTargets(11, listed), "peer")
+            return before, gateway.targets
+
+        before, targets = run_story(run)
+        assert before == {"i-old"}
+        assert targets.get("i-new") is not None and targets.revision == 11
+        assert targets.get("i-old").usable_until_s < float("inf")
--- /dev/null
+++ b/tests/connection/tasks/test_gossip.py
@@ -0,0 +1,118 @@
+import anyio
+
+from guavawalk.connection.tasks.gossip import hear_peers, make_report, tell_peers
+from guavawalk.connection.tasks.serve_probe import serve_pages
+from guavawalk.process.gateway.pages import peer_pages
+from tests.gateway_calls import make_call, make_registration, make_route, make_table
+from tests.gateway_standins import GatewayStory, run_story
+
+
+async def start(tasks, seeds, sequence_start=0):
+    """Start a gateway that tells and hears; return its story."""
+    socket = await anyio.create_udp_socket(local_host="127.0.0.1", local_port=0)
+    port = socket.extra(anyio.abc.SocketAttribute.local_port)
+    address = f"127.0.0.1:{port}"
+    listener = await anyio.create_tcp_listener(local_host="127.0.0.1", local_port=port)
+    story = GatewayStory(peer_listen=address, peers=tuple(seeds))
+    story.address = address
+
+    async def serve(stream):
+        await serve_pages(peer_pages(story.gateway), stream)
+
+    tasks.start_soon(listener.serve, serve)
+    tasks.start_soon(hear_peers, story.gateway, socket)
+    tasks.start_soon(tell_peers, story.gateway, socket, port)
+    return story
+
+
+async def until(condition):
+    while not condition():
+        await anyio.sleep(0.02)
+
+
+def with_gateways(use, count=3):
+    async def run():
+        async with anyio.create_task_group() as tasks:
+            stories = [await start(tasks, ["127.0.0.1:9"])]
+            for _ in range(count - 1):
+                stories.append(await start(tasks, [stories[0].address]))
+            await use(*stories)
+            tasks.cancel_scope.cancel()
+
+    run_story(run)
+
+
+class TestGossip:
+    def test_all_hear_each_other_through_one_seed(self):
+        async def use(*stories):
+            await until(lambda: all(story.gateway.peers.count() == 3 for story in stories))
+            assert all(story.log.named("gateway_heard") for story in stories)
+
+        with_gateways(use)
+
+    def test_loads_are_told(self):
+        async def use(one, two):
+            for story in (one, two):
+                story.gateway.targets.put(make_registration("i-1"))
+            one.gateway.targets.get("i-1").begin(make_call(prompt_tokens=70), 0.0, 1.0)
+            belief = two.gateway.targets.get("i-1")
+            await until(lambda: belief.peer_running == 1)
+            assert belief.peer_prefill_tokens == 70
+
+        with_gateways(use, 2)
+
+    def test_newer_routes_are_fetched(self):
+        async def use(one, two):
+            table = make_table(make_route(), version=44)
+            one.gateway.routes.take(table)
+            await until(lambda: two.gateway.routes.table.version == 44)
+            assert two.gateway.routes.table == table
+
+        with_gateways(use, 2)
+
+    def test_newer_entries_are_fetched(self):
+        async def use(one, two):
+            one.gateway.targets.put(make_registration("i-7"))
+            one.gateway.targets.revision = 9
+            await until(lambda: two.gateway.targets.get("i-7") is not None)
+            assert two.gateway.targets.revision == 9
+
+        with_gateways(use, 2)
+
+    def test_suspects_are_told(self):
+        async def use(one, two):
+            one.gateway.suspects.note_death(5, "i-1")
+            one.gateway.suspects.note_death(5, "i-2")
+            await until(lambda: two.gateway.suspects.is_blocked(5))
+
+        with_gateways(use, 2)
+
+    def test_garbage_is_dropped(self):
+        async def use(one, two):
+            host, port = one.address.split(":")
+            async with await anyio.create_udp_socket(local_host="127.0.0.1") as socket:
+                await socket.sendto(b"\xff\xff garbage", host, int(port))
+            await until(lambda: one.log.named("link_rejected"))
+            await until(lambda: one.gateway.peers.count() == 2)
+
+        with_gateways(use, 2)
+
+
+class TestMakeReport:
+    def test_idle_targets_are_left_out(self):
+        async def run():
+            story = GatewayStory()
+            story.gateway.targets.put(make_registration("i-1"))
+            return make_report(story.gateway, 1, 2)
+
+        assert run_story(run).uses == ()
+
+    def test_leaving(self):
+        async def run():
+            story = GatewayStory()
+            before = make_report(story.gateway, 1, 2)
+            story.gateway.callers.is_closing = True
+            return before, make_report(story.gateway, 1, 3)
+
+        before, after = run_story(run)
+        assert (before.is_leaving, after.is_leaving) == (False, True)
--- /dev/null
+++ b/tests/connection/tasks/test_serve_caller.py
@@ -0,0 +1,405 @@
+from functools import partial
+
+import anyio
+import pytest
+
+from guavawalk.connection.http_messages import encode_chunk, encode_response, encode_response_head
+from guavawalk.exception import TargetLost
+from guavawalk.version.routes import CallerLimits, Quota, RouteKind
+from tests.gateway_calls import make_route, make_table
+from tests.gateway_standins import (
+    CHUNKED,
+    EndConnection,
+    GatewayStory,
+    StandInTarget,
+    answer_failure,
+    answer_misdirected,
+    answer_not_run,
+    answer_nothing,
+    answer_plain,
+    answer_stream,
+    break_stream,
+    event,
+    run_story,
+    signed,
+    stay_silent,
+)
+
+UNSAFE = make_route(RouteKind.UNSAFE, max_targets=3)
+SAFE = make_route(RouteKind.SAFE, max_targets=2)
+PLAN = make_route(RouteKind.STREAM, "model")
+RESUMABLE = make_route(RouteKind.STREAM, "model", max_targets=2, resumable=True)
+
+
+def ask_once(route, *scripts, **request):
+    """Return the story, its targets and the answer to one request."""
+
+    async def run():
+        story = GatewayStory(route)
+        targets = [StandInTarget(script) for script in scripts]
+        service = route.services[0].service
+        async with story.running(*targets, service=service):
+            caller = await story.caller()
+            try:
+                answer = await caller.ask(**request)
+            except TargetLost:
+                answer = None
+        return story, targets, answer
+
+    return run_story(run)
+
+
+async def break_first(target, stream, request):
+    """Break off a stream from its beginning, and serve one that goes on."""
+    is_resumed = b"Last-Event-Id" in dict(request.headers)
+    await (answer_stream if is_resumed else break_stream)(target, stream, request)
+
+
+class TestForwarding:
+    def test_request_and_answer_pass_unchanged(self):
+        _, (target,), (status, headers, body) = ask_once(
+            UNSAFE, answer_plain, path=b"/x/1?q=%20", body=b"abc", headers=[(b"X-Own", b"1")]
+        )
+        assert (status, body, headers[b"Server-Stamp"]) == (200, b"served abc", b"stamp")
+        assert (target.got[0].method, target.got[0].target) == ("POST", b"/x/1?q=%20")
+        assert target.header(0, b"X-Own") == b"1"
+        assert target.header(0, b"Request-Id") == b"r1"
+
+    def test_the_target_gets_the_workspace_and_not_the_key(self):
+        _, (target,), _ = ask_once(UNSAFE, answer_plain, headers=[(b"Tenant", b"forged")])
+        assert target.header(0, b"Tenant") == b"w"
+        assert target.header(0, b"Authorization") is None
+        assert target.header(0, b"Expect-Instance") == b"i-1"
+
+    def test_no_more_time_than_is_left(self):
+        _, (target,), _ = ask_once(UNSAFE, answer_plain)
+        assert 0 < int(target.header(0, b"Deadline-Ms")) <= 2000
+
+    def test_stream(self):
+        _, _, (status, _, body) = ask_once(PLAN, answer_stream)
+        assert (status, body) == (200, b"".join(map(event, range(1, 6))))
+
+    def test_answer_without_length(self):
+        async def unframed(target, stream, request):
+            await stream.send(encode_response_head(200, signed(request), None) + b"whole")
+            raise EndConnection
+
+        _, _, (status, _, body) = ask_once(SAFE, unframed)
+        assert (status, body) == (200, b"whole")
+
+    def test_failure_of_the_target_bears_its_status_and_signature(self):
+        _, _, (status, headers, body) = ask_once(UNSAFE, answer_failure)
+        assert (status, headers[b"Server-Stamp"], body) == (500, b"stamp", b"sorry")
+
+    def test_connection_serves_further_requests(self):
+        async def run():
+            story = GatewayStory(SAFE)
+            async with story.running(StandInTarget(answer_plain)):
+                caller = await story.caller()
+                return [(await caller.ask(body=b"%d" % n))[2] for n in range(4)]
+
+        assert run_story(run) == [b"served %d" % n for n in range(4)]
+
+    def test_pipelined_requests_are_answered_in_order(self):
+        async def run():
+            story = GatewayStory(SAFE)
+            async with story.running(StandInTarget(answer_plain)):
+                caller = await story.caller()
+                for number in range(3):
+                    await caller.send(body=b"%d" % number, request_id=b"r%d" % number)
+                return [(await caller.answer())[2] for _ in range(3)]
+
+        assert run_story(run) == [b"served %d" % n for n in range(3)]
+
+    def test_body_that_looks_like_a_request_stays_a_body(self):
+        inner = b"POST /x/2 HTTP/1.1\r\nHost: a.example\r\nRequest-Id: r9\r\n\r\n"
+        _, (target,), _ = ask_once(UNSAFE, answer_plain, body=inner)
+        assert [request.body for request in target.got] == [inner]
+
+
+class TestRepeats:
+    @pytest.mark.parametrize("route", [UNSAFE, PLAN])
+    @pytest.mark.parametrize("script", [answer_nothing, partial(answer_failure, status=503)])
+    def test_non_idempotent_call_runs_once(self, route, script):
+        _, targets, (status, headers, _) = ask_once(route, script, script)
+        assert sum(len(target.got) for target in targets) == 1
+        assert status == 502 and b"Server-Stamp" not in headers
+
+    def test_not_run_goes_to_another_target(self):
+        story, targets, (status, _, body) = ask_once(UNSAFE, answer_not_run, answer_not_run)
+        assert sum(len(target.got) for target in targets) == 2
+        assert status == 503 and story.code() in ("QUEUE_FULL", "NO_TARGET")
+
+    def test_refusal_tells_when_to_come_back(self):
+        _, _, (status, headers, _) = ask_once(UNSAFE, answer_not_run)
+        assert status == 503 and float(headers[b"Retry-After"]) > 0
+
+    def test_misdirected_goes_to_another_target_and_the_first_is_left(self):
+        async def run():
+            story = GatewayStory(PLAN)
+            targets = StandInTarget(answer_misdirected), StandInTarget(answer_stream)
+            async with story.running(*targets, service="model"):
+                caller = await story.caller()
+                answers = [await caller.ask() for _ in range(3)]
+            return [len(target.got) for target in targets], [answer[0] for answer in answers]
+
+        got, statuses = run_story(run)
+        assert statuses == [200, 200, 200] and got == [1, 3]
+
+    def test_refused_connection_goes_to_another_target(self):
+        async def run():
+            story = GatewayStory(UNSAFE)
+            async with story.running(StandInTarget(answer_plain)):
+                gone = story.gateway.targets.get("i-1").registration
+                story.gateway.targets.put(gone._replace(target_id="i-0", address="127.0.0.1:9"))
+                caller = await story.caller()
+                return [(await caller.ask())[0] for _ in range(4)]
+
+        assert run_story(run) == [200] * 4
+
+    @pytest.mark.parametrize("script", [answer_nothing, answer_failure, stay_silent])
+    def test_safe_call_is_sent_once_more(self, script):
+        story, targets, (status, _, body) = ask_once(SAFE, script, script)
+        assert [len(target.got) for target in targets] == [1, 1]
+        story, targets, (status, _, body) = ask_once(SAFE, script, answer_plain)
+        assert (status, body) == (200, b"served ")
+
+    def test_surplus_answer_is_skipped_and_its_connection_closed(self):
+        async def doubled(target, stream, request):
+            late = encode_response(200, ((b"Request-Id", b"old"), (b"Server-Stamp", b"o")), b"o")
+            await stream.send(late + encode_response(200, signed(request), b"own"))
+
+        story, _, (status, _, body) = ask_once(SAFE, doubled, answer_plain)
+        assert status == 200 and body in (b"own", b"served ")
+
+    def test_unsigned_success_is_none(self):
+        async def unsigned(target, stream, request):
+            await stream.send(encode_response(200, (), b"forged"))
+
+        _, _, (status, _, body) = ask_once(UNSAFE, unsigned)
+        assert (status, body) == (502, b"")
+
+    def test_answer_cut_short_is_not_passed_on_as_whole(self):
+        async def cut(target, stream, request):
+            head = encode_response_head(200, signed(request), (b"Content-Length", b"9"))
+            await stream.send(head + b"par")
+            raise EndConnection
+
+        _, _, (status, _, body) = ask_once(UNSAFE, cut)
+        assert (status, body) == (502, b"")
+
+
+class TestStreams:
+    def test_resumable_stream_goes_on_in_the_same_answer(self):
+        _, targets, (status, _, body) = ask_once(RESUMABLE, break_first, break_first)
+        assert (status, body) == (200, b"".join(map(event, range(1, 6))))
+        last_ids = {target.header(0, b"Last-Event-Id") for target in targets}
+        assert last_ids == {None, b"2"}
+
+    def test_not_beyond_the_targets_that_its_route_allows(self):
+        _, targets, answer = ask_once(RESUMABLE, break_stream, break_stream, break_stream)
+        assert answer is None
+        assert sum(len(target.got) for target in targets) == 2
+
+    def test_other_streams_end_with_their_target(self):
+        _, _, answer = ask_once(PLAN, break_stream)
+        assert answer is None
+
+    def test_event_begun_is_not_passed_on(self):
+        async def run():
+            story = GatewayStory(PLAN)
+            async with story.running(StandInTarget(break_stream), service="model"):
+                caller = await story.caller()
+                await caller.send()
+                head = await caller.reader.head()
+                body = b""
+                with pytest.raises(TargetLost):
+                    while part := await caller.reader.part():
+                        body += part
+                return head.status, body
+
+        assert run_story(run) == (200, event(1) + event(2))
+
+    def test_stream_reset_by_its_target_does_not_look_whole(self):
+        async def unframed_cut(target, stream, request):
+            await stream.send(encode_response_head(200, signed(request), CHUNKED))
+            await stream.send(encode_chunk(event(1)))
+            raise EndConnection
+
+        _, _, answer = ask_once(PLAN, unframed_cut)
+        assert answer is None
+
+
+class TestCallersThatLeave:
+    @pytest.mark.parametrize("route", [PLAN, RESUMABLE, SAFE])
+    def test_the_target_is_told_at_once(self, route):
+        async def run():
+            story = GatewayStory(route)
+            target = StandInTarget(stay_silent)
+            async with story.running(target, service=route.services[0].service):
+                caller = await story.caller()
+                await caller.send()
+                while not target.got:
+                    await anyio.sleep(0.01)
+                await caller.stream.aclose()
+                while not target.ended:
+                    await anyio.sleep(0.01)
+                while story.gateway.callers.calls:
+                    await anyio.sleep(0.01)
+            return story
+
+        story = run_story(run)
+        assert story.code() == "CALLER_LEFT"
+        assert story.gateway.targets.get("i-1").running == 0
+
+
+class TestRefusals:
+    def refusal(self, status, code=None, table=None, **request):
+        async def run():
+            story = GatewayStory(SAFE)
+            if table is not None:
+                story.gateway.routes.take(table)
+            async with story.running(StandInTarget(answer_plain)):
+                caller = await story.caller()
+                answer = await caller.ask(**request)
+            return story, answer
+
+        story, answer = run_story(run)
+        assert answer[0] == status
+        assert code is None or story.code() == code
+        return answer
+
+    def test_unknown_path(self):
+        self.refusal(404, "NOT_FOUND", path=b"/y/")
+
+    def test_unknown_key(self):
+        table = make_table(SAFE, version=5)._replace(workspaces_by_key={})
+        self.refusal(401, "UNAUTHENTICATED", table)
+
+    def test_header_that_can_not_be_read(self):
+        self.refusal(400, headers=[(b"Token-Count", b"x")])
+
+    def test_over_the_quota(self):
+        table = make_table(SAFE, version=5, quota=Quota(0.1, 0.0, True, 5))
+
+        async def run():
+            story = GatewayStory(SAFE)
+            story.gateway.routes.take(table)
+            async with story.running(StandInTarget(answer_plain)):
+                caller = await story.caller()
+                return [await caller.ask() for _ in range(3)]
+
+        first, *others = run_story(run)
+        assert first[0] == 200
+        assert [(status, float(headers[b"Retry-After"]) > 0) for status, headers, _ in others] == [
+            (429, True)
+        ] * 2
+
+    def test_no_routes_known_yet(self):
+        async def run():
+            story = GatewayStory(SAFE)
+            story.gateway.routes.table = story.gateway.routes.table._replace(version=0)
+            async with story.running():
+                return await (await story.caller()).ask()
+
+        status, headers, _ = run_story(run)
+        assert status == 503 and b"Retry-After" in headers
+
+    def test_call_that_crashed_two_targets(self):
+        async def run():
+            story = GatewayStory(SAFE)
+            async with story.running(StandInTarget(answer_plain)):
+                caller = await story.caller()
+                assert (await caller.ask(body=b"bad"))[0] == 200
+                table, log = story.gateway.suspects, story.log
+                mark = make_mark(story, b"bad")
+                table.note_death(mark, "i-1")
+                table.note_death(mark, "i-2")
+                return await caller.ask(body=b"bad"), await caller.ask(body=b"good"), log
+
+        blocked, served, _ = run_story(run)
+        assert (blocked[0], served[0]) == (503, 200)
+
+    def test_unreadable_request_is_answered_and_closed(self):
+        async def run():
+            story = GatewayStory(SAFE)
+            async with story.running(StandInTarget(answer_plain)):
+                caller = await story.caller()
+                await caller.stream.send(b"POST /x/ HTTP/1.1\r\nContent-Length: 1\r\n")
+                await caller.stream.send(b"Content-Length: 2\r\n\r\nab")
+                answer = await caller.answer()
+                with pytest.raises(anyio.EndOfStream):
+                    await caller.stream.receive()
+            return answer, story.log.named("call_rejected")
+
+        (status, headers, _), lines = run_story(run)
+        assert (status, headers[b"Connection"]) == (400, b"close")
+        assert lines and lines[0]["reason"]
+
+    def test_body_over_the_limit(self):
+        limits = CallerLimits(body_bytes=10)
+        self.refusal(413, table=make_table(SAFE, version=5, limits=limits), body=b"x" * 11)
+
+
+class TestDraining:
+    def test_answers_announce_the_close(self):
+        async def run():
+            story = GatewayStory(SAFE)
+            async with story.running(StandInTarget(answer_plain)):
+                caller = await story.caller()
+                await caller.ask()
+                story.gateway.callers.is_draining = True
+                _, headers, _ = await caller.ask()
+                with pytest.raises(anyio.EndOfStream):
+                    await caller.stream.receive()
+            return headers
+
+        assert run_story(run)[b"Connection"] == b"close"
+
+    def test_idle_connections_close(self):
+        async def run():
+            story = GatewayStory(SAFE)
+            async with story.running(StandInTarget(answer_plain)):
+                caller = await story.caller()
+                await caller.ask()
+                await anyio.sleep(0.05)
+                story.gateway.callers.close_idle()
+                with pytest.raises(anyio.EndOfStream):
+                    await caller.stream.receive()
+
+        run_story(run)
+
+    def test_calls_that_come_too_late_are_refused_and_those_under_way_end(self):
+        async def run():
+            gate = anyio.Event()
+
+            async def wait(target, stream, request):
+                await gate.wait()
+                await answer_plain(target, stream, request)
+
+            story = GatewayStory(SAFE._replace(max_targets=1))
+            target = StandInTarget(wait)
+            async with story.running(target):
+                early, late = await story.caller(), await story.caller()
+                await early.send(body=b"early")
+                while not target.got:
+                    await anyio.sleep(0.01)
+                story.gateway.callers.is_draining = story.gateway.callers.is_closing = True
+                refused = await late.ask(body=b"late")
+                gate.set()
+                return refused, await early.answer()
+
+        refused, served = run_story(run)
+        assert refused[0] == 503 and refused[1][b"Connection"] == b"close"
+        assert served[2] == b"served early"
+
+
+def make_mark(story, body):
+    """Return the fingerprint under which a body's calls are known."""
+    from guavawalk.platform.requests import decode_call
+    from guavawalk.request.admission import admit_call
+
+    headers = [(b"Host", b"a.example"), (b"Request-Id", b"r1"), (b"Authorization", b"Bearer k1")]
+    table = story.gateway.routes.table
+    call = admit_call(table, decode_call(headers), "POST", b"/x/1", body, 0.0)
+    return call.fingerprint
