--- a/guavawalk/platform/settings.py
+++ b/guavawalk/platform/settings.py
@@ -1,12 +1,13 @@
-"""Where the platform puts a process's settings file."""
+"""Where the platform puts a process's settings file, and what it asks a process."""
 
 import os
 from pathlib import Path
 
 from guavawalk.exception import SettingsError
 
-__all__ = ["settings_path"]
+__all__ = ["READINESS_PATH", "settings_path"]
 
+READINESS_PATH = "/readyz"
 VARIABLE = "GUAVAWALK_CONFIG"
 
 
--- a/guavawalk/process/gateway/pages.py
+++ b/guavawalk/process/gateway/pages.py
@@ -5,12 +5,13 @@
 import msgspec.msgpack
 
 from guavawalk.connection.tasks.serve_probe import PageAnswer
+from guavawalk.platform.settings import READINESS_PATH
+from guavawalk.process.gateway.gauges import register_gauges
 from guavawalk.process.gateway.state import Gateway
 from guavawalk.version.registrations import ListedTargets
 
 __all__ = [
     "METRICS_PATH",
-    "READINESS_PATH",
     "ROUTES_PATH",
     "TARGETS_PATH",
     "Pages",
@@ -21,7 +22,6 @@
 
 Pages = dict[bytes, Callable[[], PageAnswer]]
 
-READINESS_PATH = "/readyz"
 METRICS_PATH = "/metrics"
 ROUTES_PATH = "/routes"
 TARGETS_PATH = "/targets"
@@ -40,6 +40,7 @@
 
 def metric_pages(gateway: Gateway) -> Pages:
     """Return the page of the metrics."""
+    register_gauges(gateway)
     return {METRICS_PATH.encode(): lambda: PageAnswer(OK_STATUS, gateway.metrics.render().encode())}
 
 
--- /dev/null
+++ b/tests/process/test_gateway_daemon.py
@@ -0,0 +1,225 @@
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+
+import anyio
+import pytest
+
+from guavawalk.connection.http_client import create_http_client
+from guavawalk.exception import TargetError
+from tests.gateway_standins import (
+    Caller,
+    StandInStore,
+    StandInTarget,
+    answer_plain,
+    listen,
+    run_story,
+)
+from tests.platform.test_registrations import ROW
+
+ROUTE = {
+    "name": "r-1",
+    "hostname": "a.example",
+    "prefix": "/x/",
+    "routeType": "safe",
+    "timeoutMs": 5000,
+    "service": "desk",
+}
+DOCUMENT = {
+    "version": 7,
+    "routes": [ROUTE],
+    "services": [{"name": "desk"}],
+    "tenants": [{"name": "w", "apiKeys": ["k1"]}],
+}
+
+
+def free_ports(count):
+    sockets = [socket.socket() for _ in range(count)]
+    for found in sockets:
+        found.bind(("127.0.0.1", 0))
+    ports = [found.getsockname()[1] for found in sockets]
+    for found in sockets:
+        found.close()
+    return ports
+
+
+class Daemon:
+    """A gateway as a process of its own, with the platform's variable for its settings."""
+
+    def __init__(self, folder, registry):
+        callers, readiness, peers, metrics = free_ports(4)
+        self.callers = f"127.0.0.1:{callers}"
+        self.readiness = create_http_client(f"127.0.0.1:{readiness}")
+        self.metrics = create_http_client(f"127.0.0.1:{metrics}")
+        self.path = folder / "settings.json"
+        self.output = folder / "output"
+        self.settings = {
+            "instance": "g-1",
+            "data_centre": "a",
+            "listen": self.callers,
+            "readiness_listen": f"127.0.0.1:{readiness}",
+            "peer_listen": f"127.0.0.1:{peers}",
+            "metrics_port": metrics,
+            "registry": registry,
+            "is_first_start": True,
+        }
+        self.write("// the settings of a test\n" + json.dumps(self.settings))
+        self.process = subprocess.Popen(
+            [sys.executable, "-m", "guavawalk.process.gateway_daemon"],
+            env={**os.environ, "GUAVAWALK_CONFIG": str(self.path)},
+            stdout=self.output.open("wb"),
+            stderr=subprocess.STDOUT,
+        )
+
+    def write(self, text):
+        self.path.write_text(text)
+
+    async def ready(self):
+        try:
+            return (await self.readiness.get("/readyz", 1.0)).status == 200
+        except TargetError:
+            return False
+
+    async def caller(self):
+        host, port = self.callers.split(":")
+        return Caller(await anyio.connect_tcp(host, int(port)))
+
+    def events(self):
+        lines = self.output.read_text().splitlines()
+        return [json.loads(line)["event_name"] for line in lines if line.startswith("{")]
+
+    async def ended(self):
+        while self.process.poll() is None:
+            await anyio.sleep(0.02)
+        return self.process.returncode
+
+
+async def until(condition):
+    while not await condition():
+        await anyio.sleep(0.02)
+
+
+def with_daemon(tmp_path, use, script=answer_plain):
+    async def run():
+        store, target = StandInStore(), StandInTarget(script)
+        store_listener, registry = await listen(store.serve)
+        target_listener, target.address = await listen(target.serve)
+        store.put("servers/i-1", {**ROW, "service": "desk", "address": target.address})
+        daemon = Daemon(tmp_path, registry)
+        try:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(store_listener.serve, store.serve)
+                tasks.start_soon(target_listener.serve, target.serve)
+                await use(daemon, store, target)
+                tasks.cancel_scope.cancel()
+        finally:
+            if daemon.process.poll() is None:
+                daemon.process.kill()
+            daemon.process.wait()
+
+    run_story(run)
+
+
+class TestGatewayDaemon:
+    def test_life(self, tmp_path):
+        async def use(daemon, store, target):
+            await until(lambda: answers(daemon))
+            assert not await daemon.ready()
+            store.put("op/config", DOCUMENT)
+            await until(daemon.ready)
+            caller = await daemon.caller()
+            assert (await caller.ask(body=b"a"))[::2] == (200, b"served a")
+            text = (await daemon.metrics.get("/metrics", 1.0)).body.decode()
+            assert 'guavawalk_calls_total{code="COMPLETED"} 1' in text
+            daemon.process.send_signal(signal.SIGTERM)
+            await until(lambda: not_ready(daemon))
+            status, headers, _ = await caller.ask(body=b"b")
+            assert (status, headers[b"Connection"]) == (200, b"close")
+            assert await daemon.ended() == 0
+            found = daemon.events()
+            assert found[0] == "process_started" and found[-1] == "shutdown_done"
+
+        with_daemon(tmp_path, use)
+
+    def test_request_under_way_ends_before_the_process(self, tmp_path):
+        async def slow(target, stream, request):
+            await anyio.sleep(3.5)
+            await answer_plain(target, stream, request)
+
+        async def use(daemon, store, target):
+            store.put("op/config", DOCUMENT)
+            await until(daemon.ready)
+            caller = await daemon.caller()
+            await caller.send(body=b"a")
+            while not target.got:
+                await anyio.sleep(0.02)
+            daemon.process.send_signal(signal.SIGTERM)
+            assert (await caller.answer())[::2] == (200, b"served a")
+            assert await daemon.ended() == 0
+
+        with_daemon(tmp_path, use, slow)
+
+    @pytest.mark.parametrize("with_signal", [True, False])
+    def test_settings_are_read_again(self, tmp_path, with_signal):
+        async def use(daemon, store, target):
+            async def told(name):
+                return name in daemon.events()
+
+            await until(lambda: answers(daemon))
+            daemon.write("{ cut off")
+            if with_signal:
+                daemon.process.send_signal(signal.SIGHUP)
+            await until(lambda: told("settings_rejected"))
+            daemon.write(json.dumps({**daemon.settings, "peers": ["127.0.0.1:9"]}))
+            if with_signal:
+                daemon.process.send_signal(signal.SIGHUP)
+            await until(lambda: told("settings_changed"))
+            store.put("op/config", DOCUMENT)
+            await until(daemon.ready)
+
+        with_daemon(tmp_path, use)
+
+    @pytest.mark.parametrize(
+        "change",
+        [
+            {"listen": "nowhere"},
+            {"grace_ms": 0},
+            {"log_level": "LOUD"},
+            {"registry": 5},
+            {"novelty": 1},
+        ],
+    )
+    def test_settings_that_can_not_be_obeyed(self, tmp_path, change):
+        path = tmp_path / "settings.json"
+        good = {
+            "instance": "g-1",
+            "data_centre": "a",
+            "listen": "127.0.0.1:1",
+            "readiness_listen": "127.0.0.1:2",
+            "peer_listen": "127.0.0.1:3",
+            "registry": "127.0.0.1:4",
+        }
+        path.write_text(json.dumps({**good, **change}))
+        found = subprocess.run(
+            [sys.executable, "-m", "guavawalk.process.gateway_daemon"],
+            env={**os.environ, "GUAVAWALK_CONFIG": str(path)},
+            capture_output=True,
+            text=True,
+            check=False,
+        )
+        assert found.returncode == 2
+        assert next(iter(change)) in found.stderr and "Traceback" not in found.stderr
+
+
+async def answers(daemon):
+    try:
+        return (await daemon.readiness.get("/readyz", 1.0)).status > 0
+    except TargetError:
+        return False
+
+
+async def not_ready(daemon):
+    return not await daemon.ready()
