--- a/guavawalk/connection/tasks/attempt_call.py
+++ b/guavawalk/connection/tasks/attempt_call.py
@@ -182,7 +182,7 @@
         )
         self._gateway.log.emit(
             events.CALL_SENT,
-            request_id=call.fields.request_id,
+            trace_id=call.fields.request_id,
             target=self._choice.target_id,
             cost=round(self._choice.cost, 3),
             expected_first_ms=int(self._choice.first_s * 1000),
--- a/guavawalk/connection/tasks/forward_call.py
+++ b/guavawalk/connection/tasks/forward_call.py
@@ -38,7 +38,7 @@
     wait_ms = error.retry_after_ms
     gateway.log.emit(
         events.CALL_REFUSED,
-        request_id=request_id,
+        trace_id=request_id,
         code=int(error.code),
         code_name=error.code.name,
         status=status,
@@ -75,7 +75,7 @@
         step = decide_next(call, end, progress.sent, progress.has_run, answer.has_begun, may_retry)
         gateway.log.emit(
             events.CALL_ATTEMPT_ENDED,
-            request_id=call.fields.request_id,
+            trace_id=call.fields.request_id,
             target=placed.choice.target_id,
             result=end.result.value,
             detail=end.detail,
@@ -154,7 +154,7 @@
         gateway.metrics.observe("first_event_seconds", progress.first_s, rank=str(call.rank))
     gateway.log.emit(
         events.CALL_ENDED,
-        request_id=call.fields.request_id,
+        trace_id=call.fields.request_id,
         code=int(code),
         code_name=code.name,
         status=answer.status,
--- a/guavawalk/connection/tasks/serve_caller.py
+++ b/guavawalk/connection/tasks/serve_caller.py
@@ -117,7 +117,7 @@
         gateway.metrics.count("calls_total", code=ResultCode.CALLER_LEFT.name)
         gateway.log.emit(
             events.CALL_ENDED,
-            request_id=call.fields.request_id,
+            trace_id=call.fields.request_id,
             code=int(ResultCode.CALLER_LEFT),
             code_name=ResultCode.CALLER_LEFT.name,
             after_ms=int((gateway.clock.now_s() - call.arrived_s) * 1000),
--- a/guavawalk/process/commands/app.py
+++ b/guavawalk/process/commands/app.py
@@ -57,14 +57,27 @@
     return run_tasks(partial(run_sidecar, read_settings(settings, SidecarSettings)))
 
 
+@app.command
+def gateway(settings: SettingsFile) -> int:
+    """Run a gateway: an entry that sends to targets directly, as on the users' platform."""
+    from guavawalk.process.gateway_daemon import run_gateway
+
+    return run_tasks(partial(run_gateway, settings))
+
+
 @settings_app.command
 def check(file: Path) -> int:
     """Check a settings file and say what is wrong with it."""
+    from guavawalk.process.gateway.settings import read_gateway_settings
     from guavawalk.process.settings import EntrySettings, SidecarSettings, read_role, read_settings
 
-    kinds = {"entry": EntrySettings, "sidecar": SidecarSettings}
+    readers = {
+        "entry": partial(read_settings, kind=EntrySettings),
+        "sidecar": partial(read_settings, kind=SidecarSettings),
+        "gateway": read_gateway_settings,
+    }
     role = read_role(file)
-    read_settings(file, kinds[role])
+    readers[role](file)
     print(f"{file}: fine for guavawalk {role}")
     return 0
 
--- a/guavawalk/process/gateway/gauges.py
+++ b/guavawalk/process/gateway/gauges.py
@@ -13,23 +13,23 @@
 
 def register_gauges(gateway: Gateway) -> None:
     """Register the gauges of a gateway's state with its metrics."""
-    gauge = gateway.metrics.gauge
-    gauge("calls_running", lambda: {(): gateway.callers.calls})
-    gauge("caller_connections", lambda: {(): gateway.callers.connections})
-    gauge("calls_waiting", lambda: _by("service", gateway.dispatch.waiting()))
-    gauge("routes_version", lambda: {(): gateway.routes.table.version})
-    gauge("targets_revision", lambda: {(): gateway.targets.revision})
-    gauge("ready", lambda: {(): gateway.is_ready()})
-    gauge("gateways_heard", lambda: {(): len(gateway.peers.heard())})
-    gauge("gateways_heard_share", lambda: {(): gateway.peers.heard_share()})
-    gauge("target_running", lambda: _running(gateway))
-    gauge("target_failure_share", lambda: _failures(gateway))
-    gauge("target_slowness", lambda: _slowness(gateway))
-    gauge("connections_opened", lambda: {(): gateway.connections.opened})
-    gauge("crash_suspects", lambda: {(): len(gateway.suspects)})
-    gauge("log_lines_dropped", lambda: {(): gateway.log.dropped})
-    gauge("peak_memory_bytes", _peak_memory)
-    gauge("processor_seconds", _processor_s)
+    metrics = gateway.metrics
+    metrics.gauge("calls_running", lambda: {(): gateway.callers.calls})
+    metrics.gauge("caller_connections", lambda: {(): gateway.callers.connections})
+    metrics.gauge("calls_waiting", lambda: _by("service", gateway.dispatch.waiting()))
+    metrics.gauge("routes_version", lambda: {(): gateway.routes.table.version})
+    metrics.gauge("targets_revision", lambda: {(): gateway.targets.revision})
+    metrics.gauge("ready", lambda: {(): gateway.is_ready()})
+    metrics.gauge("gateways_heard", lambda: {(): len(gateway.peers.heard())})
+    metrics.gauge("gateways_heard_share", lambda: {(): gateway.peers.heard_share()})
+    metrics.gauge("target_running", lambda: _running(gateway))
+    metrics.gauge("target_failure_share", lambda: _failures(gateway))
+    metrics.gauge("target_slowness", lambda: _slowness(gateway))
+    metrics.gauge("connections_opened", lambda: {(): gateway.connections.opened})
+    metrics.gauge("crash_suspects", lambda: {(): len(gateway.suspects)})
+    metrics.gauge("log_lines_dropped", lambda: {(): gateway.log.dropped})
+    metrics.gauge("peak_memory_bytes", _peak_memory)
+    metrics.gauge("processor_seconds", _processor_s)
 
 
 def _by(label: str, values: Mapping[str, float]) -> Mapping[Labels, float]:
--- a/guavawalk/process/observe/bounded_log.py
+++ b/guavawalk/process/observe/bounded_log.py
@@ -9,6 +9,7 @@
 import time
 from collections import deque
 from collections.abc import Callable
+from datetime import UTC, datetime
 from typing import Any
 
 import anyio
@@ -90,7 +91,8 @@
 
     def _append(self, event: Event, now_s: float, fields: dict[str, Any]) -> None:
         line = {
-            "time_s": round(now_s, 3),
+            "time": datetime.fromtimestamp(now_s, UTC).isoformat(timespec="milliseconds"),
+            "message": event.message,
             "level": logging.getLevelName(event.level),
             "event": event.number,
             "event_name": event.name,
--- a/guavawalk/process/observe/names.py
+++ b/guavawalk/process/observe/names.py
@@ -9,14 +9,14 @@
 
 
 class MetricName(NamedTuple):
-    """A metric, as statsd gets it.
+    """A metric, as statsd gets it or, of a gateway, as its metrics address serves it.
 
     Attributes
     ----------
     pattern : str
-        Name below the prefix; parts in braces vary.
+        Name below the prefix; parts in braces vary. A gateway's are labels.
     kind : str
-        `count`, `time` or `gauge`.
+        `count`, `time`, `gauge` or `observe` for a histogram.
     """
 
     pattern: str
@@ -46,6 +46,83 @@
     MetricName("window", "gauge", "sidecar", "attempts that may run at once"),
     MetricName("version", "gauge", "both", "number of the configuration in force"),
     MetricName("resident_bytes", "gauge", "both", "memory of the process"),
+    MetricName("calls_total{code}", "count", "gateway", "calls that ended, by result code"),
+    MetricName(
+        "requests_rejected_total{status}",
+        "count",
+        "gateway",
+        "requests that could not be read, by the status they got",
+    ),
+    MetricName(
+        "callers_lost_total", "count", "gateway", "connections that broke while an answer was sent"
+    ),
+    MetricName(
+        "repeats_total{result}", "count", "gateway", "further attempts, by how the one before ended"
+    ),
+    MetricName(
+        "surplus_answers_total",
+        "count",
+        "gateway",
+        "answers to other requests that targets sent and that were skipped",
+    ),
+    MetricName(
+        "sends_broken_total",
+        "count",
+        "gateway",
+        "sends during which the target closed the connection",
+    ),
+    MetricName(
+        "registry_failures_total{what}",
+        "count",
+        "gateway",
+        "calls to the registry without a usable answer",
+    ),
+    MetricName(
+        "call_seconds{kind}", "observe", "gateway", "arrival to last byte, by the kind of route"
+    ),
+    MetricName(
+        "first_event_seconds{rank}",
+        "observe",
+        "gateway",
+        "arrival to the first event or the whole answer, by rank",
+    ),
+    MetricName("calls_running", "gauge", "gateway", "calls under way"),
+    MetricName("caller_connections", "gauge", "gateway", "callers' connections that are open"),
+    MetricName(
+        "calls_waiting{service}", "gauge", "gateway", "calls that wait for a place at a target"
+    ),
+    MetricName("routes_version", "gauge", "gateway", "version of the routes in force"),
+    MetricName("targets_revision", "gauge", "gateway", "revision of the last registration taken"),
+    MetricName("ready", "gauge", "gateway", "1 while new connections are welcome"),
+    MetricName("gateways_heard", "gauge", "gateway", "other gateways whose reports come"),
+    MetricName(
+        "gateways_heard_share",
+        "gauge",
+        "gateway",
+        "part of all gateways that is heard, this one included",
+    ),
+    MetricName("target_running{target}", "gauge", "gateway", "calls of all gateways at a target"),
+    MetricName(
+        "target_failure_share{target}",
+        "gauge",
+        "gateway",
+        "share of lately sent calls that a target failed",
+    ),
+    MetricName(
+        "target_slowness{target}",
+        "gauge",
+        "gateway",
+        "a target's times as a multiple of the nominal ones",
+    ),
+    MetricName(
+        "connections_opened", "gauge", "gateway", "connections opened to targets since the start"
+    ),
+    MetricName("crash_suspects", "gauge", "gateway", "calls that were in flight when targets died"),
+    MetricName("log_lines_dropped", "gauge", "gateway", "log lines dropped since the start"),
+    MetricName(
+        "peak_memory_bytes", "gauge", "gateway", "largest resident memory of the process so far"
+    ),
+    MetricName("processor_seconds", "gauge", "gateway", "processor time of the process so far"),
 )
 
 
--- a/guavawalk/process/observe/trace.py
+++ b/guavawalk/process/observe/trace.py
@@ -75,8 +75,9 @@
 
 
 def _record(line: str) -> dict[str, Any] | None:
+    # A log capture may put its own time and the machine's name before the line.
     try:
-        record = json.loads(line)
+        record = json.loads(line[max(line.find("{"), 0) :])
     except (ValueError, RecursionError):
         return None
     return record if isinstance(record, dict) else None
--- a/guavawalk/process/settings.py
+++ b/guavawalk/process/settings.py
@@ -30,7 +30,7 @@
 
 # Each role includes those before it.
 ADMIN_ROLES = ("read", "operate")
-SETTINGS_ROLES = ("entry", "sidecar")
+SETTINGS_ROLES = ("entry", "sidecar", "gateway")
 
 
 class StatsdSettings(NamedTuple):
@@ -194,10 +194,11 @@
 
 
 def read_role(path: Path) -> str:
-    """Return the role that a settings file names, `entry` or `sidecar`."""
+    """Return the role that a settings file names: `entry`, `sidecar` or `gateway`."""
     role = read_json_object(path).get("role")
     if role not in SETTINGS_ROLES:
-        raise SettingsError(str(path), "$.role", f"found {role!r}, allowed is entry or sidecar")
+        allowed = ", ".join(SETTINGS_ROLES)
+        raise SettingsError(str(path), "$.role", f"found {role!r}, allowed is one of {allowed}")
     return role
 
 
--- a/tests/process/observe/test_bounded_log.py
+++ b/tests/process/observe/test_bounded_log.py
@@ -32,10 +32,10 @@
 class TestBoundedLog:
     def test_line(self):
         story = Story()
-        story.log.emit(events.CALL_SENT, request_id="r1", target="i-1")
+        story.log.emit(events.CALL_SENT, trace_id="r1", target="i-1")
         (line,) = story.lines()
         assert (line["event"], line["event_name"]) == (events.CALL_SENT.number, "call_sent")
-        assert (line["role"], line["instance"], line["request_id"]) == ("gateway", "g-1", "r1")
+        assert (line["role"], line["instance"], line["trace_id"]) == ("gateway", "g-1", "r1")
 
     def test_level(self):
         story = Story("WARNING")
--- a/tests/process/observe/test_names.py
+++ b/tests/process/observe/test_names.py
@@ -9,7 +9,7 @@
 
 SOURCES = Path(guavawalk.__file__).parent
 DOCS = SOURCES.parent / "docs"
-KINDS = {"count", "time", "gauge"}
+KINDS = {"count", "time", "gauge", "observe"}
 
 
 def names_in_code() -> set[tuple[str, str]]:
@@ -41,9 +41,23 @@
     return ".".join(parts)
 
 
+def without_labels(pattern: str) -> str:
+    return pattern.partition("{")[0]
+
+
 class TestMetricNames:
     def test_every_name_in_the_code_is_listed_and_no_other(self):
-        listed = {(without_names(metric.pattern), metric.kind) for metric in METRICS}
+        listed = {
+            (
+                (
+                    without_labels(metric.pattern)
+                    if metric.role == "gateway"
+                    else without_names(metric.pattern)
+                ),
+                metric.kind,
+            )
+            for metric in METRICS
+        }
         assert names_in_code() == listed
 
     def test_docs_equal_code(self):
--- a/tests/process/test_settings.py
+++ b/tests/process/test_settings.py
@@ -130,9 +130,9 @@
         assert done == 0
         assert "fine for guavawalk" in capsys.readouterr().out
 
-    def test_cover_both_roles_and_kinds(self):
+    def test_cover_every_role(self):
         roles = [read_role(file) for file in EXAMPLES.iterdir()]
-        assert set(roles) == {"entry", "sidecar"}
+        assert set(roles) == {"entry", "sidecar", "gateway"}
 
 
 def wrong_values(kind):
