Leave a silent target only for a place elsewhere; count what young gateways admitted

Changes: a silent attempt ends only once another target's place and a repeat of the budget are held; reports tell the process's age, a young one's whole total counts, and half the rate counts for a window after a restart. Tests fail on the code before.

--- a/guavawalk/connection/tasks/attempt_call.py
+++ b/guavawalk/connection/tasks/attempt_call.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
-from typing import TYPE_CHECKING, NamedTuple
+from collections.abc import Awaitable, Callable, Sequence
+from typing import TYPE_CHECKING, NamedTuple, TypeVar
 
 import anyio
 
@@ -27,6 +27,8 @@
 
 __all__ = ["Progress", "attempt_call"]
 
+T = TypeVar("T")
+
 # Idle time after which a kept connection is not trusted with a request that can't be repeated.
 TRUSTED_IDLE_S = 0.0
 ANY_IDLE_S = 3600.0
@@ -68,6 +70,8 @@
         When events came last; 0 before any.
     longest_pause_s : float
         Longest time between two events.
+    next_place : Placed, optional
+        Place for the next attempt, where one was taken before this one was left.
     """
 
     def __init__(self) -> None:
@@ -79,6 +83,12 @@
         self.first_s = 0.0
         self.last_event_at_s = 0.0
         self.longest_pause_s = 0.0
+        self.next_place: Placed | None = None
+
+    def take_next_place(self) -> Placed | None:
+        """Return the place that was taken for the next attempt, once."""
+        placed, self.next_place = self.next_place, None
+        return placed
 
     def note_events(self, now_s: float) -> None:
         """Note that events have come."""
@@ -163,11 +173,9 @@
         self._gateway.targets.note_sent(self._choice.target_id, self._call.fields.prompt_parts)
         try:
             await self._send()
-            silent_s = self._silent_s()
-            with anyio.move_on_after(silent_s) as scope:
-                head = await self._own_head()
-            if scope.cancelled_caught:
-                return AttemptEnd(AttemptResult.SILENT, f"no answer for {silent_s:.2f} s")
+            head = await self._unless_silent(self._own_head, self._silent_s())
+            if head is None:
+                return AttemptEnd(AttemptResult.SILENT, "no answer")
             return await self._pass_on(head)
         except TargetLost as error:
             return AttemptEnd(AttemptResult.LOST, str(error))
@@ -248,13 +256,12 @@
         return AttemptEnd(AttemptResult.FAILED, f"HTTP {fields.status}")
 
     async def _pass_stream(self, head: ResponseHead) -> AttemptEnd:
-        call, answer, stream = self._call, self._answer, self._progress.stream
-        may_resume = call.route.resumable and self._progress.sent < call.route.max_targets
+        answer, stream = self._answer, self._progress.stream
+        silent_s = LEAST_STREAM_SILENT_S if self._may_repeat() else None
         stream.drop_rest()
         while True:
-            with anyio.move_on_after(LEAST_STREAM_SILENT_S if may_resume else None) as scope:
-                part = await self._connection.reader.part()
-            if scope.cancelled_caught:
+            part = await self._unless_silent(self._connection.reader.part, silent_s)
+            if part is None:
                 return AttemptEnd(AttemptResult.SILENT, "the stream has paused")
             if not part:
                 break
@@ -298,9 +305,41 @@
             now_s = self._gateway.clock.now_s()
             self._progress.first_s = now_s - self._call.arrived_s
 
+    async def _unless_silent(
+        self, receive: Callable[[], Awaitable[T]], silent_s: float | None
+    ) -> T | None:
+        """Return what comes; None once the target is silent and another one has a place.
+
+        Notes
+        -----
+        Silence alone is no reason to end an answer: without a place elsewhere the wait goes on.
+        """
+        while silent_s is not None:
+            with anyio.move_on_after(silent_s):
+                return await receive()
+            if self._take_next_place():
+                return None
+        return await receive()
+
+    def _take_next_place(self) -> bool:
+        gateway, call, progress = self._gateway, self._call, self._progress
+        placed = gateway.dispatch.try_place(call, progress.tried)
+        if placed is None:
+            return False
+        now_s = gateway.clock.now_s()
+        if not gateway.retries.take(call.service, gateway.peers.count(), now_s):
+            gateway.dispatch.release(placed)
+            return False
+        progress.next_place = placed
+        return True
+
+    def _may_repeat(self) -> bool:
+        route = self._call.route
+        return route.is_idempotent and self._progress.sent < route.max_targets
+
     def _silent_s(self) -> float | None:
         route = self._call.route
-        if not route.is_idempotent or self._progress.sent >= route.max_targets:
+        if not self._may_repeat():
             return None
         least_s = LEAST_STREAM_SILENT_S if route.kind is RouteKind.STREAM else LEAST_SILENT_S
         return max(SILENT_FACTOR * self._choice.first_s, least_s)
--- a/guavawalk/connection/tasks/forward_call.py
+++ b/guavawalk/connection/tasks/forward_call.py
@@ -56,7 +56,11 @@
     progress = Progress()
     gateway.retries.note_request(call.service, call.arrived_s)
     with anyio.CancelScope(deadline=call.deadline_s) as scope:
-        code = await _run_attempts(gateway, call, progress, answer)
+        try:
+            code = await _run_attempts(gateway, call, progress, answer)
+        finally:
+            if (unused := progress.take_next_place()) is not None:
+                gateway.dispatch.release(unused)
     if scope.cancelled_caught:
         code = await _end_late(gateway, call, progress, answer)
     _tell_end(gateway, call, progress, answer, code)
@@ -67,7 +71,9 @@
 ) -> ResultCode:
     while True:
         try:
-            placed = await gateway.dispatch.place(call, progress.tried, answer.has_begun)
+            placed = progress.take_next_place() or await gateway.dispatch.place(
+                call, progress.tried, answer.has_begun
+            )
         except RequestError as error:
             return await _give_up(gateway, call, progress, answer, error)
         end = await attempt_call(gateway, call, placed, progress, answer)
@@ -102,7 +108,7 @@
     now_s = gateway.clock.now_s()
     if result is AttemptResult.DELIVERED or call.deadline_s - now_s < LEAST_ATTEMPT_S:
         return False
-    if not progress.sent:
+    if not progress.sent or progress.next_place is not None:
         return True
     return gateway.retries.take(call.service, gateway.peers.count(), now_s)
 
--- a/guavawalk/connection/tasks/gossip.py
+++ b/guavawalk/connection/tasks/gossip.py
@@ -66,6 +66,7 @@
         address=gateway.settings.peer_listen,
         incarnation=incarnation,
         sequence=sequence,
+        age_s=round(gateway.clock.now_s() - gateway.started_s, 1),
         routes_version=gateway.routes.table.version,
         targets_revision=gateway.targets.revision,
         is_leaving=gateway.callers.is_closing,
--- a/guavawalk/process/gateway/dispatch.py
+++ b/guavawalk/process/gateway/dispatch.py
@@ -124,6 +124,11 @@
             raise self._refusal(queue, now_s)
         return await self._wait(queue, waiter, patience_s)
 
+    def try_place(self, call: Call, tried: Collection[str]) -> Placed | None:
+        """Return a place that is free now; None if there is none."""
+        queue = self._queues.setdefault(call.service, _ServiceQueue())
+        return self._try_place(queue, _Waiter(call, tried, True), self._clock.now_s())
+
     def dispatch_ready(self, service: str) -> None:
         """Give free places of a service's targets to the calls whose turn it is."""
         queue = self._queues.get(service)
--- a/guavawalk/process/gateway/peers.py
+++ b/guavawalk/process/gateway/peers.py
@@ -47,6 +47,8 @@
         Differs between starts of the process.
     sequence : int
         Grows with each report of an incarnation.
+    age_s : float
+        How long the process has run.
     routes_version : int
         Version in force.
     targets_revision : int
@@ -66,6 +68,7 @@
     address: str
     incarnation: int
     sequence: int
+    age_s: float = 0.0
     routes_version: int = 0
     targets_revision: int = 0
     is_leaving: bool = False
@@ -151,7 +154,9 @@
             return False
         peer.report, peer.heard_s = report, now_s
         self._count(peer)
-        self._quotas.merge(f"{report.address}/{report.incarnation}", report.admitted, now_s)
+        self._quotas.merge(
+            f"{report.address}/{report.incarnation}", report.admitted, now_s, report.age_s
+        )
         for target_id, part_id in report.sent_parts:
             belief = self._targets.get(target_id)
             if belief is not None:
--- a/guavawalk/process/gateway/quota.py
+++ b/guavawalk/process/gateway/quota.py
@@ -13,6 +13,10 @@
 
 __all__ = ["QuotaWindows", "create_quota_windows"]
 
+# Part of the rate that counts until a window has passed since a restart: what was admitted before
+# may have been a whole window's worth just then, and the sum must stay within the tolerance.
+BLIND_PART = 0.5
+
 
 class _Window:
     """Amounts admitted in the last window, by this gateway and by others."""
@@ -78,8 +82,7 @@
         window.expire(now_s - self._window_s)
         window.obey(quota)
         if quota.per_s:
-            counted_s = min(now_s - self._blind_from_s, self._window_s)
-            limit = (quota.per_s * counted_s + quota.burst) * heard_share
+            limit = (quota.per_s * self._counted_s(now_s) + quota.burst) * heard_share
             excess = window.total + amount - limit
             if excess > 0.0 and window.total > 0.0:
                 return max(window.free_at_s(excess, self._window_s, now_s) - now_s, 0.001)
@@ -95,12 +98,28 @@
         self._untold.clear()
         return told
 
-    def merge(self, gateway: str, totals: Mapping[str, float], now_s: float) -> None:
-        """Take another gateway's running totals; `gateway` names one incarnation of it."""
+    def _counted_s(self, now_s: float) -> float:
+        age_s = now_s - self._blind_from_s
+        return self._window_s if age_s >= self._window_s else BLIND_PART * age_s
+
+    def merge(
+        self, gateway: str, totals: Mapping[str, float], now_s: float, age_s: float = math.inf
+    ) -> None:
+        """Take another gateway's running totals.
+
+        Parameters
+        ----------
+        gateway : str
+            Names one incarnation of it.
+        age_s : float
+            How long it has run. What an old one admitted before it was first heard may have left
+            the window; what a young one admitted has not.
+        """
+        is_first = gateway not in self._told
         told = self._told.setdefault(gateway, {})
         for workspace, total in totals.items():
-            # What it admitted before it was first heard may have left the window already.
-            new = total - told.get(workspace, total if not told else 0.0)
+            is_old = is_first and age_s >= self._window_s
+            new = total - told.get(workspace, total if is_old else 0.0)
             told[workspace] = total
             if new > 0:
                 self._windows.setdefault(workspace, _Window()).add(new, now_s)
--- a/guavawalk/process/gateway/state.py
+++ b/guavawalk/process/gateway/state.py
@@ -25,7 +25,13 @@
 
 
 class Gateway(NamedTuple):
-    """The parts of a gateway."""
+    """The parts of a gateway.
+
+    Attributes
+    ----------
+    started_s : float
+        When the process started, on its monotonic clock.
+    """
 
     settings: GatewaySettings
     clock: Clock
@@ -40,6 +46,7 @@
     peers: PeerTable
     callers: CallerGauge
     dispatch: Dispatcher
+    started_s: float
 
     def is_ready(self) -> bool:
         """Say whether new connections are welcome."""
@@ -54,7 +61,8 @@
     """Assemble a gateway that knows nothing yet."""
     bounds = RetryBounds(settings.retry_ratio, settings.retry_slack, settings.retry_window_s)
     targets = create_target_table()
-    blind_from_s = -math.inf if settings.is_first_start else clock.now_s()
+    started_s = clock.now_s()
+    blind_from_s = -math.inf if settings.is_first_start else started_s
     quotas = create_quota_windows(settings.quota_window_s, blind_from_s)
     return Gateway(
         settings=settings,
@@ -70,4 +78,5 @@
         peers=create_peer_table(settings.peer_listen, settings.peers, targets, quotas),
         callers=create_caller_gauge(),
         dispatch=create_dispatcher(targets, settings.data_centre, clock),
+        started_s=started_s,
     )
--- a/tests/connection/tasks/test_follow_registry.py
+++ b/tests/connection/tasks/test_follow_registry.py
@@ -150,9 +150,13 @@
 
 class TestTakeFromPeers:
     def test_newer_routes_only(self):
-        story = GatewayStory()
-        take_routes(story.gateway, make_table(make_route(), version=5), "peer")
-        take_routes(story.gateway, make_table(version=4), "peer")
+        async def run():
+            story = GatewayStory()
+            take_routes(story.gateway, make_table(make_route(), version=5), "peer")
+            take_routes(story.gateway, make_table(version=4), "peer")
+            return story
+
+        story = run_story(run)
         assert story.gateway.routes.table.version == 5
         assert [line["version"] for line in story.log.named("routes_in_force")] == [5]
 
--- a/tests/connection/tasks/test_serve_caller.py
+++ b/tests/connection/tasks/test_serve_caller.py
@@ -3,7 +3,12 @@
 import anyio
 import pytest
 
-from guavawalk.connection.http_messages import encode_chunk, encode_response, encode_response_head
+from guavawalk.connection.http_messages import (
+    LAST_CHUNK,
+    encode_chunk,
+    encode_response,
+    encode_response_head,
+)
 from guavawalk.exception import TargetLost
 from guavawalk.version.routes import CallerLimits, Quota, RouteKind
 from tests.gateway_calls import make_route, make_table
@@ -55,6 +60,24 @@
     await (answer_stream if is_resumed else break_stream)(target, stream, request)
 
 
+async def pause_stream(target, stream, request):
+    """Answer some events, pause, and answer the rest."""
+    await stream.send(encode_response_head(200, signed(request), CHUNKED))
+    for number in range(1, 6):
+        await stream.send(encode_chunk(event(number)))
+        if number == 2:
+            await anyio.sleep(1.2)
+    await stream.send(LAST_CHUNK)
+
+
+async def stall_stream(target, stream, request):
+    """Answer some events and nothing more."""
+    await stream.send(encode_response_head(200, signed(request), CHUNKED))
+    for number in range(1, 3):
+        await stream.send(encode_chunk(event(number)))
+    await stay_silent(target, stream, request)
+
+
 class TestForwarding:
     def test_request_and_answer_pass_unchanged(self):
         _, (target,), (status, headers, body) = ask_once(
@@ -229,6 +252,21 @@
         _, _, answer = ask_once(PLAN, unframed_cut)
         assert answer is None
 
+    def test_pause_is_no_reason_to_end_an_answer_that_can_not_go_on_elsewhere(self):
+        story, (target,), (status, _, body) = ask_once(RESUMABLE, pause_stream)
+        assert (status, body) == (200, b"".join(map(event, range(1, 6))))
+        assert len(target.got) == 1
+
+    def test_paused_stream_goes_on_elsewhere(self):
+        async def first_pauses(target, stream, request):
+            is_resumed = b"Last-Event-Id" in dict(request.headers)
+            await (answer_stream if is_resumed else stall_stream)(target, stream, request)
+
+        _, targets, (status, _, body) = ask_once(RESUMABLE, first_pauses, first_pauses)
+        assert (status, body) == (200, b"".join(map(event, range(1, 6))))
+        assert sorted(len(target.got) for target in targets) == [1, 1]
+        assert sum(len(target.ended) for target in targets) == 1
+
 
 class TestCallersThatLeave:
     @pytest.mark.parametrize("route", [PLAN, RESUMABLE, SAFE])
