Put calls that can't be in time behind those that can; take history at the rate after a restart

Cause: a waiting call counted as timely until its goal had passed, though its first event takes 0.1 to 0.5 s more, so under load most went to targets just too late. Change: timely until the goal less 1.3 times the expected first event.

--- a/guavawalk/connection/tasks/gossip.py
+++ b/guavawalk/connection/tasks/gossip.py
@@ -35,15 +35,13 @@
 
 __all__ = ["hear_peers", "make_report", "tell_peers"]
 
-# Time between reports where a few gateways hear each other, in seconds. With more of them it grows
-# in proportion, so that a gateway's bytes stay the same.
-REPORT_EVERY_S = 0.2
-REPORT_GATEWAYS = 6
 # A newer version told by another gateway is fetched after this time unless the registry gives it.
 FETCH_AFTER_S = 0.25
 FETCH_TIMEOUT_S = 1.0
 # Of so many reports one tells everything, in case the others were lost.
 FULL_EVERY = 8
+# The first reports of a process tell everything, so that all gateways are soon known to it.
+FULL_AT_FIRST = 8
 # Parts sent lately that one report passes on.
 MAX_PARTS = 32
 
@@ -60,8 +58,8 @@
         for belief in gateway.targets
         if belief.running
     )
-    is_full = sequence % FULL_EVERY == 1
     peers = gateway.peers
+    is_full = sequence <= FULL_AT_FIRST or sequence % FULL_EVERY == 1
     return PeerReport(
         address=gateway.settings.peer_listen,
         incarnation=incarnation,
@@ -89,8 +87,7 @@
                 await socket.sendto(data, *split_address(address))
             except OSError as error:
                 gateway.log.emit(events.PEER_UNREACHABLE, peer=address, reason=str(error))
-        pause_s = REPORT_EVERY_S * max(gateway.peers.count() / REPORT_GATEWAYS, 1.0)
-        await anyio.sleep(random.uniform(0.8, 1.2) * pause_s)
+        await anyio.sleep(random.uniform(0.8, 1.2) * gateway.peers.report_every_s())
         for address in gateway.peers.expire(gateway.clock.now_s()):
             gateway.log.emit(events.GATEWAY_SILENT, peer=address)
 
--- a/guavawalk/connection/tasks/serve_caller.py
+++ b/guavawalk/connection/tasks/serve_caller.py
@@ -88,9 +88,9 @@
     workspace = call.workspace
     quota = workspace.quota
     amount = call.tokens if quota.in_tokens else 1
-    wait_s = gateway.quotas.take(
-        workspace.name, quota, amount, gateway.peers.heard_share(), gateway.clock.now_s()
-    )
+    now_s = gateway.clock.now_s()
+    share = gateway.peers.heard_share()
+    wait_s = gateway.quotas.take(workspace.name, quota, amount, share, now_s)
     if wait_s:
         code = ResultCode.LIMIT_TOKENS if quota.in_tokens else ResultCode.LIMIT_REQUESTS
         raise RequestError(
--- a/guavawalk/process/gateway/dispatch.py
+++ b/guavawalk/process/gateway/dispatch.py
@@ -22,6 +22,8 @@
 
 # Calls that a target is sent beyond its slots, so that a slot that falls free is taken at once.
 SPARE_SLOTS = 1
+# First events take this multiple of their expected time where targets are busy.
+FIRST_MARGIN = 1.3
 # Longest wait for a place, in seconds: an answer that begins later finds few callers still there.
 LONGEST_WAIT_S = 2.0
 # Part of its time that a call may wait.
@@ -46,17 +48,21 @@
 
 
 class _Waiter:
-    def __init__(self, call: Call, tried: Collection[str], has_begun: bool) -> None:
+    def __init__(
+        self, call: Call, tried: Collection[str], has_begun: bool, first_s: float = 0.0
+    ) -> None:
         self.call = call
         self.tried = tried
         self.has_begun = has_begun
+        # Once dispatched after this moment, its first event is expected to be late.
+        self.timely_until_s = call.goal_at_s - FIRST_MARGIN * first_s
         self.placed: Placed | None = None
         self.ready = anyio.Event()
 
     def order(self, now_s: float) -> tuple[bool, bool, int, int, float]:
         """Return the sort key: streams that go on, then what can be in time, then urgency."""
         call = self.call
-        is_late = now_s > call.goal_at_s
+        is_late = now_s > self.timely_until_s
         return not self.has_begun, is_late, call.rank, call.route.rank, call.goal_at_s
 
 
@@ -109,10 +115,8 @@
             `NO_TARGET` if none may serve it; `QUEUE_FULL` if no place is to be expected in time.
         """
         queue = self._queues.setdefault(call.service, _ServiceQueue())
-        waiter = _Waiter(call, tried, has_begun)
         now_s = self._clock.now_s()
-        if not any(self._conditions(call, tried, now_s)):
-            raise RequestError(ResultCode.NO_TARGET)
+        waiter = _Waiter(call, tried, has_begun, self._soonest_s(call, tried, now_s))
         ahead = self._ahead(queue, waiter, now_s)
         if not ahead:
             placed = self._try_place(queue, waiter, now_s)
@@ -195,6 +199,17 @@
             if condition.running < condition.slots + SPARE_SLOTS or belief.running < fair:
                 yield condition
 
+    def _soonest_s(self, call: Call, tried: Collection[str], now_s: float) -> float:
+        """Return the time to a first event at the best target, once that has a place."""
+        with_place = (
+            found._replace(running=min(found.running, found.slots - 1))
+            for found in self._conditions(call, tried, now_s)
+        )
+        best = choose_target(call, self._here, with_place, now_s)
+        if best is None:
+            raise RequestError(ResultCode.NO_TARGET)
+        return best.first_s
+
     def _conditions(
         self, call: Call, tried: Collection[str], now_s: float
     ) -> Iterator[TargetCondition]:
--- a/guavawalk/process/gateway/peers.py
+++ b/guavawalk/process/gateway/peers.py
@@ -19,8 +19,13 @@
     "encode_report",
 ]
 
-# A gateway not heard for this long no longer counts for loads: several reports are missing.
-SILENT_S = 1.5
+# Time between reports where a few gateways hear each other, in seconds. With more of them it grows
+# in proportion, so that a gateway's bytes stay the same.
+REPORT_EVERY_S = 0.2
+REPORT_GATEWAYS = 6
+# A gateway not heard for so many reports, and at least this long, no longer counts for loads.
+SILENT_REPORTS = 3.5
+LEAST_SILENT_S = 1.5
 # A gateway not heard for this long no longer counts for shares of quotas.
 FORGOTTEN_S = 20.0
 # Addresses that a report passes on, and the most that are known.
@@ -166,8 +171,9 @@
     def expire(self, now_s: float) -> list[str]:
         """Stop counting the gateways that are silent; return those that have just become so."""
         silent = []
+        silent_s = max(SILENT_REPORTS * self.report_every_s(), LEAST_SILENT_S)
         for address, peer in list(self._peers.items()):
-            if peer.counts and now_s - peer.heard_s > SILENT_S:
+            if peer.counts and now_s - peer.heard_s > silent_s:
                 self._discount(peer)
                 silent.append(address)
             if now_s - peer.heard_s > FORGOTTEN_S:
@@ -198,6 +204,10 @@
         seeds = self.seeds if len(self.heard()) < len(self.seeds) else ()
         return {*self._peers, *introduced, *seeds} - {self.own_address}
 
+    def report_every_s(self) -> float:
+        """Return the time between two reports."""
+        return REPORT_EVERY_S * max(self.count() / REPORT_GATEWAYS, 1.0)
+
     def count(self) -> int:
         """Return how many gateways there are, with this one and those lately silent."""
         return len(self._peers) + 1
--- a/guavawalk/process/gateway/quota.py
+++ b/guavawalk/process/gateway/quota.py
@@ -13,9 +13,9 @@
 
 __all__ = ["QuotaWindows", "create_quota_windows"]
 
-# Part of the rate that counts until a window has passed since a restart: what was admitted before
-# may have been a whole window's worth just then, and the sum must stay within the tolerance.
-BLIND_PART = 0.5
+# In the last half of a window a workspace gets this part of what its rate gives in that time, so
+# that a window's worth isn't admitted at once just before the gateways are restarted.
+HALF_WINDOW_PART = 1.3
 
 
 class _Window:
@@ -42,6 +42,15 @@
         while amounts and amounts[0][0] <= horizon_s:
             self.total -= amounts.popleft()[1]
 
+    def lately(self, since_s: float) -> float:
+        """Return what was added since a moment."""
+        total = 0.0
+        for at_s, amount in reversed(self.amounts):
+            if at_s <= since_s:
+                break
+            total += amount
+        return total
+
     def free_at_s(self, excess: float, window_s: float, now_s: float) -> float:
         """Return when so much will have left the window."""
         for at_s, amount in self.amounts:
@@ -86,6 +95,11 @@
             excess = window.total + amount - limit
             if excess > 0.0 and window.total > 0.0:
                 return max(window.free_at_s(excess, self._window_s, now_s) - now_s, 0.001)
+            half_s = self._window_s / 2
+            half_limit = (quota.per_s * half_s * HALF_WINDOW_PART + quota.burst) * heard_share
+            lately = window.lately(now_s - half_s)
+            if lately and lately + amount > half_limit:
+                return min((lately + amount - half_limit) / quota.per_s, half_s)
         window.add(amount, now_s)
         self.admitted[workspace] = self.admitted.get(workspace, 0.0) + amount
         self._untold.add(workspace)
@@ -100,7 +114,7 @@
 
     def _counted_s(self, now_s: float) -> float:
         age_s = now_s - self._blind_from_s
-        return self._window_s if age_s >= self._window_s else BLIND_PART * age_s
+        return min(age_s, self._window_s)
 
     def merge(
         self, gateway: str, totals: Mapping[str, float], now_s: float, age_s: float = math.inf
