--- /dev/null
+++ b/soak/fleet.py
@@ -0,0 +1,115 @@
+"""Gateways as processes of their own, stopped, paused, killed and started by signals."""
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+from pathlib import Path
+
+import anyio
+
+from guavawalk.connection.http_client import create_http_client
+from guavawalk.exception import TargetError
+
+__all__ = ["GatewayProcess", "create_fleet"]
+
+GRACE_MS = 4_000
+
+
+class GatewayProcess:
+    """One gateway; only its own process is ever signalled.
+
+    Attributes
+    ----------
+    starts : int
+        How often it was started.
+    """
+
+    def __init__(self, name: str, folder: Path, ports: list[int], registry: str, seeds) -> None:
+        callers, readiness, peers, metrics = ports
+        self.name = name
+        self.address = f"127.0.0.1:{callers}"
+        self.starts = 0
+        self._readiness = f"127.0.0.1:{readiness}"
+        self._path = folder / f"{name}.json"
+        self._output = folder / f"{name}.log"
+        self._process: subprocess.Popen | None = None
+        self._settings = {
+            "instance": name,
+            "data_centre": "a",
+            "listen": self.address,
+            "readiness_listen": self._readiness,
+            "peer_listen": f"127.0.0.1:{peers}",
+            "metrics_port": metrics,
+            "registry": registry,
+            "peers": seeds,
+            "grace_ms": GRACE_MS,
+        }
+
+    def start(self) -> None:
+        """Start the process."""
+        settings = {**self._settings, "is_first_start": not self.starts}
+        self._path.write_text(json.dumps(settings))
+        self.starts += 1
+        with self._output.open("ab") as output:
+            self._process = subprocess.Popen(
+                [sys.executable, "-m", "guavawalk.process.gateway_daemon"],
+                env={**os.environ, "GUAVAWALK_CONFIG": str(self._path)},
+                stdout=output,
+                stderr=subprocess.STDOUT,
+            )
+
+    def touch_settings(self) -> None:
+        """Write the settings again, as the platform does before SIGHUP."""
+        self._path.write_text(json.dumps({**self._settings, "is_first_start": False}))
+
+    def send(self, number: signal.Signals) -> None:
+        """Send a signal, if it runs."""
+        if self._process is not None and self._process.poll() is None:
+            self._process.send_signal(number)
+
+    async def wait_ended(self) -> int:
+        """Wait for its end; return the exit code."""
+        while (code := self._process.poll()) is None:
+            await anyio.sleep(0.02)
+        return code
+
+    async def is_ready(self) -> bool:
+        """Ask whether it welcomes new connections."""
+        client = create_http_client(self._readiness)
+        try:
+            return (await client.get("/readyz", 0.5)).status == 200
+        except TargetError:
+            return False
+        finally:
+            await client.aclose()
+
+    def end(self) -> None:
+        """Kill it, paused or not, and collect it."""
+        if self._process is not None:
+            self._process.kill()
+            self._process.wait()
+
+    def errors(self) -> list[str]:
+        """Return the lines of its log that tell a fault of the program."""
+        lines = self._output.read_text(errors="replace").splitlines()
+        return [line for line in lines if "Traceback" in line or '"task_failed"' in line]
+
+
+def create_fleet(folder: Path, registries: list[str]) -> list[GatewayProcess]:
+    """Create gateways that are not started yet, each with its own link to the registry."""
+    sockets = [socket.socket() for _ in range(4 * len(registries))]
+    for found in sockets:
+        found.bind(("127.0.0.1", 0))
+    ports = [found.getsockname()[1] for found in sockets]
+    for found in sockets:
+        found.close()
+    seeds = [f"127.0.0.1:{port}" for port in ports[2::4]][:3]
+    return [
+        GatewayProcess(
+            f"gateway-{number}", folder, ports[4 * number : 4 * number + 4], registry, seeds
+        )
+        for number, registry in enumerate(registries)
+    ]
--- /dev/null
+++ b/soak/story.py
@@ -0,0 +1,218 @@
+"""One seeded story of the soak: faults in series and overlapping, and what holds at its end."""
+
+import random
+import signal
+import tempfile
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from typing import NamedTuple
+
+import anyio
+
+from soak.fleet import create_fleet
+from soak.proxy import LinkFault, Proxy
+from soak.standins import StandInStore, listen
+from soak.world import Asker, Ledger, configuration, create_target, registration
+
+__all__ = ["Result", "Shape", "run_story"]
+
+LINK_FAULTS = (LinkFault.DELAY, LinkFault.RESET, LinkFault.CUT_ANSWERS, LinkFault.SILENCE)
+READY_WITHIN_S = 20.0
+SETTLE_S = 3.0
+PROBES = 20
+
+
+class Shape(NamedTuple):
+    """Size and length of a story."""
+
+    gateways: int = 3
+    targets: int = 2
+    askers: int = 8
+    seconds: float = 6.0
+    faults: int = 6
+
+
+class Result(NamedTuple):
+    """What a story showed.
+
+    Attributes
+    ----------
+    broken : list of str
+        Broken promises; none if all held.
+    outcomes : dict of str to int
+        Answers by kind and status.
+    faults : list of str
+        What was done, with its second.
+    """
+
+    seed: int
+    broken: list[str]
+    outcomes: dict[str, int]
+    faults: list[str]
+
+
+class Story:
+    """The parts of one story."""
+
+    def __init__(self, seed: int, shape: Shape, folder: Path) -> None:
+        self.rng = random.Random(seed)
+        self.shape = shape
+        self.folder = folder
+        self.store = StandInStore()
+        self.ledger = Ledger()
+        self.faults: list[str] = []
+        self.version = 5
+        self.links: list[Proxy] = []
+        self.targets: dict = {}
+        # Each third story does planned work only, which may cut nothing off.
+        self.planned_only = seed % 3 == 0
+
+    async def build(self, tasks: anyio.abc.TaskGroup) -> None:
+        """Start store, targets and gateways, and wait until all are ready."""
+        listener, behind = await listen(self.store.serve)
+        tasks.start_soon(listener.serve, self.store.serve)
+        store_links = [Proxy(behind) for _ in range(self.shape.gateways)]
+        for service in ("desk", "model"):
+            for number in range(self.shape.targets):
+                await self._add_target(tasks, f"{service}-{number}", service)
+        for link in store_links:
+            await link.serve(tasks)
+        self.links += store_links
+        self.store.put("op/config", configuration(self.version))
+        self.fleet = create_fleet(self.folder, [link.address for link in store_links])
+        for gateway in self.fleet:
+            gateway.start()
+        with anyio.fail_after(READY_WITHIN_S):
+            for gateway in self.fleet:
+                while not await gateway.is_ready():
+                    await anyio.sleep(0.05)
+
+    async def _add_target(self, tasks, target_id: str, service: str) -> None:
+        target = create_target(target_id, self.ledger, self.rng)
+        listener, target.address = await listen(target.serve)
+        tasks.start_soon(listener.serve, target.serve)
+        link = Proxy(target.address)
+        await link.serve(tasks)
+        self.links.append(link)
+        self.targets[target_id] = (target, service, link.address)
+        self.store.put(f"servers/{target_id}", registration(service, link.address))
+
+    async def run_faults(self, began_s: float) -> None:
+        """Begin faults at random moments; each ends by itself."""
+        kinds: list[Callable[[], Awaitable[None]]] = [
+            self._terminate,
+            self._reload,
+            self._change_routes,
+            self._drain_target,
+        ]
+        if not self.planned_only:
+            kinds += [
+                self._fail_link,
+                self._kill,
+                self._pause,
+                self._fail_target,
+                self._stop_store,
+            ]
+        async with anyio.create_task_group() as tasks:
+            for _ in range(self.shape.faults):
+                await anyio.sleep(self.rng.uniform(0.1, 1.6) * self.shape.seconds / 6)
+                fault = self.rng.choice(kinds)
+                at_s = anyio.current_time() - began_s
+                self.faults.append(f"{at_s:.1f} s {fault.__name__.strip('_')}")
+                tasks.start_soon(fault)
+
+    async def _fail_link(self) -> None:
+        link = self.rng.choice(self.links)
+        await link.fail(self.rng.choice(LINK_FAULTS))
+        await anyio.sleep(self.rng.uniform(0.3, 2.0))
+        await link.fail(LinkFault.NONE)
+
+    async def _kill(self) -> None:
+        for gateway in self.rng.sample(self.fleet, self.rng.randint(1, len(self.fleet))):
+            gateway.end()
+            gateway.start()
+
+    async def _terminate(self) -> None:
+        gateway = self.rng.choice(self.fleet)
+        gateway.send(signal.SIGTERM)
+        await gateway.wait_ended()
+        gateway.start()
+
+    async def _pause(self) -> None:
+        gateway = self.rng.choice(self.fleet)
+        gateway.send(signal.SIGSTOP)
+        await anyio.sleep(self.rng.uniform(0.2, 2.0))
+        gateway.send(signal.SIGCONT)
+
+    async def _reload(self) -> None:
+        gateway = self.rng.choice(self.fleet)
+        gateway.touch_settings()
+        gateway.send(signal.SIGHUP)
+
+    async def _change_routes(self) -> None:
+        for _ in range(self.rng.randint(1, 5)):
+            self.version += self.rng.randint(1, 9)
+            self.store.put("op/config", configuration(self.version))
+            await anyio.sleep(self.rng.uniform(0.02, 0.2))
+
+    async def _drain_target(self) -> None:
+        target_id = self.rng.choice(list(self.targets))
+        _, service, address = self.targets[target_id]
+        self.store.put(f"servers/{target_id}", registration(service, address, "draining"))
+        await anyio.sleep(self.rng.uniform(0.3, 1.5))
+        self.store.put(f"servers/{target_id}", registration(service, address))
+
+    async def _fail_target(self) -> None:
+        target, _, _ = self.rng.choice(list(self.targets.values()))
+        target.shed_share, target.fail_share = self.rng.choice(((0.5, 0.0), (0.0, 0.4)))
+        await anyio.sleep(self.rng.uniform(0.5, 2.0))
+        target.shed_share = target.fail_share = 0.0
+
+    async def _stop_store(self) -> None:
+        self.store.failing = 503
+        await anyio.sleep(self.rng.uniform(0.3, 2.0))
+        self.store.failing = 0
+
+    async def check_served(self) -> None:
+        """Check that calls are served once all faults are over."""
+        await anyio.sleep(SETTLE_S)
+        addresses = [gateway.address for gateway in self.fleet]
+        probe = Asker(10_000, self.ledger, self.rng, addresses)
+        served = sum([await probe.ask(name) for name in ("safe", "question") * (PROBES // 2)])
+        await probe.aclose()
+        if served < PROBES:
+            self.ledger.broken.append(f"{served} of {PROBES} probes served after the faults")
+
+
+async def run_story(seed: int, shape: Shape) -> Result:
+    """Run one story; a story that fails to end in time counts as broken."""
+    with tempfile.TemporaryDirectory() as folder:
+        story = Story(seed, shape, Path(folder))
+        try:
+            with anyio.fail_after(READY_WITHIN_S + 8 * shape.seconds + 30):
+                await _run(story)
+        except TimeoutError:
+            story.ledger.broken.append("the story did not end")
+        finally:
+            for gateway in getattr(story, "fleet", ()):
+                gateway.end()
+        errors = [line[:300] for gateway in story.fleet for line in gateway.errors()]
+    outcomes = dict(sorted(story.ledger.outcomes.items()))
+    broken = story.ledger.close(story.planned_only)
+    return Result(seed, broken + errors, outcomes, story.faults)
+
+
+async def _run(story: Story) -> None:
+    async with anyio.create_task_group() as tasks:
+        await story.build(tasks)
+        stop = anyio.Event()
+        addresses = [gateway.address for gateway in story.fleet]
+        async with anyio.create_task_group() as asking:
+            for number in range(story.shape.askers):
+                rng = random.Random(f"{story.rng.random()}")
+                asker = Asker(number, story.ledger, rng, addresses)
+                asking.start_soon(asker.ask_until, stop)
+            await story.run_faults(anyio.current_time())
+            stop.set()
+        await story.check_served()
+        tasks.cancel_scope.cancel()
--- a/tests/connection/tasks/test_follow_registry.py
+++ b/tests/connection/tasks/test_follow_registry.py
@@ -8,8 +8,9 @@
 )
 from guavawalk.platform.store import create_store
 from guavawalk.version.registrations import ListedTargets
+from soak.standins import StandInStore, listen
 from tests.gateway_calls import make_registration, make_route, make_table
-from tests.gateway_standins import GatewayStory, StandInStore, listen, run_story
+from tests.gateway_standins import GatewayStory, run_story
 from tests.platform.test_configuration import DOCUMENT
 from tests.platform.test_registrations import ROW
 
--- a/tests/connection/tasks/test_serve_caller.py
+++ b/tests/connection/tasks/test_serve_caller.py
@@ -11,11 +11,9 @@
 )
 from guavawalk.exception import TargetLost
 from guavawalk.version.routes import CallerLimits, Quota, RouteKind
-from tests.gateway_calls import make_route, make_table
-from tests.gateway_standins import (
+from soak.standins import (
     CHUNKED,
     EndConnection,
-    GatewayStory,
     StandInTarget,
     answer_failure,
     answer_misdirected,
@@ -25,10 +23,11 @@
     answer_stream,
     break_stream,
     event,
-    run_story,
     signed,
     stay_silent,
 )
+from tests.gateway_calls import make_route, make_table
+from tests.gateway_standins import GatewayStory, run_story
 
 UNSAFE = make_route(RouteKind.UNSAFE, max_targets=3)
 SAFE = make_route(RouteKind.SAFE, max_targets=2)
--- a/tests/gateway_standins.py
+++ b/tests/gateway_standins.py
@@ -1,31 +1,18 @@
-"""Stand-ins on loopback for tests of the gateway's tasks: targets, the store, callers."""
+"""A gateway on loopback among stand-ins, for tests of its tasks."""
 
-import base64
-import json
 from contextlib import asynccontextmanager
 from functools import partial
 
 import anyio
 
-from guavawalk.connection.http_messages import (
-    LAST_CHUNK,
-    RequestReader,
-    ResponseReader,
-    encode_chunk,
-    encode_response,
-    encode_response_head,
-)
 from guavawalk.connection.tasks.serve_caller import serve_caller
 from guavawalk.process.clock import create_clock
 from guavawalk.process.gateway.settings import GatewaySettings
 from guavawalk.process.gateway.state import create_gateway
-from guavawalk.version.routes import CallerLimits
-from tests.gateway_calls import HOST, make_registration, make_table
+from soak.standins import Caller, listen
+from tests.gateway_calls import make_registration, make_table
 
-__all__ = ["GatewayStory", "StandInStore", "StandInTarget", "run_story"]
-
-LIMITS = CallerLimits()
-CHUNKED = (b"Transfer-Encoding", b"chunked")
+__all__ = ["GatewayStory", "ListLog", "run_story"]
 
 
 def run_story(story, *args):
@@ -38,11 +25,6 @@
     return anyio.run(bounded)
 
 
-def event(number):
-    """Return one event of a stream."""
-    return b"id: %d\ndata: token %d\n\n" % (number, number)
-
-
 class ListLog:
     """A log that keeps its events."""
 
@@ -58,142 +40,6 @@
         return [fields for found, fields in self.lines if found == name]
 
 
-async def listen(serve):
-    """Listen on a free port of loopback; return the listener and its address."""
-    listener = await anyio.create_tcp_listener(local_host="127.0.0.1", local_port=0)
-    port = listener.extra(anyio.abc.SocketAttribute.local_port)
-    return listener, f"127.0.0.1:{port}"
-
-
-class StandInTarget:
-    """A target that answers by a script: an async function of its connection and a request.
-
-    Attributes
-    ----------
-    got : list
-        Requests that arrived.
-    ended : list
-        Requests during which the connection was closed by the other side.
-    """
-
-    def __init__(self, script):
-        self.script = script
-        self.got = []
-        self.ended = []
-        self.address = ""
-
-    async def serve(self, stream):
-        reader = RequestReader(stream, LIMITS)
-        async with stream:
-            while (request := await reader.next(LIMITS)) is not None:
-                self.got.append(request)
-                try:
-                    await self.script(self, stream, request)
-                except anyio.BrokenResourceError:
-                    self.ended.append(request)
-                    return
-                except EndConnection:
-                    return
-
-    def header(self, index, name):
-        """Return a header of a request that arrived."""
-        return dict(self.got[index].headers).get(name)
-
-
-class EndConnection(Exception):
-    """Raised by a script that closes its connection."""
-
-
-def signed(request, *headers):
-    """Return the headers of a signed answer to a request."""
-    request_id = dict(request.headers)[b"Request-Id"]
-    return ((b"Request-Id", request_id), (b"Server-Stamp", b"stamp"), *headers)
-
-
-async def answer_plain(target, stream, request):
-    """Answer whole."""
-    await stream.send(encode_response(200, signed(request), b"served " + request.body))
-
-
-async def answer_stream(target, stream, request, last=5):
-    """Answer by events after the one that the request names."""
-    first = int(dict(request.headers).get(b"Last-Event-Id", b"0")) + 1
-    await stream.send(encode_response_head(200, signed(request), CHUNKED))
-    for number in range(first, last + 1):
-        await stream.send(encode_chunk(event(number)))
-    await stream.send(LAST_CHUNK)
-
-
-async def break_stream(target, stream, request, after=2):
-    """Answer some events, begin another one and break off."""
-    await stream.send(encode_response_head(200, signed(request), CHUNKED))
-    for number in range(1, after + 1):
-        await stream.send(encode_chunk(event(number)))
-    await stream.send(encode_chunk(b"id: 9\nda"))
-    raise EndConnection
-
-
-async def answer_not_run(target, stream, request):
-    """Refuse as a full target does."""
-    await stream.send(encode_response(503, ((b"Not-Executed", b"1"),)))
-
-
-async def answer_misdirected(target, stream, request):
-    """Answer as another target at the address."""
-    await stream.send(encode_response(421, ((b"Instance-Id", b"i-other"),)))
-
-
-async def answer_failure(target, stream, request, status=500):
-    """Fail as a target that ran the request does."""
-    await stream.send(encode_response(status, signed(request), b"sorry"))
-
-
-async def answer_nothing(target, stream, request):
-    """Close without an answer."""
-    raise EndConnection
-
-
-async def stay_silent(target, stream, request):
-    """Take the request and say nothing until the other side closes."""
-    try:
-        await stream.receive()
-    except (anyio.EndOfStream, anyio.BrokenResourceError):
-        target.ended.append(request)
-    raise EndConnection
-
-
-class Caller:
-    """A caller's connection to the gateway."""
-
-    def __init__(self, stream):
-        self.stream = stream
-        self.reader = ResponseReader(stream)
-
-    async def ask(self, path=b"/x/1", body=b"", headers=(), request_id=b"r1", method="POST"):
-        """Send a request and return its whole answer."""
-        await self.send(path, body, headers, request_id, method)
-        return await self.answer()
-
-    async def send(self, path=b"/x/1", body=b"", headers=(), request_id=b"r1", method="POST"):
-        lines = [
-            b"%s %s HTTP/1.1" % (method.encode(), path),
-            b"Host: " + HOST.encode(),
-            b"Request-Id: " + request_id,
-            b"Authorization: Bearer k1",
-            b"Deadline-Ms: 5000",
-            b"Content-Length: %d" % len(body),
-            *(b"%s: %s" % header for header in headers),
-        ]
-        await self.stream.send(b"\r\n".join(lines) + b"\r\n\r\n" + body)
-
-    async def answer(self):
-        head = await self.reader.head()
-        body = b""
-        while part := await self.reader.part():
-            body += part
-        return head.status, dict(head.headers), body
-
-
 class GatewayStory:
     """A gateway on loopback with stand-in targets."""
 
@@ -242,101 +88,3 @@
         """Return the name of the outcome logged last."""
         names = [*self.log.named("call_ended"), *self.log.named("call_refused")]
         return names[-1]["code_name"]
-
-
-class StandInStore:
-    """The platform's store: items in revisions, watches, and failures by request.
-
-    Attributes
-    ----------
-    failing : int
-        Status that every call gets; 0 for none.
-    calls : list of bytes
-        Targets of the calls.
-    """
-
-    def __init__(self):
-        self.items = {}
-        self.history = []
-        self.revision = 100
-        self.oldest = 0
-        self.failing = 0
-        self.calls = []
-        self.address = ""
-        self._changed = anyio.Event()
-
-    def put(self, key, document):
-        """Write a document, or bytes as they are."""
-        value = document if isinstance(document, bytes) else json.dumps(document).encode()
-        self.revision += 3
-        item = {
-            "key": key,
-            "value": base64.b64encode(value).decode(),
-            "revision": self.revision,
-            "created": self.revision,
-            "lease": 0,
-        }
-        self.items[key] = item
-        self._tell(item)
-
-    def remove(self, key):
-        """Remove an item."""
-        self.revision += 3
-        del self.items[key]
-        self._tell({"key": key, "revision": self.revision, "removed": True})
-
-    def forget_history(self):
-        """Drop the history of all changes so far."""
-        self.oldest = self.revision
-        self._changed.set()
-        self._changed = anyio.Event()
-
-    def _tell(self, change):
-        self.history.append(change)
-        self._changed.set()
-        self._changed = anyio.Event()
-
-    async def serve(self, stream):
-        reader = RequestReader(stream, LIMITS)
-        async with stream:
-            while (request := await reader.next(LIMITS)) is not None:
-                self.calls.append(request.target)
-                status, document = await self._answer(request.target.decode())
-                if self.failing:
-                    status, document = self.failing, {"error": "down"}
-                body = json.dumps(document).encode()
-                try:
-                    await stream.send(encode_response(status, (), body))
-                except anyio.BrokenResourceError:
-                    return
-
-    async def _answer(self, target):
-        path, _, query = target.partition("?")
-        options = dict(part.split("=", 1) for part in query.split("&"))
-        if path == "/kv-key":
-            item = self.items.get(options["key"])
-            return (200, {**item, "asOf": self.revision}) if item else (404, {})
-        if path == "/kv-range":
-            return 200, self._page(options["prefix"], options.get("after", ""))
-        return await self._watch(options["prefix"], int(options["after"]), options["waitMs"])
-
-    def _page(self, prefix, after, most=2):
-        found = [
-            self.items[key] for key in sorted(self.items) if key.startswith(prefix) and key > after
-        ]
-        return {"items": found[:most], "truncated": len(found) > most, "asOf": self.revision}
-
-    async def _watch(self, prefix, after, wait_ms):
-        with anyio.move_on_after(int(wait_ms) / 1000):
-            while True:
-                if after < self.oldest:
-                    return 410, {}
-                found = [
-                    change
-                    for change in self.history
-                    if change["revision"] > after and change["key"].startswith(prefix)
-                ]
-                if found:
-                    return 200, {"events": found, "asOf": self.revision}
-                await self._changed.wait()
-        return 200, {"events": [], "asOf": self.revision}
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -3,7 +3,8 @@
 
 from guavawalk.exception import HistoryGone, PlatformUnavailable
 from guavawalk.platform.store import create_store
-from tests.gateway_standins import StandInStore, listen, run_story
+from soak.standins import StandInStore, listen
+from tests.gateway_standins import run_story
 from tests.platform.test_configuration import DOCUMENT
 from tests.platform.test_registrations import ROW
 
--- a/tests/process/test_gateway_daemon.py
+++ b/tests/process/test_gateway_daemon.py
@@ -10,14 +10,8 @@
 
 from guavawalk.connection.http_client import create_http_client
 from guavawalk.exception import TargetError
-from tests.gateway_standins import (
-    Caller,
-    StandInStore,
-    StandInTarget,
-    answer_plain,
-    listen,
-    run_story,
-)
+from soak.standins import Caller, StandInStore, StandInTarget, answer_plain, listen
+from tests.gateway_standins import run_story
 from tests.platform.test_registrations import ROW
 
 ROUTE = {
