--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -2,6 +2,7 @@
 
 import json
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -13,9 +14,11 @@
 from guavawalk.connection.http_client import create_http_client
 from guavawalk.exception import TargetError
 
-__all__ = ["GatewayProcess", "create_fleet"]
+__all__ = ["GatewayProcess", "create_fleet", "free_ports"]
 
 GRACE_MS = 4_000
+# Below the range from which the kernel takes ports for outgoing connections.
+PORTS = (15_000, 32_000)
 
 
 class GatewayProcess:
@@ -95,20 +98,37 @@
             self._process.kill()
             self._process.wait()
 
+    def start_failure(self) -> str:
+        """Return the last words of a process that has ended by itself; empty while it runs."""
+        if self._process is None or self._process.poll() is None:
+            return ""
+        return self._output.read_text(errors="replace")[-300:]
+
     def errors(self) -> list[str]:
         """Return the lines of its log that tell a fault of the program."""
         lines = self._output.read_text(errors="replace").splitlines()
         return [line for line in lines if "Traceback" in line or '"task_failed"' in line]
 
 
+def free_ports(count: int) -> list[int]:
+    """Return ports that are free for datagrams and connections, and that no client is given."""
+    ports: list[int] = []
+    while len(ports) < count:
+        port = random.randrange(*PORTS)
+        with socket.socket() as stream, socket.socket(type=socket.SOCK_DGRAM) as datagrams:
+            try:
+                stream.bind(("127.0.0.1", port))
+                datagrams.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        if port not in ports:
+            ports.append(port)
+    return ports
+
+
 def create_fleet(folder: Path, registries: list[str]) -> list[GatewayProcess]:
     """Create gateways that are not started yet, each with its own link to the registry."""
-    sockets = [socket.socket() for _ in range(4 * len(registries))]
-    for found in sockets:
-        found.bind(("127.0.0.1", 0))
-    ports = [found.getsockname()[1] for found in sockets]
-    for found in sockets:
-        found.close()
+    ports = free_ports(4 * len(registries))
     seeds = [f"127.0.0.1:{port}" for port in ports[2::4]][:3]
     return [
         GatewayProcess(
--- a/soak/story.py
+++ b/soak/story.py
@@ -85,6 +85,8 @@
         with anyio.fail_after(READY_WITHIN_S):
             for gateway in self.fleet:
                 while not await gateway.is_ready():
+                    if failure := gateway.start_failure():
+                        raise RuntimeError(f"{gateway.name} ended at its start: {failure}")
                     await anyio.sleep(0.05)
 
     async def _add_target(self, tasks, target_id: str, service: str) -> None:
--- a/tests/process/test_gateway_daemon.py
+++ b/tests/process/test_gateway_daemon.py
@@ -1,7 +1,6 @@
 import json
 import os
 import signal
-import socket
 import subprocess
 import sys
 
@@ -10,6 +9,7 @@
 
 from guavawalk.connection.http_client import create_http_client
 from guavawalk.exception import TargetError
+from soak.fleet import free_ports
 from soak.standins import Caller, StandInStore, StandInTarget, answer_plain, listen
 from tests.gateway_standins import run_story
 from tests.platform.test_registrations import ROW
@@ -30,16 +30,6 @@
 }
 
 
-def free_ports(count):
-    sockets = [socket.socket() for _ in range(count)]
-    for found in sockets:
-        found.bind(("127.0.0.1", 0))
-    ports = [found.getsockname()[1] for found in sockets]
-    for found in sockets:
-        found.close()
-    return ports
-
-
 class Daemon:
     """A gateway as a process of its own, with the platform's variable for its settings."""
 
