--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV := .venv
 STAMP := $(VENV)/.installed
 
-.PHONY: demo test lint format
+.PHONY: demo soak test lint format
 
 $(STAMP): pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -12,6 +12,10 @@
 demo: $(STAMP)
 	$(VENV)/bin/guavawalk demo
 
+soak: $(STAMP)
+	$(VENV)/bin/python -m soak --seeds 2
+	$(VENV)/bin/python -m soak --regressions
+
 lint: $(STAMP)
 	$(VENV)/bin/black --check .
 	$(VENV)/bin/ruff check .
--- a/tests/connection/tasks/test_serve_caller.py
+++ b/tests/connection/tasks/test_serve_caller.py
@@ -378,6 +378,57 @@
         self.refusal(413, table=make_table(SAFE, version=5, limits=limits), body=b"x" * 11)
 
 
+class TestExplaining:
+    """The log of a failed call has its whole chain of causes under its id."""
+
+    def chain(self, story):
+        return [
+            (name, fields) for name, fields in story.log.lines if fields.get("trace_id") == "r1"
+        ]
+
+    def test_stream_that_ended_half_way(self):
+        story, _, _ = ask_once(PLAN, break_stream)
+        (sent_name, sent), (ended_name, ended), (end_name, end) = self.chain(story)
+        assert (sent_name, ended_name, end_name) == (
+            "call_sent",
+            "call_attempt_ended",
+            "call_ended",
+        )
+        assert sent["target"] == "i-1" and sent["routes_version"] == 1
+        assert (ended["result"], ended["next"]) == ("lost", "break")
+        assert (end["code_name"], end["events"], end["is_whole"]) == ("TARGET_LOST", 2, False)
+
+    def test_booking_with_unknown_outcome(self):
+        story, _, _ = ask_once(UNSAFE, answer_nothing)
+        (_, sent), (_, ended), (_, end) = self.chain(story)
+        assert sent["left_ms"] > 0
+        assert (ended["result"], ended["next"], ended["may_retry"]) == ("lost", "fail", True)
+        assert (end["code_name"], end["status"]) == ("TARGET_LOST", 502)
+
+    def test_refused_by_the_target(self):
+        story, _, _ = ask_once(UNSAFE._replace(max_targets=1), answer_not_run)
+        (_, _), (_, ended), (_, end) = self.chain(story)
+        assert (ended["result"], ended["detail"]) == ("not run", "HTTP 503")
+        assert (end["code_name"], end["status"]) == ("QUEUE_FULL", 503)
+
+    def test_refused_over_the_quota(self):
+        async def run():
+            story = GatewayStory(SAFE)
+            quota = Quota(0.1, 0.0, True, 5)
+            story.gateway.routes.take(make_table(SAFE, version=5, quota=quota))
+            async with story.running(StandInTarget(answer_plain)):
+                caller = await story.caller()
+                await caller.ask(request_id=b"r0")
+                await caller.ask()
+            return story
+
+        ((name, refused),) = self.chain(run_story(run))
+        assert name == "call_refused"
+        assert (refused["code_name"], refused["status"]) == ("LIMIT_TOKENS", 429)
+        assert refused["retry_after_ms"] > 0 and "workspace w" in refused["reason"]
+        assert refused["routes_version"] == 5
+
+
 class TestDraining:
     def test_answers_announce_the_close(self):
         async def run():
