Split the message readers and the call's progress; exports held by a test; ports by process

The readers of requests and of answers and the encoding were one module of 362 lines. The listed exports of three packages were stale; a test holds them against the modules now. The harness gives each process its own ports and fails with the daemon's output from now on.

--- a/guavawalk/connection/__init__.py
+++ b/guavawalk/connection/__init__.py
@@ -16,20 +16,15 @@
         "error_body",
     ],
     "http_client": ["HttpAnswer", "HttpClient", "create_http_client"],
-    "http_listener": ["HEAD_TIMEOUT_S", "create_h11_protocol"],
-    "http_messages": [
+    "http_encoding": [
         "LAST_CHUNK",
-        "BodyFraming",
         "Header",
-        "ReceivedRequest",
-        "RequestReader",
-        "ResponseHead",
-        "ResponseReader",
         "encode_chunk",
         "encode_request",
         "encode_response",
         "encode_response_head",
     ],
+    "http_listener": ["HEAD_TIMEOUT_S", "create_h11_protocol"],
     "http_request": [
         "CallerHeaders",
         "RawRequest",
@@ -68,6 +63,8 @@
     "noting": ["create_noting_network"],
     "platform": ["Instance", "Platform", "PublishedValue", "create_http_platform"],
     "registry": ["Registry", "RouteNews", "TargetNews"],
+    "request_reader": ["ReceivedRequest", "RequestReader"],
+    "response_reader": ["BodyFraming", "ResponseHead", "ResponseReader"],
     "streams": ["close_stream", "has_input", "open_stream", "reset_stream", "watch_peer"],
     "target": [
         "AnswerPart",
--- a/guavawalk/connection/caller_answer.py
+++ b/guavawalk/connection/caller_answer.py
@@ -5,7 +5,7 @@
 import anyio
 from anyio.abc import ByteStream
 
-from guavawalk.connection.http_messages import (
+from guavawalk.connection.http_encoding import (
     LAST_CHUNK,
     Header,
     encode_chunk,
--- a/guavawalk/connection/http_client.py
+++ b/guavawalk/connection/http_client.py
@@ -6,7 +6,8 @@
 import anyio
 from anyio.abc import ByteStream
 
-from guavawalk.connection.http_messages import Header, ResponseReader, encode_request
+from guavawalk.connection.http_encoding import Header, encode_request
+from guavawalk.connection.response_reader import ResponseReader
 from guavawalk.connection.streams import has_input, open_stream, reset_stream
 from guavawalk.exception import TargetError, TargetLost
 
--- /dev/null
+++ b/guavawalk/connection/response_reader.py
@@ -0,0 +1,153 @@
+"""Answers of HTTP/1.1 on a connection to a target, parsed by `httptools`."""
+
+from collections import deque
+from collections.abc import Sequence
+from enum import Enum
+from http import HTTPStatus
+from typing import NamedTuple
+
+import anyio
+import httptools
+from anyio.abc import ByteStream
+
+from guavawalk.connection.http_encoding import Header
+from guavawalk.exception import TargetLost
+
+__all__ = ["BodyFraming", "ResponseHead", "ResponseReader"]
+
+# One read of a stream, in bytes: a usual socket buffer.
+READ_BYTES = 65_536
+_BROKEN = (anyio.BrokenResourceError, anyio.ClosedResourceError, OSError)
+_BODILESS = (HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED)
+
+
+class BodyFraming(Enum):
+    """How the end of an answer's body is told."""
+
+    LENGTH = "length"
+    CHUNKED = "chunked"
+    UNTIL_CLOSE = "until close"
+    NONE = "none"
+
+
+class ResponseHead(NamedTuple):
+    """Status and headers of an answer."""
+
+    status: int
+    headers: Sequence[Header]
+    framing: BodyFraming
+    keep_alive: bool
+
+
+class ResponseReader:
+    """The answers on one connection to a target.
+
+    Attributes
+    ----------
+    is_complete : bool
+        Whether the answer that was begun last has arrived whole.
+    is_spoilt : bool
+        Whether bytes came that belong to no answer asked for; the connection must be closed.
+    """
+
+    def __init__(self, stream: ByteStream) -> None:
+        self._stream = stream
+        self._parser = httptools.HttpResponseParser(self)
+        self._heads: deque[ResponseHead] = deque()
+        self._parts: list[bytes] = []
+        self._framing = BodyFraming.NONE
+        self.is_complete = True
+        self.is_spoilt = False
+
+    async def head(self) -> ResponseHead:
+        """Return the head of the next answer.
+
+        Raises
+        ------
+        TargetLost
+            If the connection ends, or carries what is no answer.
+        """
+        self._parts.clear()
+        while not self._heads:
+            if not await self._receive():
+                raise TargetLost("closed before an answer")
+        return self._heads.popleft()
+
+    async def part(self) -> bytes:
+        """Return what has come of the body since the last call; empty at its end.
+
+        Raises
+        ------
+        TargetLost
+            If the connection ends before the body does.
+        """
+        while not self._parts:
+            if self.is_complete:
+                return b""
+            if not await self._receive():
+                if self._framing is not BodyFraming.UNTIL_CLOSE:
+                    raise TargetLost("closed before the end of the answer")
+                self.is_complete = True
+        if len(self._parts) == 1:
+            return self._parts.pop()
+        whole = b"".join(self._parts)
+        self._parts.clear()
+        return whole
+
+    async def _receive(self) -> bool:
+        try:
+            data = await self._stream.receive(READ_BYTES)
+        except anyio.EndOfStream:
+            return False
+        except _BROKEN as error:
+            raise TargetLost(f"broken: {type(error.__cause__ or error).__name__}") from error
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade as error:
+            raise TargetLost("an upgrade that was not asked for") from error
+        except httptools.HttpParserError as error:
+            self.is_spoilt = True
+            if not self.is_complete or not self._heads:
+                raise TargetLost(f"not HTTP: {error}") from error
+        return True
+
+    def on_message_begin(self) -> None:
+        """Begin an answer; one that comes while another waits to be read is surplus."""
+        if self._heads:
+            self.is_spoilt = True
+        self._headers: list[Header] = []
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Collect a header."""
+        self._headers.append((name, value))
+
+    def on_headers_complete(self) -> None:
+        """Tell the head to whoever waits for it."""
+        status = self._parser.get_status_code()
+        if status < 200:
+            return
+        if self.is_spoilt:
+            return
+        self._framing = _framing(status, self._headers)
+        self.is_complete = False
+        keep_alive = self._parser.should_keep_alive()
+        self._heads.append(ResponseHead(status, self._headers, self._framing, keep_alive))
+
+    def on_body(self, part: bytes) -> None:
+        """Collect a part of the body."""
+        if not self.is_spoilt:
+            self._parts.append(part)
+
+    def on_message_complete(self) -> None:
+        """End the answer."""
+        if self._parser.get_status_code() >= 200:
+            self.is_complete = True
+
+
+def _framing(status: int, headers: Sequence[Header]) -> BodyFraming:
+    if status in _BODILESS:
+        return BodyFraming.NONE
+    names = {name.lower(): value for name, value in headers}
+    if b"chunked" in names.get(b"transfer-encoding", b"").lower():
+        return BodyFraming.CHUNKED
+    return BodyFraming.LENGTH if b"content-length" in names else BodyFraming.UNTIL_CLOSE
--- a/guavawalk/connection/tasks/attempt_call.py
+++ b/guavawalk/connection/tasks/attempt_call.py
@@ -2,21 +2,22 @@
 
 from __future__ import annotations
 
-from collections.abc import Awaitable, Callable, Sequence
-from typing import TYPE_CHECKING, NamedTuple, TypeVar
+from collections.abc import Awaitable, Callable
+from typing import TYPE_CHECKING, TypeVar
 
 import anyio
 
 from guavawalk import events
 from guavawalk.connection.caller_answer import CallerAnswer
-from guavawalk.connection.http_messages import Header, ResponseHead, encode_request
+from guavawalk.connection.http_encoding import encode_request
+from guavawalk.connection.response_reader import ResponseHead
+from guavawalk.connection.tasks.call_progress import FailedAnswer, Progress
 from guavawalk.exception import TargetConnectError, TargetLost
 from guavawalk.platform.requests import decode_answer, encode_forwarded, is_misdirected
 from guavawalk.process.gateway.connections import TargetConnection
 from guavawalk.process.gateway.dispatch import Placed
 from guavawalk.request.call import Call
 from guavawalk.request.engine_time import nominal_event_gap_s
-from guavawalk.request.event_stream import EventStream
 from guavawalk.request.repeat import AttemptEnd, AttemptResult
 from guavawalk.request.target_answer import AnswerFields
 from guavawalk.version.routes import RouteKind
@@ -25,7 +26,7 @@
     from guavawalk.process.gateway.state import Gateway
     from guavawalk.process.gateway.targets import TargetBelief
 
-__all__ = ["Progress", "attempt_call"]
+__all__ = ["attempt_call"]
 
 T = TypeVar("T")
 
@@ -45,58 +46,6 @@
 MAX_SURPLUS = 3
 
 
-class FailedAnswer(NamedTuple):
-    """A failure that a target answered with, for the caller if nothing better comes."""
-
-    status: int
-    headers: Sequence[Header]
-    body: bytes
-
-
-class Progress:
-    """How far a call has come over all its attempts.
-
-    Attributes
-    ----------
-    sent : int
-        Targets that it was sent to, the misdirected left out.
-    has_run : bool
-        Whether it may have run at one of them.
-    tried : list of str
-        Targets that are not to be asked again.
-    first_s : float
-        Time until the first event or the whole answer; 0 before it.
-    last_event_at_s : float
-        When events came last; 0 before any.
-    longest_pause_s : float
-        Longest time between two events.
-    next_place : Placed, optional
-        Place for the next attempt, where one was taken before this one was left.
-    """
-
-    def __init__(self) -> None:
-        self.sent = 0
-        self.has_run = False
-        self.tried: list[str] = []
-        self.stream = EventStream()
-        self.failure: FailedAnswer | None = None
-        self.first_s = 0.0
-        self.last_event_at_s = 0.0
-        self.longest_pause_s = 0.0
-        self.next_place: Placed | None = None
-
-    def take_next_place(self) -> Placed | None:
-        """Return the place that was taken for the next attempt, once."""
-        placed, self.next_place = self.next_place, None
-        return placed
-
-    def note_events(self, now_s: float) -> None:
-        """Note that events have come."""
-        if self.last_event_at_s:
-            self.longest_pause_s = max(self.longest_pause_s, now_s - self.last_event_at_s)
-        self.last_event_at_s = now_s
-
-
 async def attempt_call(
     gateway: Gateway, call: Call, placed: Placed, progress: Progress, answer: CallerAnswer
 ) -> AttemptEnd:
--- a/guavawalk/connection/tasks/forward_call.py
+++ b/guavawalk/connection/tasks/forward_call.py
@@ -9,7 +9,8 @@
 from guavawalk import events
 from guavawalk.codes import ResultCode
 from guavawalk.connection.caller_answer import CallerAnswer
-from guavawalk.connection.tasks.attempt_call import Progress, attempt_call
+from guavawalk.connection.tasks.attempt_call import attempt_call
+from guavawalk.connection.tasks.call_progress import Progress
 from guavawalk.exception import RequestError
 from guavawalk.platform.requests import encode_retry_after, encode_status
 from guavawalk.request.call import Call
--- a/guavawalk/connection/tasks/serve_caller.py
+++ b/guavawalk/connection/tasks/serve_caller.py
@@ -10,7 +10,7 @@
 from guavawalk import events
 from guavawalk.codes import ResultCode, describe_code
 from guavawalk.connection.caller_answer import CallerAnswer
-from guavawalk.connection.http_messages import ReceivedRequest, RequestReader
+from guavawalk.connection.request_reader import ReceivedRequest, RequestReader
 from guavawalk.connection.streams import close_stream, watch_peer
 from guavawalk.connection.tasks.forward_call import forward_call, refuse_call
 from guavawalk.exception import CallerGone, HttpInvalid, RequestError
--- a/guavawalk/connection/tasks/serve_probe.py
+++ b/guavawalk/connection/tasks/serve_probe.py
@@ -9,7 +9,7 @@
 from anyio.abc import ByteStream
 
 from guavawalk.connection.caller_answer import CallerAnswer
-from guavawalk.connection.http_messages import RequestReader
+from guavawalk.connection.request_reader import RequestReader
 from guavawalk.connection.streams import close_stream, watch_peer
 from guavawalk.exception import CallerGone, HttpInvalid
 from guavawalk.version.routes import CallerLimits
--- a/guavawalk/platform/__init__.py
+++ b/guavawalk/platform/__init__.py
@@ -10,9 +10,10 @@
         "decode_call",
         "encode_forwarded",
         "encode_retry_after",
+        "encode_status",
         "is_misdirected",
     ],
-    "settings": ["settings_path"],
+    "settings": ["READINESS_PATH", "settings_path"],
     "store": ["create_store"],
 }
 
--- a/guavawalk/platform/requests.py
+++ b/guavawalk/platform/requests.py
@@ -3,7 +3,8 @@
 from collections.abc import Iterable, Sequence
 
 from guavawalk.codes import CodeClass, ResultCode, code_class, describe_code
-from guavawalk.connection.http_messages import Header, ResponseHead
+from guavawalk.connection.http_encoding import Header
+from guavawalk.connection.response_reader import ResponseHead
 from guavawalk.exception import HttpInvalid
 from guavawalk.request.call import CallFields, PromptPart
 from guavawalk.request.target_answer import AnswerFields
--- a/guavawalk/process/gateway/connections.py
+++ b/guavawalk/process/gateway/connections.py
@@ -4,7 +4,7 @@
 
 from anyio.abc import ByteStream
 
-from guavawalk.connection.http_messages import ResponseReader
+from guavawalk.connection.response_reader import ResponseReader
 from guavawalk.connection.streams import has_input, open_stream, reset_stream
 
 __all__ = ["ConnectionPool", "TargetConnection", "create_connection_pool"]
--- a/guavawalk/version/__init__.py
+++ b/guavawalk/version/__init__.py
@@ -27,7 +27,7 @@
     "group": ["create_target_group", "groups_of_targets"],
     "held": ["HeldVersion", "Taken", "create_held_version"],
     "publish": ["published_values", "render_documents"],
-    "registrations": ["Registration"],
+    "registrations": ["ListedTargets", "Registration"],
     "routes": [
         "NO_ROUTES",
         "CallerLimits",
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -17,8 +17,11 @@
 __all__ = ["GatewayProcess", "create_fleet", "free_ports"]
 
 GRACE_MS = 4_000
-# Below the range from which the kernel takes ports for outgoing connections.
-PORTS = (15_000, 32_000)
+# Below the range from which the kernel takes ports for outgoing connections; each process that
+# starts gateways has a part of them to itself.
+FIRST_PORT = 15_000
+PORT_RANGES = 64
+PORTS_PER_RANGE = 250
 
 
 class GatewayProcess:
@@ -112,9 +115,10 @@
 
 def free_ports(count: int) -> list[int]:
     """Return ports that are free for datagrams and connections, and that no client is given."""
+    first = FIRST_PORT + os.getpid() % PORT_RANGES * PORTS_PER_RANGE
     ports: list[int] = []
     while len(ports) < count:
-        port = random.randrange(*PORTS)
+        port = first + random.randrange(PORTS_PER_RANGE)
         with socket.socket() as stream, socket.socket(type=socket.SOCK_DGRAM) as datagrams:
             try:
                 stream.bind(("127.0.0.1", port))
--- a/soak/standins.py
+++ b/soak/standins.py
@@ -5,14 +5,14 @@
 
 import anyio
 
-from guavawalk.connection.http_messages import (
+from guavawalk.connection.http_encoding import (
     LAST_CHUNK,
-    RequestReader,
-    ResponseReader,
     encode_chunk,
     encode_response,
     encode_response_head,
 )
+from guavawalk.connection.request_reader import RequestReader
+from guavawalk.connection.response_reader import ResponseReader
 from guavawalk.version.routes import CallerLimits
 
 __all__ = [
--- a/soak/world.py
+++ b/soak/world.py
@@ -5,7 +5,7 @@
 
 import anyio
 
-from guavawalk.connection.http_messages import (
+from guavawalk.connection.http_encoding import (
     LAST_CHUNK,
     encode_chunk,
     encode_response,
--- a/tests/connection/tasks/test_serve_caller.py
+++ b/tests/connection/tasks/test_serve_caller.py
@@ -3,7 +3,7 @@
 import anyio
 import pytest
 
-from guavawalk.connection.http_messages import (
+from guavawalk.connection.http_encoding import (
     LAST_CHUNK,
     encode_chunk,
     encode_response,
--- a/tests/connection/test_http_messages.py
+++ b/tests/connection/test_http_readers.py
@@ -3,14 +3,9 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from guavawalk.connection.http_messages import (
-    BodyFraming,
-    RequestReader,
-    ResponseReader,
-    encode_chunk,
-    encode_request,
-    encode_response,
-)
+from guavawalk.connection.http_encoding import encode_chunk, encode_request, encode_response
+from guavawalk.connection.request_reader import RequestReader
+from guavawalk.connection.response_reader import BodyFraming, ResponseReader
 from guavawalk.exception import HttpInvalid, TargetLost
 from guavawalk.version.routes import CallerLimits
 from tests.virtual import run_virtually
--- a/tests/platform/test_requests.py
+++ b/tests/platform/test_requests.py
@@ -1,7 +1,7 @@
 import pytest
 
 from guavawalk.codes import CODES, CodeClass, ResultCode, code_class
-from guavawalk.connection.http_messages import BodyFraming, ResponseHead
+from guavawalk.connection.response_reader import BodyFraming, ResponseHead
 from guavawalk.exception import HttpInvalid
 from guavawalk.platform.requests import (
     decode_answer,
--- a/tests/process/test_gateway_daemon.py
+++ b/tests/process/test_gateway_daemon.py
@@ -75,6 +75,12 @@
         lines = self.output.read_text().splitlines()
         return [json.loads(line)["event_name"] for line in lines if line.startswith("{")]
 
+    async def fail_at_its_end(self):
+        """Fail the test if the process ends by an error of its own."""
+        while self.process.poll() is None:
+            await anyio.sleep(0.05)
+        assert self.process.returncode == 0, self.output.read_text()[-2000:]
+
     async def ended(self):
         while self.process.poll() is None:
             await anyio.sleep(0.02)
@@ -97,6 +103,7 @@
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(store_listener.serve, store.serve)
                 tasks.start_soon(target_listener.serve, target.serve)
+                tasks.start_soon(daemon.fail_at_its_end)
                 await use(daemon, store, target)
                 tasks.cancel_scope.cancel()
         finally:
--- /dev/null
+++ b/tests/test_exports.py
@@ -0,0 +1,43 @@
+"""Packages that import on first use list exactly what their modules export."""
+
+import importlib
+import pkgutil
+
+import pytest
+
+PACKAGES = [
+    "guavawalk.connection",
+    "guavawalk.platform",
+    "guavawalk.process.observe",
+    "guavawalk.request",
+    "guavawalk.version",
+]
+
+
+class TestExports:
+    @pytest.mark.parametrize("name", PACKAGES)
+    def test_every_public_name_of_every_module(self, name):
+        package = importlib.import_module(name)
+        found = {}
+        for module in pkgutil.iter_modules(package.__path__):
+            if not module.ispkg:
+                loaded = importlib.import_module(f"{name}.{module.name}")
+                found.update(dict.fromkeys(loaded.__all__, loaded))
+        assert sorted(found) == package.__all__
+        for public, loaded in found.items():
+            assert getattr(package, public) is getattr(loaded, public)
+
+    def test_unknown_name(self):
+        with pytest.raises(AttributeError):
+            importlib.import_module("guavawalk.connection").nothing
+
+    def test_a_gateway_loads_none_of_the_libraries_that_it_does_not_run(self):
+        import subprocess
+        import sys
+
+        code = "import guavawalk.process.gateway_daemon, sys; print(*sys.modules)"
+        found = subprocess.run(
+            [sys.executable, "-c", code], capture_output=True, text=True, check=True
+        )
+        loaded = set(found.stdout.split())
+        assert not loaded & {"httpcore", "uvicorn", "starlette", "thrift", "cyclopts", "h11"}
