Read a whole body, check an idle stream and pass a failure on in one place each

Unused: HeldRoutes.wait_known, TargetConnection.is_fresh, RequestReader.has_begun. A comment gave seconds for milliseconds.

--- a/guavawalk/connection/http_client.py
+++ b/guavawalk/connection/http_client.py
@@ -9,7 +9,7 @@
 from guavawalk.connection.http_encoding import Header, encode_request
 from guavawalk.connection.response_reader import ResponseReader
 from guavawalk.connection.streams import has_input, open_stream, reset_stream
-from guavawalk.exception import TargetError, TargetLost
+from guavawalk.exception import TargetLost
 
 __all__ = ["HttpAnswer", "HttpClient", "create_http_client"]
 
@@ -70,12 +70,7 @@
             raise TargetLost("broken while sending") from error
         head = await reader.head()
         self._keeps = head.keep_alive
-        body = bytearray()
-        while part := await reader.part():
-            body += part
-            if len(body) > MAX_ANSWER_BYTES:
-                raise TargetError(f"an answer over {MAX_ANSWER_BYTES} bytes")
-        return HttpAnswer(head.status, bytes(body))
+        return HttpAnswer(head.status, await reader.whole(MAX_ANSWER_BYTES))
 
     def _is_reusable(self) -> bool:
         reader = self._reader
--- a/guavawalk/connection/request_reader.py
+++ b/guavawalk/connection/request_reader.py
@@ -121,11 +121,6 @@
         self._parser = _RequestParser(limits)
         self._failure: HttpInvalid | None = None
 
-    @property
-    def has_begun(self) -> bool:
-        """Whether part of a request has been read that hasn't been taken."""
-        return bool(self._parser.received) or self._parser.is_inside
-
     async def next(self, limits: CallerLimits) -> ReceivedRequest | None:
         """Return the next request; None when the caller has closed or stayed idle too long.
 
--- a/guavawalk/connection/response_reader.py
+++ b/guavawalk/connection/response_reader.py
@@ -94,6 +94,21 @@
         self._parts.clear()
         return whole
 
+    async def whole(self, limit_bytes: int) -> bytes:
+        """Return the rest of the body.
+
+        Raises
+        ------
+        TargetLost
+            If the connection ends before the body does, or the body is over the limit.
+        """
+        body = bytearray()
+        while part := await self.part():
+            body += part
+            if len(body) > limit_bytes:
+                raise TargetLost("the answer is over the limit")
+        return bytes(body)
+
     async def _receive(self) -> bool:
         try:
             data = await self._stream.receive(READ_BYTES)
--- a/guavawalk/connection/tasks/attempt_call.py
+++ b/guavawalk/connection/tasks/attempt_call.py
@@ -143,7 +143,7 @@
             target=self._choice.target_id,
             cost=round(self._choice.cost, 3),
             expected_first_ms=int(self._choice.first_s * 1000),
-            running=self._belief.running + self._belief.peer_running,
+            running=self._belief.total_running,
             waited_ms=int((now_s - call.arrived_s) * 1000),
             left_ms=int(left_s * 1000),
             rank=call.rank,
@@ -190,20 +190,16 @@
         return await self._pass_whole(fields)
 
     async def _pass_whole(self, fields: AnswerFields) -> AttemptEnd:
-        body = bytearray()
-        while part := await self._connection.reader.part():
-            body += part
-            if len(body) > MAX_WHOLE_BYTES:
-                return AttemptEnd(AttemptResult.LOST, "the answer is over the limit")
+        body = await self._connection.reader.whole(MAX_WHOLE_BYTES)
         if fields.status < 300:
             if not fields.is_stamped or (fields.request_id != self._call.fields.request_id):
                 return AttemptEnd(AttemptResult.LOST, "an answer without signature")
             self._note_first()
-            await self._answer.send_whole(fields.status, fields.forwarded, bytes(body))
+            await self._answer.send_whole(fields.status, fields.forwarded, body)
             return AttemptEnd(AttemptResult.DELIVERED)
         if not fields.is_stamped or fields.status in (408, 421, 429, 503):
             return AttemptEnd(AttemptResult.LOST, f"HTTP {fields.status} that promises nothing")
-        self._progress.failure = FailedAnswer(fields.status, fields.forwarded, bytes(body))
+        self._progress.failure = FailedAnswer(fields.status, fields.forwarded, body)
         return AttemptEnd(AttemptResult.FAILED, f"HTTP {fields.status}")
 
     async def _pass_stream(self, head: ResponseHead) -> AttemptEnd:
--- a/guavawalk/connection/tasks/follow_registry.py
+++ b/guavawalk/connection/tasks/follow_registry.py
@@ -33,7 +33,7 @@
 
 
 class _Contact:
-    """One connection's luck with the registry."""
+    """Whether the registry answers on one connection, and since when."""
 
     def __init__(self, gateway: Gateway, what: str) -> None:
         self._gateway = gateway
--- a/guavawalk/connection/tasks/forward_call.py
+++ b/guavawalk/connection/tasks/forward_call.py
@@ -95,10 +95,6 @@
             continue
         if step.kind is StepKind.FINISHED:
             return ResultCode.COMPLETED
-        if step.kind is StepKind.RELAY and progress.failure is not None:
-            failed = progress.failure
-            await answer.send_whole(failed.status, failed.headers, failed.body)
-            return step.code
         if step.kind is StepKind.BREAK:
             answer.keep_alive = False
             return step.code
@@ -117,7 +113,7 @@
 async def _give_up(
     gateway: Gateway, call: Call, progress: Progress, answer: CallerAnswer, error: RequestError
 ) -> ResultCode:
-    """Answer with a failure of this system's own, if no answer has begun."""
+    """Answer with a target's failure or else one of this system's own, if none has begun."""
     if answer.has_begun:
         answer.keep_alive = False
         return ResultCode.TARGET_LOST
--- a/guavawalk/connection/tasks/serve_caller.py
+++ b/guavawalk/connection/tasks/serve_caller.py
@@ -63,7 +63,6 @@
 async def _answer_request(
     gateway: Gateway, request: ReceivedRequest, reader: RequestReader, answer: CallerAnswer
 ) -> None:
-    call = None
     now_s = gateway.clock.now_s()
     try:
         fields = decode_call(request.headers)
--- a/guavawalk/connection/tcp.py
+++ b/guavawalk/connection/tcp.py
@@ -1,6 +1,5 @@
 """Links over TCP: frames of a 4-byte length and a thrift message."""
 
-import select
 import socket
 import ssl
 import struct
@@ -15,6 +14,7 @@
 from guavawalk.connection.codec import MAX_FRAME_BYTES, decode_message, encode_message
 from guavawalk.connection.link import Link, LinkHandler, Network
 from guavawalk.connection.messages import Hello, Message
+from guavawalk.connection.streams import has_input
 from guavawalk.exception import LinkBroken, LinkRefused
 
 __all__ = ["create_tcp_network"]
@@ -68,12 +68,7 @@
 
     def is_open(self) -> bool:
         """Say whether nothing is to be read; an idle link has only its end to read."""
-        raw = self._stream.extra(SocketAttribute.raw_socket)
-        if raw.fileno() < 0:
-            return False
-        waiting = select.poll()
-        waiting.register(raw.fileno(), select.POLLIN)
-        return not waiting.poll(0)
+        return not has_input(self._stream)
 
     async def aclose(self) -> None:
         """Close the stream."""
--- a/guavawalk/process/gateway/connections.py
+++ b/guavawalk/process/gateway/connections.py
@@ -22,8 +22,6 @@
 
     Attributes
     ----------
-    is_fresh : bool
-        Whether it carries its first request.
     idle_since_s : float
         When it was kept.
     idle_limit_s : float
@@ -34,7 +32,6 @@
         self.target_id = target_id
         self.stream = stream
         self.reader = ResponseReader(stream)
-        self.is_fresh = True
         self.idle_since_s = 0.0
         self.idle_limit_s = DEFAULT_IDLE_S
 
@@ -73,7 +70,6 @@
             if idle_s < min(max_idle_s, connection.idle_limit_s) and not has_input(
                 connection.stream
             ):
-                connection.is_fresh = False
                 return connection
             await connection.aclose()
         self.opened += 1
--- a/guavawalk/process/gateway/held_routes.py
+++ b/guavawalk/process/gateway/held_routes.py
@@ -1,7 +1,5 @@
 """The version of the routes in force at a gateway."""
 
-import anyio
-
 from guavawalk.version.routes import NO_ROUTES, RouteTable
 
 __all__ = ["HeldRoutes", "create_held_routes"]
@@ -18,20 +16,14 @@
 
     def __init__(self) -> None:
         self.table: RouteTable = NO_ROUTES
-        self._known = anyio.Event()
 
     def take(self, table: RouteTable) -> bool:
         """Bring a newer table into force; False for one that isn't newer."""
         if table.version <= self.table.version:
             return False
         self.table = table
-        self._known.set()
         return True
 
-    async def wait_known(self) -> None:
-        """Wait until some table is in force."""
-        await self._known.wait()
-
 
 def create_held_routes() -> HeldRoutes:
     """Create a holder of no routes."""
--- a/guavawalk/request/admission.py
+++ b/guavawalk/request/admission.py
@@ -12,7 +12,7 @@
 __all__ = ["admit_call"]
 
 NOBODY = WorkspaceAccess("")
-# Time until a caller may come back to a gateway that has no routes yet, in seconds.
+# Time until a caller may come back to a gateway that has no routes yet, in milliseconds.
 NO_ROUTES_RETRY_MS = 300
 
 
