--- a/guavawalk/connection/tasks/forward_call.py
+++ b/guavawalk/connection/tasks/forward_call.py
@@ -52,9 +52,10 @@
     await answer.send_whole(status, headers)
 
 
-async def forward_call(gateway: Gateway, call: Call, answer: CallerAnswer) -> None:
+async def forward_call(
+    gateway: Gateway, call: Call, progress: Progress, answer: CallerAnswer
+) -> None:
     """Send a call to targets until one has answered it, or it is refused or given up."""
-    progress = Progress()
     gateway.retries.note_request(call.service, call.arrived_s)
     with anyio.CancelScope(deadline=call.deadline_s) as scope:
         try:
--- a/guavawalk/connection/tasks/serve_caller.py
+++ b/guavawalk/connection/tasks/serve_caller.py
@@ -12,6 +12,7 @@
 from guavawalk.connection.caller_answer import CallerAnswer
 from guavawalk.connection.request_reader import ReceivedRequest, RequestReader
 from guavawalk.connection.streams import close_stream, watch_peer
+from guavawalk.connection.tasks.call_progress import Progress
 from guavawalk.connection.tasks.forward_call import forward_call, refuse_call
 from guavawalk.exception import CallerGone, HttpInvalid, RequestError
 from guavawalk.platform.requests import decode_call
@@ -86,10 +87,9 @@
 def _take_quota(gateway: Gateway, call: Call) -> None:
     workspace = call.workspace
     quota = workspace.quota
-    amount = call.tokens if quota.in_tokens else 1
-    now_s = gateway.clock.now_s()
+    amount = _quota_amount(call)
     share = gateway.peers.heard_share()
-    wait_s = gateway.quotas.take(workspace.name, quota, amount, share, now_s)
+    wait_s = gateway.quotas.take(workspace.name, quota, amount, share, call.arrived_s)
     if wait_s:
         code = ResultCode.LIMIT_TOKENS if quota.in_tokens else ResultCode.LIMIT_REQUESTS
         raise RequestError(
@@ -97,10 +97,15 @@
         )
 
 
+def _quota_amount(call: Call) -> int:
+    return call.tokens if call.workspace.quota.in_tokens else 1
+
+
 async def _forward_while_caller_waits(
     gateway: Gateway, call: Call, reader: RequestReader, answer: CallerAnswer
 ) -> None:
     has_left = False
+    progress = Progress()
 
     async def watch_caller(scope: anyio.CancelScope) -> None:
         nonlocal has_left
@@ -108,10 +113,14 @@
         has_left = True
         scope.cancel()
 
-    async with anyio.create_task_group() as tasks:
-        tasks.start_soon(watch_caller, tasks.cancel_scope)
-        await forward_call(gateway, call, answer)
-        tasks.cancel_scope.cancel()
+    try:
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(watch_caller, tasks.cancel_scope)
+            await forward_call(gateway, call, progress, answer)
+            tasks.cancel_scope.cancel()
+    finally:
+        if not progress.has_run:
+            gateway.quotas.give_back(call.workspace.name, _quota_amount(call), call.arrived_s)
     if has_left and not answer.is_whole:
         gateway.metrics.count("calls_total", code=ResultCode.CALLER_LEFT.name)
         gateway.log.emit(
--- a/guavawalk/process/gateway/quota.py
+++ b/guavawalk/process/gateway/quota.py
@@ -42,6 +42,19 @@
         while amounts and amounts[0][0] <= horizon_s:
             self.total -= amounts.popleft()[1]
 
+    def remove(self, amount: float, at_s: float) -> None:
+        """Remove an amount from what was added at a moment or, for the rest, before it."""
+        for index in range(len(self.amounts) - 1, -1, -1):
+            added_s, added = self.amounts[index]
+            if added_s > at_s:
+                continue
+            removed = min(added, amount)
+            self.amounts[index] = (added_s, added - removed)
+            self.total -= removed
+            amount -= removed
+            if amount <= 0.0:
+                return
+
     def lately(self, since_s: float) -> float:
         """Return what was added since a moment."""
         total = 0.0
@@ -66,7 +79,7 @@
     Attributes
     ----------
     admitted : dict of str to float
-        Running total of what this gateway admitted, by workspace.
+        Running total of what this gateway admitted and was not given back, by workspace.
     """
 
     def __init__(self, window_s: float, blind_from_s: float) -> None:
@@ -105,8 +118,16 @@
         self._untold.add(workspace)
         return 0.0
 
+    def give_back(self, workspace: str, amount: float, taken_s: float) -> None:
+        """Give back an amount that was taken at a moment for a call that no target has run."""
+        window = self._windows.get(workspace)
+        if window is not None:
+            window.remove(amount, taken_s)
+        self.admitted[workspace] = max(self.admitted.get(workspace, 0.0) - amount, 0.0)
+        self._untold.add(workspace)
+
     def take_admitted(self, is_full: bool) -> dict[str, float]:
-        """Return the totals that have grown since the last call, or all of them."""
+        """Return the totals that have changed since the last call, or all of them."""
         names = self.admitted if is_full else self._untold
         told = {name: float(round(self.admitted[name])) for name in names}
         self._untold.clear()
@@ -135,8 +156,11 @@
             is_old = is_first and age_s >= self._window_s
             new = total - told.get(workspace, total if is_old else 0.0)
             told[workspace] = total
-            if new > 0:
-                self._windows.setdefault(workspace, _Window()).add(new, now_s)
+            window = self._windows.setdefault(workspace, _Window())
+            if new > 0.0:
+                window.add(new, now_s)
+            elif new < 0.0:
+                window.remove(-new, now_s)
 
     def forget(self, gateway: str) -> None:
         """Forget a gateway that is gone."""
--- a/tests/connection/tasks/test_serve_caller.py
+++ b/tests/connection/tasks/test_serve_caller.py
@@ -332,6 +332,16 @@
             (429, True)
         ] * 2
 
+    def test_what_did_not_run_takes_nothing_of_the_quota(self):
+        async def run():
+            story = GatewayStory(SAFE)
+            story.gateway.routes.take(make_table(SAFE, version=5, quota=Quota(0.1, 0.0, True, 5)))
+            async with story.running(StandInTarget(answer_not_run)):
+                caller = await story.caller()
+                return [(await caller.ask())[0] for _ in range(3)]
+
+        assert run_story(run) == [503, 503, 503]
+
     def test_no_routes_known_yet(self):
         async def run():
             story = GatewayStory(SAFE)
--- a/tests/process/gateway/test_quota.py
+++ b/tests/process/gateway/test_quota.py
@@ -89,6 +89,28 @@
         assert windows.take_admitted(False) == {}
         assert windows.take_admitted(True) == {"w": 5.0}
 
+    def test_what_did_not_run_is_given_back(self):
+        windows = create_quota_windows(8.0)
+        take(windows, LIMIT, 0.0)
+        windows.give_back("w", LIMIT, 0.0)
+        assert take(windows, LIMIT, 1.0) == 0.0
+        assert windows.take_admitted(False) == {"w": LIMIT}
+
+    def test_an_amount_given_back_is_the_one_taken(self):
+        windows = create_quota_windows(8.0)
+        take(windows, 60.0, 0.0)
+        take(windows, 40.0, 4.5)
+        windows.give_back("w", 60.0, 0.0)
+        assert take(windows, LIMIT - 40.0, 8.6) == 0.0
+        assert take(windows, 1.0, 8.7) > 0.0
+
+    def test_what_others_give_back_counts_no_more(self):
+        windows = create_quota_windows(8.0)
+        windows.merge("g/1", {"w": 0.0}, 0.0)
+        windows.merge("g/1", {"w": LIMIT}, 1.0)
+        windows.merge("g/1", {"w": 0.0}, 1.2)
+        assert take(windows, LIMIT, 1.3) == 0.0
+
     def test_after_a_restart_only_the_time_since_counts(self):
         windows = create_quota_windows(8.0, blind_from_s=100.0)
         assert take(windows, 20.0, 100.0) == 0.0
@@ -127,6 +149,19 @@
         for begin_s, _ in admitted:
             assert within(admitted, begin_s, 8.0) <= 1.25 * LIMIT + unheard
 
+    @given(st.lists(st.tuples(st.floats(0.0, 1.0), st.integers(1, 30), st.booleans())))
+    def test_no_window_counts_less_than_was_not_given_back(self, story):
+        windows = create_quota_windows(8.0)
+        now_s, kept, owed = 0.0, [], []
+        for pause_s, amount, runs in story:
+            now_s += pause_s
+            while owed and owed[0][0] < now_s - 2.0:
+                windows.give_back("w", owed[0][1], owed.pop(0)[0])
+            if take(windows, float(amount), now_s) == 0.0:
+                (kept if runs else owed).append((now_s, amount))
+        for start_s, _ in kept:
+            assert within(kept, start_s, 8.0) <= LIMIT
+
     @given(st.lists(st.tuples(st.floats(0.0, 1.0), st.integers(1, 30)), max_size=80))
     def test_no_window_admits_more_than_the_limit(self, story):
         windows = create_quota_windows(8.0)
