Move the command line, stand-ins, benches and load runs out of process/

process/ holds what a daemon runs; tools/ what surrounds it. Tests moved with them, and one holds that no daemon imports the tools. No behaviour changed.

--- a/guavawalk/__main__.py
+++ b/guavawalk/__main__.py
@@ -1,6 +1,6 @@
 """`python -m guavawalk`."""
 
-from guavawalk.process.commands import main
+from guavawalk.tools.commands import main
 
 __all__: list[str] = []
 
--- a/guavawalk/process/commands/__init__.py
+++ /dev/null
@@ -1,5 +0,0 @@
-"""The command line."""
-
-from guavawalk.process.commands.app import main
-
-__all__ = ["main"]
--- a/guavawalk/process/bench/arrivals.py
+++ b/guavawalk/tools/bench/arrivals.py
@@ -4,8 +4,8 @@
 from collections.abc import Iterator
 from typing import NamedTuple
 
-from guavawalk.process.plan import Plan
 from guavawalk.request.prompt import CHARS_PER_TOKEN
+from guavawalk.tools.plan import Plan
 from guavawalk.version.types import Generation
 
 __all__ = ["Arrival", "WorkKind", "capacity_requests_per_s", "draw_arrivals", "work_kinds"]
--- a/guavawalk/process/bench/control.py
+++ b/guavawalk/tools/bench/control.py
@@ -24,12 +24,12 @@
 from guavawalk.process.clock import create_clock
 from guavawalk.process.http_server import serve_asgi
 from guavawalk.process.observe.log import create_null_log
-from guavawalk.process.plan import kestrel_lane_plan, plan_parts
 from guavawalk.process.sidecar_daemon import create_incarnation
 from guavawalk.process.spread.members import create_members
 from guavawalk.process.spread.ranking import Node
 from guavawalk.process.spread.state import create_spread
-from guavawalk.process.standins.platform import PlatformBooks, create_platform_app
+from guavawalk.tools.plan import kestrel_lane_plan, plan_parts
+from guavawalk.tools.standins.platform import PlatformBooks, create_platform_app
 from guavawalk.version.build import build_version
 from guavawalk.version.documents import VersionDocuments, digest_bytes
 from guavawalk.version.held import HeldVersion, create_held_version
--- a/guavawalk/process/bench/late_view.py
+++ b/guavawalk/tools/bench/late_view.py
@@ -8,9 +8,9 @@
 from guavawalk.process.entry.cached import create_cache_view
 from guavawalk.process.entry.lengths import create_length_estimator
 from guavawalk.process.entry.view import FleetView
-from guavawalk.process.fleet import Fleet
 from guavawalk.process.sidecar.state import load_report
 from guavawalk.request.types import LoadReport
+from guavawalk.tools.fleet import Fleet
 
 __all__ = ["LateView", "feed_late_reports"]
 
--- a/guavawalk/process/bench/policy.py
+++ b/guavawalk/tools/bench/policy.py
@@ -6,15 +6,15 @@
 import anyio
 
 from guavawalk.codes import CodeClass, code_class
-from guavawalk.process.bench.arrivals import Arrival, draw_arrivals
-from guavawalk.process.bench.late_view import feed_late_reports
-from guavawalk.process.fleet import Fleet, run_fleet
-from guavawalk.process.plan import Plan, asante_plan, kestrel_lane_plan
-from guavawalk.process.standins.engine_model import RunRecord
-from guavawalk.process.standins.memory_targets import MemoryCaller, mark_output
-from guavawalk.process.virtual_time import run_in_virtual_time
 from guavawalk.request.prompt import BLOCK_CHARS, CHARS_PER_TOKEN
 from guavawalk.request.types import Outcome
+from guavawalk.tools.bench.arrivals import Arrival, draw_arrivals
+from guavawalk.tools.bench.late_view import feed_late_reports
+from guavawalk.tools.fleet import Fleet, run_fleet
+from guavawalk.tools.plan import Plan, asante_plan, kestrel_lane_plan
+from guavawalk.tools.standins.engine_model import RunRecord
+from guavawalk.tools.standins.memory_targets import MemoryCaller, mark_output
+from guavawalk.tools.virtual_time import run_in_virtual_time
 from guavawalk.version.types import Generation, Tier
 
 __all__ = ["BASELINES", "PolicyResult", "TierResult", "bench_plan", "count_waste", "run_policy"]
--- a/guavawalk/process/bench/policy_report.py
+++ b/guavawalk/tools/bench/policy_report.py
@@ -7,7 +7,7 @@
 from rich.console import Console
 from rich.table import Table
 
-from guavawalk.process.bench.policy import PolicyResult
+from guavawalk.tools.bench.policy import PolicyResult
 
 __all__ = ["print_results", "write_line"]
 
--- a/guavawalk/process/bench/ticket.py
+++ b/guavawalk/tools/bench/ticket.py
@@ -6,8 +6,8 @@
 
 import httpcore
 
-from guavawalk.process.embedded import run_embedded
-from guavawalk.process.plan import kestrel_lane_plan
+from guavawalk.tools.embedded import run_embedded
+from guavawalk.tools.plan import kestrel_lane_plan
 
 __all__ = ["CallTimes", "measure_tickets"]
 
--- a/guavawalk/process/bench/window.py
+++ b/guavawalk/tools/bench/window.py
@@ -7,11 +7,11 @@
 import anyio
 
 from guavawalk.codes import ResultCode
-from guavawalk.process.fleet import Fleet, run_fleet
-from guavawalk.process.plan import Plan, PlannedTarget, kestrel_lane_plan
-from guavawalk.process.standins.memory_targets import MemoryCaller, mark_output
-from guavawalk.process.virtual_time import run_in_virtual_time
 from guavawalk.request.prompt import CHARS_PER_TOKEN
+from guavawalk.tools.fleet import Fleet, run_fleet
+from guavawalk.tools.plan import Plan, PlannedTarget, kestrel_lane_plan
+from guavawalk.tools.standins.memory_targets import MemoryCaller, mark_output
+from guavawalk.tools.virtual_time import run_in_virtual_time
 from guavawalk.version.types import Generation, Tier
 
 __all__ = ["SCENARIOS", "WINDOW_CHOICES", "Scenario", "TierFigures", "measure_window"]
--- /dev/null
+++ b/guavawalk/tools/commands/__init__.py
@@ -0,0 +1,5 @@
+"""The command line."""
+
+from guavawalk.tools.commands.app import main
+
+__all__ = ["main"]
--- a/guavawalk/process/commands/admin.py
+++ b/guavawalk/tools/commands/admin.py
@@ -13,7 +13,7 @@
 
 from guavawalk.exception import AdminError
 from guavawalk.process.admin.client import create_admin_client
-from guavawalk.process.commands.documents import document_tables
+from guavawalk.tools.commands.documents import document_tables
 from guavawalk.version.documents import digest_bytes
 
 __all__ = ["KEY_VARIABLE", "KeyFile", "admin_app", "read_key"]
--- a/guavawalk/process/commands/app.py
+++ b/guavawalk/tools/commands/app.py
@@ -10,15 +10,15 @@
 from rich.console import Console
 
 from guavawalk.exception import GuavawalkError
-from guavawalk.process.commands import bench_relay  # noqa: F401
-from guavawalk.process.commands.admin import admin_app
-from guavawalk.process.commands.bench import bench_app
-from guavawalk.process.commands.config import config_app
-from guavawalk.process.commands.load import load_app
-from guavawalk.process.commands.standin import standin_app
-from guavawalk.process.commands.top import top
-from guavawalk.process.commands.trace import trace
 from guavawalk.process.event_loop import run_tasks
+from guavawalk.tools.commands import bench_relay  # noqa: F401
+from guavawalk.tools.commands.admin import admin_app
+from guavawalk.tools.commands.bench import bench_app
+from guavawalk.tools.commands.config import config_app
+from guavawalk.tools.commands.load import load_app
+from guavawalk.tools.commands.standin import standin_app
+from guavawalk.tools.commands.top import top
+from guavawalk.tools.commands.trace import trace
 
 __all__ = ["app", "main"]
 
@@ -85,7 +85,7 @@
 @app.command
 def demo() -> int:
     """Run an embedded deployment on loopback, send it mixed work, and print what happened."""
-    from guavawalk.process.demo import run_demo
+    from guavawalk.tools.demo import run_demo
 
     return run_tasks(partial(run_demo, Console()))
 
@@ -93,7 +93,7 @@
 @app.command
 def catalogue(kind: Literal["codes", "events", "metrics"]) -> int:
     """Print the table of docs/CODES.md, docs/EVENTS.md or docs/METRICS.md from the code."""
-    from guavawalk.process.commands.catalogue import codes_table, events_table, metrics_table
+    from guavawalk.tools.commands.catalogue import codes_table, events_table, metrics_table
 
     print({"codes": codes_table, "events": events_table, "metrics": metrics_table}[kind](), end="")
     return 0
--- a/guavawalk/process/commands/bench.py
+++ b/guavawalk/tools/commands/bench.py
@@ -34,9 +34,9 @@
     json_file
         Where a JSON line for each run is added.
     """
-    from guavawalk.process.bench.policy import run_policy
-    from guavawalk.process.bench.policy_report import print_results, write_line
     from guavawalk.request.policies import PLACEMENTS
+    from guavawalk.tools.bench.policy import run_policy
+    from guavawalk.tools.bench.policy_report import print_results, write_line
 
     results = []
     for load in loads:
@@ -51,7 +51,7 @@
 @bench_app.command
 def render(workspaces: int = 29_000, targets: int = 2_100) -> int:
     """Render, check and build a configuration of the final size."""
-    from guavawalk.process.bench.render import measure_render
+    from guavawalk.tools.bench.render import measure_render
 
     for name, value in measure_render(workspaces, targets)._asdict().items():
         print(f"{name}: {value:.2f}" if isinstance(value, float) else f"{name}: {value}")
@@ -61,7 +61,7 @@
 @bench_app.command
 def queue() -> None:
     """Measure the waiting queue's operations."""
-    from guavawalk.process.bench.queue import SIZES, measure_queue, queue_table
+    from guavawalk.tools.bench.queue import SIZES, measure_queue, queue_table
 
     print(queue_table([measure_queue(size) for size in SIZES]))
 
@@ -71,8 +71,8 @@
     policies: tuple[str, ...] = (), known: int = 2_100, capable: int = 60, decisions: int = 20_000
 ) -> int:
     """Measure the time of one placement decision among many targets."""
-    from guavawalk.process.bench.placement import measure_placement
     from guavawalk.request.policies import PLACEMENTS
+    from guavawalk.tools.bench.placement import measure_placement
 
     for name in policies or tuple(PLACEMENTS):
         cost = measure_placement(name, known, capable, decisions)
@@ -86,7 +86,7 @@
 @bench_app.command
 def histograms(workspaces: int = 29_000, requests: int = 50_000, seed: int = 1) -> int:
     """Measure what histograms of many workspaces cost."""
-    from guavawalk.process.bench.histograms import measure_histograms
+    from guavawalk.tools.bench.histograms import measure_histograms
 
     for name, value in measure_histograms(workspaces, requests, seed)._asdict().items():
         print(f"{name}: {value:.2f}" if isinstance(value, float) else f"{name}: {value}")
@@ -96,7 +96,7 @@
 @bench_app.command
 def window(duration_s: float = 60.0, seed: int = 1, scenarios: tuple[str, ...] = ()) -> None:
     """Measure dispatch windows before one engine, in virtual time."""
-    from guavawalk.process.bench.window import SCENARIOS, WINDOW_CHOICES, measure_window
+    from guavawalk.tools.bench.window import SCENARIOS, WINDOW_CHOICES, measure_window
 
     print(
         "| scenario | window | tier | offered | in time | good tokens | p50 ms | p95 ms | queue |"
@@ -113,7 +113,7 @@
     """Measure bookings on loopback, without a ticket and with one fetched for each."""
     import anyio
 
-    from guavawalk.process.bench.ticket import measure_tickets
+    from guavawalk.tools.bench.ticket import measure_tickets
 
     for name, value in anyio.run(measure_tickets, calls)._asdict().items():
         print(f"{name}: {value:.2f}" if isinstance(value, float) else f"{name}: {value}")
@@ -133,7 +133,7 @@
 
     import anyio
 
-    from guavawalk.process.bench.control import measure_build, measure_spread
+    from guavawalk.tools.bench.control import measure_build, measure_spread
 
     rows = [measure_build(count, targets) for count in workspaces]
     rows += [anyio.run(partial(measure_spread, count, idle_s, rounds)) for count in nodes]
--- a/guavawalk/process/commands/bench_relay.py
+++ b/guavawalk/tools/commands/bench_relay.py
@@ -7,8 +7,8 @@
 from rich.console import Console
 from rich.table import Table
 
-from guavawalk.process.commands.bench import bench_app
 from guavawalk.process.event_loop import run_tasks
+from guavawalk.tools.commands.bench import bench_app
 
 __all__: list[str] = []
 
@@ -22,7 +22,7 @@
 @bench_app.command(name="relay-config")
 def relay_config(out: Path) -> int:
     """Write the settings and the published values for bench/relay.sh."""
-    from guavawalk.process.plan import kestrel_lane_plan, plan_parts
+    from guavawalk.tools.plan import kestrel_lane_plan, plan_parts
     from guavawalk.version.publish import published_values, render_documents
 
     plan = kestrel_lane_plan()
@@ -60,7 +60,7 @@
     tokens: int = 500,
 ) -> int:
     """Compare streams through an entry with the same streams from the engine itself."""
-    from guavawalk.process.bench.relay import RelayLoad, measure_relay, read_process_cost
+    from guavawalk.tools.bench.relay import RelayLoad, measure_relay, read_process_cost
 
     load = RelayLoad(requests_per_s, duration_s, tokens)
     urls = [f"http://{ENTRY_ADDRESS}", ENGINE_URL]
@@ -85,7 +85,7 @@
 
 
 def _cells(samples: list) -> list[str]:
-    from guavawalk.process.bench.relay import quantile_ms
+    from guavawalk.tools.bench.relay import quantile_ms
 
     first = [sample.first_token_ms for sample in samples]
     total = [sample.total_ms for sample in samples]
--- a/guavawalk/process/commands/load.py
+++ b/guavawalk/tools/commands/load.py
@@ -9,13 +9,13 @@
 from rich.table import Table
 
 from guavawalk.exception import ResultsError
-from guavawalk.process.bench.policy import bench_plan
-from guavawalk.process.load.faults import check_faults
-from guavawalk.process.load.page import render_page
-from guavawalk.process.load.plan_file import read_load_plan
-from guavawalk.process.load.results import format_line, read_results
-from guavawalk.process.load.run import FinishedRun, lines_of_run, run_policy_of_plan
-from guavawalk.process.load.summary import RunSummary, summarize_results
+from guavawalk.tools.bench.policy import bench_plan
+from guavawalk.tools.load.faults import check_faults
+from guavawalk.tools.load.page import render_page
+from guavawalk.tools.load.plan_file import read_load_plan
+from guavawalk.tools.load.results import format_line, read_results
+from guavawalk.tools.load.run import FinishedRun, lines_of_run, run_policy_of_plan
+from guavawalk.tools.load.summary import RunSummary, summarize_results
 
 __all__ = ["load_app"]
 
--- a/guavawalk/process/commands/standin.py
+++ b/guavawalk/tools/commands/standin.py
@@ -17,7 +17,7 @@
 def platform(values: Path, listen: str = "127.0.0.1:7100") -> int:
     """Publish the files below a folder, each under its path as the key."""
     from guavawalk.process.http_server import serve_asgi
-    from guavawalk.process.standins.platform import PlatformBooks, create_platform_app
+    from guavawalk.tools.standins.platform import PlatformBooks, create_platform_app
 
     books = PlatformBooks()
     files = sorted(path for path in values.rglob("*") if path.is_file())
@@ -34,8 +34,8 @@
     batch_slots: int = 16,
 ) -> int:
     """Run a model engine stand-in."""
-    from guavawalk.process.standins.engine import create_engine_app
-    from guavawalk.process.standins.engine_model import EngineSpeed, create_engine_model
+    from guavawalk.tools.standins.engine import create_engine_app
+    from guavawalk.tools.standins.engine_model import EngineSpeed, create_engine_model
 
     speed = EngineSpeed(prefill_tokens_per_s, decode_tokens_per_s, batch_slots)
 
@@ -58,7 +58,7 @@
 ) -> int:
     """Run an engine that only sends tokens at a pace."""
     from guavawalk.process.http_server import serve_asgi
-    from guavawalk.process.standins.paced_engine import Pace, create_paced_engine_app
+    from guavawalk.tools.standins.paced_engine import Pace, create_paced_engine_app
 
     app = create_paced_engine_app(Pace(first_token_ms / 1000, tokens_per_s, tokens_per_write))
     return run_tasks(partial(_serve, serve_asgi, app, listen))
@@ -68,7 +68,7 @@
 def service(listen: str = "127.0.0.1:7300") -> int:
     """Run a plain service stand-in."""
     from guavawalk.process.http_server import serve_asgi
-    from guavawalk.process.standins.service import ServiceBooks, create_service_app
+    from guavawalk.tools.standins.service import ServiceBooks, create_service_app
 
     return run_tasks(partial(_serve, serve_asgi, create_service_app(ServiceBooks()), listen))
 
--- a/guavawalk/process/commands/top.py
+++ b/guavawalk/tools/commands/top.py
@@ -14,9 +14,9 @@
 
 from guavawalk.exception import AdminError
 from guavawalk.process.admin.client import AdminClient, create_admin_client
-from guavawalk.process.commands.admin import KeyFile, read_key
-from guavawalk.process.commands.documents import rows_table
 from guavawalk.process.observe.histograms import Measure
+from guavawalk.tools.commands.admin import KeyFile, read_key
+from guavawalk.tools.commands.documents import rows_table
 
 __all__ = ["Snapshot", "render_snapshots", "take_snapshot", "top"]
 
--- a/guavawalk/process/commands/trace.py
+++ b/guavawalk/tools/commands/trace.py
@@ -5,8 +5,8 @@
 from rich.console import Console
 from rich.text import Text
 
-from guavawalk.process.commands.documents import printable
 from guavawalk.process.observe.trace import Trace, read_trace
+from guavawalk.tools.commands.documents import printable
 
 __all__ = ["trace"]
 
--- a/guavawalk/process/demo.py
+++ b/guavawalk/tools/demo.py
@@ -9,8 +9,8 @@
 from rich.console import Console
 from rich.table import Table
 
-from guavawalk.process.embedded import Embedded, run_embedded
-from guavawalk.process.plan import kestrel_lane_plan
+from guavawalk.tools.embedded import Embedded, run_embedded
+from guavawalk.tools.plan import kestrel_lane_plan
 
 __all__ = ["DemoRequest", "DemoResult", "run_demo"]
 
--- a/guavawalk/process/embedded.py
+++ b/guavawalk/tools/embedded.py
@@ -14,14 +14,14 @@
 from guavawalk.process.entry_daemon import create_entry, serve_entry
 from guavawalk.process.http_server import serve_asgi
 from guavawalk.process.observe.log import EventLog, create_null_log
-from guavawalk.process.plan import Plan, PlannedTarget, plan_parts
 from guavawalk.process.settings import EntrySettings, SidecarSettings
 from guavawalk.process.sidecar.state import Sidecar
 from guavawalk.process.sidecar_daemon import create_sidecar, serve_sidecar
-from guavawalk.process.standins.engine import create_engine_app
-from guavawalk.process.standins.engine_model import EngineModel, EngineSpeed, create_engine_model
-from guavawalk.process.standins.platform import PlatformBooks, create_platform_app
-from guavawalk.process.standins.service import ServiceBooks, create_service_app
+from guavawalk.tools.plan import Plan, PlannedTarget, plan_parts
+from guavawalk.tools.standins.engine import create_engine_app
+from guavawalk.tools.standins.engine_model import EngineModel, EngineSpeed, create_engine_model
+from guavawalk.tools.standins.platform import PlatformBooks, create_platform_app
+from guavawalk.tools.standins.service import ServiceBooks, create_service_app
 from guavawalk.version.held import create_held_version
 from guavawalk.version.publish import published_values, render_documents
 
--- a/guavawalk/process/fleet.py
+++ b/guavawalk/tools/fleet.py
@@ -16,26 +16,26 @@
 from guavawalk.process.entry.state import Entry
 from guavawalk.process.entry_daemon import create_entry, serve_entry_peers
 from guavawalk.process.observe.log import create_null_log
-from guavawalk.process.plan import Plan, PlannedTarget, plan_parts
 from guavawalk.process.settings import EntrySettings, SidecarSettings
 from guavawalk.process.sidecar.state import Sidecar
 from guavawalk.process.sidecar.window import DEFAULT_WINDOW
 from guavawalk.process.sidecar_daemon import create_sidecar, serve_sidecar
-from guavawalk.process.standins.engine_model import EngineModel, EngineSpeed, create_engine_model
-from guavawalk.process.standins.memory_network import Fabric, create_fabric
-from guavawalk.process.standins.memory_targets import (
+from guavawalk.request.placement import Placement
+from guavawalk.request.policies import DEFAULT_PLACEMENT
+from guavawalk.request.prompt import estimate_tokens, fingerprint, prefix_hashes
+from guavawalk.request.types import Work
+from guavawalk.tools.plan import Plan, PlannedTarget, plan_parts
+from guavawalk.tools.standins.engine_model import EngineModel, EngineSpeed, create_engine_model
+from guavawalk.tools.standins.memory_network import Fabric, create_fabric
+from guavawalk.tools.standins.memory_targets import (
     MemoryCaller,
     MemoryEngine,
     MemoryPlatform,
     MemoryService,
     mark_output,
 )
-from guavawalk.process.standins.platform import PlatformBooks
-from guavawalk.process.standins.service import ServiceBooks
-from guavawalk.request.placement import Placement
-from guavawalk.request.policies import DEFAULT_PLACEMENT
-from guavawalk.request.prompt import estimate_tokens, fingerprint, prefix_hashes
-from guavawalk.request.types import Work
+from guavawalk.tools.standins.platform import PlatformBooks
+from guavawalk.tools.standins.service import ServiceBooks
 from guavawalk.version.held import create_held_version
 from guavawalk.version.publish import published_values, render_documents
 
--- a/guavawalk/process/load/driver.py
+++ b/guavawalk/tools/load/driver.py
@@ -9,14 +9,14 @@
 from guavawalk.codes import CodeClass, ResultCode, code_class
 from guavawalk.connection.tasks.ticket import fetch_ticket
 from guavawalk.exception import RequestError
-from guavawalk.process.bench.arrivals import Arrival, draw_arrivals
-from guavawalk.process.fleet import Fleet
-from guavawalk.process.load.faults import CRASH_TEXT
-from guavawalk.process.load.plan_file import LoadPlan
-from guavawalk.process.load.results import RequestLine
-from guavawalk.process.standins.memory_targets import MemoryCaller, mark_output
 from guavawalk.request.prompt import CHARS_PER_TOKEN
 from guavawalk.request.types import Outcome, Work
+from guavawalk.tools.bench.arrivals import Arrival, draw_arrivals
+from guavawalk.tools.fleet import Fleet
+from guavawalk.tools.load.faults import CRASH_TEXT
+from guavawalk.tools.load.plan_file import LoadPlan
+from guavawalk.tools.load.results import RequestLine
+from guavawalk.tools.standins.memory_targets import MemoryCaller, mark_output
 
 __all__ = ["CallAnswer", "MemoryDriver", "ModelAnswer", "create_memory_driver"]
 
--- a/guavawalk/process/load/faults.py
+++ b/guavawalk/tools/load/faults.py
@@ -6,10 +6,10 @@
 import anyio
 
 from guavawalk.exception import SettingsError
-from guavawalk.process.fleet import Fleet
-from guavawalk.process.load.plan_file import Fault, LoadPlan
-from guavawalk.process.plan import PlannedTarget
 from guavawalk.process.sidecar.admission import start_leaving
+from guavawalk.tools.fleet import Fleet
+from guavawalk.tools.load.plan_file import Fault, LoadPlan
+from guavawalk.tools.plan import PlannedTarget
 
 __all__ = ["CRASH_TEXT", "FaultySender", "check_faults", "inject_faults"]
 
--- a/guavawalk/process/load/oracle.py
+++ b/guavawalk/tools/load/oracle.py
@@ -3,8 +3,8 @@
 from collections import Counter
 from typing import NamedTuple
 
-from guavawalk.process.fleet import Fleet
-from guavawalk.process.load.driver import MemoryDriver, told_completed, told_not_run
+from guavawalk.tools.fleet import Fleet
+from guavawalk.tools.load.driver import MemoryDriver, told_completed, told_not_run
 
 __all__ = ["PromiseCheck", "check_promises"]
 
--- a/guavawalk/process/load/page.py
+++ b/guavawalk/tools/load/page.py
@@ -3,8 +3,8 @@
 from collections.abc import Iterable, Sequence
 from xml.sax.saxutils import escape
 
-from guavawalk.process.load.charts import BarGroup, Line, bar_chart, line_chart
-from guavawalk.process.load.summary import PERCENTILES, RunSummary
+from guavawalk.tools.load.charts import BarGroup, Line, bar_chart, line_chart
+from guavawalk.tools.load.summary import PERCENTILES, RunSummary
 
 __all__ = ["render_page"]
 
--- a/guavawalk/process/load/run.py
+++ b/guavawalk/tools/load/run.py
@@ -5,13 +5,13 @@
 
 import anyio
 
-from guavawalk.process.bench.policy import bench_plan, count_waste
-from guavawalk.process.fleet import Fleet, run_fleet
-from guavawalk.process.load.driver import MemoryDriver, create_memory_driver
-from guavawalk.process.load.faults import inject_faults
-from guavawalk.process.load.oracle import check_promises
-from guavawalk.process.load.plan_file import LoadPlan
-from guavawalk.process.load.results import (
+from guavawalk.tools.bench.policy import bench_plan, count_waste
+from guavawalk.tools.fleet import Fleet, run_fleet
+from guavawalk.tools.load.driver import MemoryDriver, create_memory_driver
+from guavawalk.tools.load.faults import inject_faults
+from guavawalk.tools.load.oracle import check_promises
+from guavawalk.tools.load.plan_file import LoadPlan
+from guavawalk.tools.load.results import (
     FaultLine,
     PromiseLine,
     RequestLine,
@@ -19,7 +19,7 @@
     RunLine,
     WasteLine,
 )
-from guavawalk.process.virtual_time import run_in_virtual_time
+from guavawalk.tools.virtual_time import run_in_virtual_time
 
 __all__ = ["FinishedRun", "lines_of_run", "run_policy_of_plan"]
 
--- a/guavawalk/process/load/summary.py
+++ b/guavawalk/tools/load/summary.py
@@ -8,7 +8,7 @@
 
 from guavawalk.codes import ResultCode
 from guavawalk.exception import ResultsError
-from guavawalk.process.load.results import (
+from guavawalk.tools.load.results import (
     FaultLine,
     PromiseLine,
     RequestLine,
--- a/guavawalk/process/standins/engine.py
+++ b/guavawalk/tools/standins/engine.py
@@ -11,7 +11,7 @@
 from starlette.responses import JSONResponse, Response, StreamingResponse
 from starlette.routing import Route
 
-from guavawalk.process.standins.engine_model import EngineCrash, EngineModel, GeneratedToken
+from guavawalk.tools.standins.engine_model import EngineCrash, EngineModel, GeneratedToken
 
 __all__ = ["create_engine_app"]
 
--- a/guavawalk/process/standins/memory_targets.py
+++ b/guavawalk/tools/standins/memory_targets.py
@@ -16,11 +16,11 @@
     TargetAnswer,
 )
 from guavawalk.exception import PlatformUnavailable, TargetConnectError, TargetError, TargetLost
-from guavawalk.process.standins.engine_model import EngineCrash, EngineModel
-from guavawalk.process.standins.platform import PlatformBooks
-from guavawalk.process.standins.service import ServiceBooks
 from guavawalk.request.prompt import prefix_hashes
 from guavawalk.request.types import Offer, Outcome, Usage
+from guavawalk.tools.standins.engine_model import EngineCrash, EngineModel
+from guavawalk.tools.standins.platform import PlatformBooks
+from guavawalk.tools.standins.service import ServiceBooks
 
 __all__ = ["MemoryCaller", "MemoryEngine", "MemoryPlatform", "MemoryService", "mark_output"]
 
--- a/tests/connection/tasks/test_admin.py
+++ b/tests/connection/tasks/test_admin.py
@@ -10,9 +10,9 @@
 from guavawalk.connection.tasks.admin import create_admin_app
 from guavawalk.process.admin.entry_node import create_entry_node
 from guavawalk.process.admin.sidecar_node import create_sidecar_node
-from guavawalk.process.fleet import run_fleet
-from guavawalk.process.plan import kestrel_lane_plan
 from guavawalk.request.waste import Waste, WasteCause
+from guavawalk.tools.fleet import run_fleet
+from guavawalk.tools.plan import kestrel_lane_plan
 from tests.asgi import ask_asgi
 from tests.process.admin.keys import KEYS, OPERATOR, READER, TEAM, TEAM_OPERATOR
 from tests.virtual import run_virtually
--- a/tests/connection/test_front.py
+++ b/tests/connection/test_front.py
@@ -6,8 +6,8 @@
 import anyio
 import pytest
 
-from guavawalk.process.embedded import run_embedded
-from guavawalk.process.plan import kestrel_lane_plan
+from guavawalk.tools.embedded import run_embedded
+from guavawalk.tools.plan import kestrel_lane_plan
 
 AUTH = "Host: x\r\nAuthorization: Bearer key-harbour\r\n"
 CHAT = "/v1/chat/completions"
--- a/tests/process/entry/test_choice.py
+++ b/tests/process/entry/test_choice.py
@@ -9,12 +9,12 @@
 
 from guavawalk.codes import ResultCode
 from guavawalk.exception import RequestError
-from guavawalk.process.bench.placement import placement_scene
 from guavawalk.process.entry import choice
 from guavawalk.process.entry.choice import asks_allowed, choose_target
 from guavawalk.process.entry.view import create_fleet_view
 from guavawalk.request.policies import create_placement
 from guavawalk.request.types import LoadReport
+from guavawalk.tools.bench.placement import placement_scene
 
 WORK, HERE, TARGETS = placement_scene(3, 3, 0)
 TIERS = sorted(WORK.configuration.tiers.values(), key=lambda tier: tier.rank)
--- a/tests/process/entry/test_limits.py
+++ b/tests/process/entry/test_limits.py
@@ -6,11 +6,11 @@
 
 from guavawalk.codes import ResultCode
 from guavawalk.exception import RequestError
-from guavawalk.process.bench.placement import placement_scene
 from guavawalk.process.entry import limits as limits_module
 from guavawalk.process.entry.bucket import TokenBucket
 from guavawalk.process.entry.limits import BURST_S, create_share_limiter
 from guavawalk.request.expected_cost import LONG_OUTPUT_TOKENS
+from guavawalk.tools.bench.placement import placement_scene
 from guavawalk.version.types import WorkspaceLimits
 
 WORK = placement_scene(1, 1, 0)[0]
--- a/tests/process/entry/test_retry.py
+++ b/tests/process/entry/test_retry.py
@@ -13,8 +13,8 @@
     create_attempt_cap,
     create_retry_budget,
 )
-from guavawalk.process.fleet import run_fleet
-from guavawalk.process.plan import kestrel_lane_plan
+from guavawalk.tools.fleet import run_fleet
+from guavawalk.tools.plan import kestrel_lane_plan
 from tests.virtual import run_virtually
 
 
--- a/tests/process/observe/test_names.py
+++ b/tests/process/observe/test_names.py
@@ -4,8 +4,8 @@
 from pathlib import Path
 
 import guavawalk
-from guavawalk.process.commands.catalogue import metrics_table
 from guavawalk.process.observe.names import METRICS
+from guavawalk.tools.commands.catalogue import metrics_table
 
 SOURCES = Path(guavawalk.__file__).parent
 DOCS = SOURCES.parent / "docs"
--- a/tests/process/observe/test_trace.py
+++ b/tests/process/observe/test_trace.py
@@ -7,11 +7,11 @@
 import pytest
 
 from guavawalk.exception import LogFileError
-from guavawalk.process.commands.app import app
-from guavawalk.process.embedded import run_embedded
 from guavawalk.process.observe.json_log import create_event_log
 from guavawalk.process.observe.trace import read_trace
-from guavawalk.process.plan import kestrel_lane_plan
+from guavawalk.tools.commands.app import app
+from guavawalk.tools.embedded import run_embedded
+from guavawalk.tools.plan import kestrel_lane_plan
 
 
 def line(time: str, **fields) -> str:
--- a/tests/process/orders/test_orders.py
+++ b/tests/process/orders/test_orders.py
@@ -8,10 +8,10 @@
 from guavawalk.codes import ResultCode
 from guavawalk.connection.target import EngineOrder, EngineState
 from guavawalk.exception import TargetError
-from guavawalk.process.fleet import run_fleet
 from guavawalk.process.orders.decide import load_wait_s, next_step
 from guavawalk.process.orders.desk import create_order_desk
-from guavawalk.process.plan import kestrel_lane_plan, plan_parts
+from guavawalk.tools.fleet import run_fleet
+from guavawalk.tools.plan import kestrel_lane_plan, plan_parts
 from guavawalk.version.types import DesiredState, Model
 from tests.virtual import run_virtually
 
--- a/tests/process/promise_oracle.py
+++ b/tests/process/promise_oracle.py
@@ -7,7 +7,7 @@
 import anyio
 
 from guavawalk.codes import CodeClass, ResultCode, code_class
-from guavawalk.process.standins.memory_targets import MemoryCaller
+from guavawalk.tools.standins.memory_targets import MemoryCaller
 
 __all__ = ["Oracle", "PromiseBroken", "Sending"]
 
--- a/tests/process/promise_story.py
+++ b/tests/process/promise_story.py
@@ -9,11 +9,11 @@
 from guavawalk.connection.tasks.ticket import fetch_ticket
 from guavawalk.exception import RequestError
 from guavawalk.process.entry_daemon import drain_entry
-from guavawalk.process.fleet import Fleet, run_fleet
-from guavawalk.process.plan import Plan, kestrel_lane_plan, plan_parts
 from guavawalk.process.sidecar.admission import start_leaving
 from guavawalk.process.sidecar_daemon import drain_sidecar
-from guavawalk.process.standins.memory_targets import MemoryCaller
+from guavawalk.tools.fleet import Fleet, run_fleet
+from guavawalk.tools.plan import Plan, kestrel_lane_plan, plan_parts
+from guavawalk.tools.standins.memory_targets import MemoryCaller
 from guavawalk.version.publish import published_values, render_documents
 from tests.process.promise_oracle import Oracle, PromiseBroken, Sending
 from tests.virtual import run_virtually
--- a/tests/process/sidecar/test_admission_overload.py
+++ b/tests/process/sidecar/test_admission_overload.py
@@ -5,12 +5,12 @@
 
 from guavawalk.codes import ResultCode
 from guavawalk.exception import RequestError
-from guavawalk.process.fleet import run_fleet
-from guavawalk.process.plan import kestrel_lane_plan
 from guavawalk.process.sidecar.admission import admit_offer, dispatch_ready
 from guavawalk.process.sidecar.queue import TierQueue
 from guavawalk.request.attempt import AttemptState
 from guavawalk.request.types import Offer
+from guavawalk.tools.fleet import run_fleet
+from guavawalk.tools.plan import kestrel_lane_plan
 from tests.virtual import run_virtually
 
 
--- a/tests/process/sidecar/test_leaving.py
+++ b/tests/process/sidecar/test_leaving.py
@@ -4,10 +4,10 @@
 import pytest
 
 from guavawalk.codes import ResultCode
-from guavawalk.process.fleet import run_fleet
-from guavawalk.process.plan import kestrel_lane_plan, plan_parts
 from guavawalk.process.sidecar_daemon import drain_sidecar
-from guavawalk.process.standins.memory_targets import MemoryCaller
+from guavawalk.tools.fleet import run_fleet
+from guavawalk.tools.plan import kestrel_lane_plan, plan_parts
+from guavawalk.tools.standins.memory_targets import MemoryCaller
 from tests.virtual import run_virtually
 
 NO_NEW_WORK_S = 2.0
--- a/tests/process/sidecar/test_stall.py
+++ b/tests/process/sidecar/test_stall.py
@@ -3,9 +3,9 @@
 import anyio
 
 from guavawalk.codes import ResultCode
-from guavawalk.process.fleet import run_fleet
-from guavawalk.process.plan import kestrel_lane_plan
 from guavawalk.process.sidecar.stall import STALL_LIMIT_S
+from guavawalk.tools.fleet import run_fleet
+from guavawalk.tools.plan import kestrel_lane_plan
 from tests.virtual import run_virtually
 
 
--- a/tests/process/spread/story.py
+++ b/tests/process/spread/story.py
@@ -8,8 +8,8 @@
 from hypothesis import strategies as st
 
 from guavawalk.process import sidecar_daemon
-from guavawalk.process.fleet import run_fleet
-from guavawalk.process.plan import PlannedTarget, kestrel_lane_plan
+from guavawalk.tools.fleet import run_fleet
+from guavawalk.tools.plan import PlannedTarget, kestrel_lane_plan
 from guavawalk.version.build import stamp_of_root
 from guavawalk.version.documents import ROOT_KEY
 from guavawalk.version.held import HeldVersion
--- a/tests/process/spread/test_trouble.py
+++ b/tests/process/spread/test_trouble.py
@@ -5,9 +5,9 @@
 
 from guavawalk import events
 from guavawalk.process.clock import create_clock
-from guavawalk.process.fleet import run_fleet
 from guavawalk.process.pauses import create_pause_gauge, watch_pauses
-from guavawalk.process.plan import kestrel_lane_plan, plan_parts
+from guavawalk.tools.fleet import run_fleet
+from guavawalk.tools.plan import kestrel_lane_plan, plan_parts
 from guavawalk.version.documents import ROOT_KEY
 from guavawalk.version.publish import published_values, render_documents
 from guavawalk.version.types import Model
--- a/tests/process/test_platform_http.py
+++ b/tests/process/test_platform_http.py
@@ -6,9 +6,9 @@
 from guavawalk.connection.platform import Instance, create_http_platform
 from guavawalk.connection.target import EngineOrder, EngineState
 from guavawalk.process.http_server import serve_asgi
-from guavawalk.process.standins.engine import create_engine_app
-from guavawalk.process.standins.engine_model import EngineSpeed, create_engine_model
-from guavawalk.process.standins.platform import PlatformBooks, create_platform_app
+from guavawalk.tools.standins.engine import create_engine_app
+from guavawalk.tools.standins.engine_model import EngineSpeed, create_engine_model
+from guavawalk.tools.standins.platform import PlatformBooks, create_platform_app
 
 FREE = "127.0.0.1:0"
 
--- a/tests/process/test_promises.py
+++ b/tests/process/test_promises.py
@@ -8,11 +8,11 @@
 from guavawalk.codes import CodeClass, ResultCode, code_class
 from guavawalk.connection.tasks.ticket import fetch_ticket
 from guavawalk.exception import RequestError
-from guavawalk.process.fleet import run_fleet
-from guavawalk.process.plan import kestrel_lane_plan
 from guavawalk.process.sidecar.records import ticket_scope
-from guavawalk.process.standins.memory_targets import MemoryCaller
 from guavawalk.request.types import Offer
+from guavawalk.tools.fleet import run_fleet
+from guavawalk.tools.plan import kestrel_lane_plan
+from guavawalk.tools.standins.memory_targets import MemoryCaller
 from tests.virtual import run_virtually
 
 ANSWER = "".join(f"w{i} " for i in range(16)).encode()
--- a/tests/process/test_request_story.py
+++ b/tests/process/test_request_story.py
@@ -5,10 +5,10 @@
 from guavawalk import events
 from guavawalk.codes import ResultCode
 from guavawalk.connection.tasks.carry import carry_request
-from guavawalk.process.fleet import run_fleet
-from guavawalk.process.plan import kestrel_lane_plan
 from guavawalk.process.sidecar.admission import start_leaving
-from guavawalk.process.standins.memory_targets import MemoryCaller
+from guavawalk.tools.fleet import run_fleet
+from guavawalk.tools.plan import kestrel_lane_plan
+from guavawalk.tools.standins.memory_targets import MemoryCaller
 from tests.connection.tasks.test_admin import RecordingLog
 from tests.virtual import run_virtually
 
--- a/tests/process/test_secrets.py
+++ b/tests/process/test_secrets.py
@@ -8,9 +8,9 @@
 
 from guavawalk.connection.tasks.admin import create_admin_app
 from guavawalk.process.admin.entry_node import create_entry_node
-from guavawalk.process.embedded import run_embedded
 from guavawalk.process.observe.json_log import create_event_log
-from guavawalk.process.plan import kestrel_lane_plan
+from guavawalk.tools.embedded import run_embedded
+from guavawalk.tools.plan import kestrel_lane_plan
 from tests.asgi import ask_asgi
 from tests.process.admin.keys import KEYS, OPERATOR, READER
 
--- a/tests/process/test_settings.py
+++ b/tests/process/test_settings.py
@@ -6,8 +6,8 @@
 import pytest
 
 from guavawalk.exception import SettingsError
-from guavawalk.process.commands.app import app
 from guavawalk.process.settings import EntrySettings, SidecarSettings, read_role, read_settings
+from guavawalk.tools.commands.app import app
 
 EXAMPLES = Path(__file__).parents[2] / "examples" / "settings"
 DIGEST = "d" * 64
--- a/tests/process/test_signals.py
+++ b/tests/process/test_signals.py
@@ -13,10 +13,10 @@
 
 from guavawalk.codes import ResultCode
 from guavawalk.process.http_server import serve_asgi
-from guavawalk.process.plan import kestrel_lane_plan, plan_parts
-from guavawalk.process.standins.engine import create_engine_app
-from guavawalk.process.standins.engine_model import EngineSpeed, create_engine_model
-from guavawalk.process.standins.platform import PlatformBooks, create_platform_app
+from guavawalk.tools.plan import kestrel_lane_plan, plan_parts
+from guavawalk.tools.standins.engine import create_engine_app
+from guavawalk.tools.standins.engine_model import EngineSpeed, create_engine_model
+from guavawalk.tools.standins.platform import PlatformBooks, create_platform_app
 from guavawalk.version.publish import published_values, render_documents
 
 FREE = "127.0.0.1:0"
--- a/tests/process/test_suspects.py
+++ b/tests/process/test_suspects.py
@@ -7,10 +7,10 @@
 
 from guavawalk.codes import ResultCode
 from guavawalk.exception import RequestError
-from guavawalk.process.fleet import run_fleet
-from guavawalk.process.plan import asante_plan
 from guavawalk.process.sidecar.admission import admit_offer
 from guavawalk.process.suspects import SUSPECT_FOR_S, SuspectTable, create_suspect_table
+from guavawalk.tools.fleet import run_fleet
+from guavawalk.tools.plan import asante_plan
 from tests.process.sidecar.test_admission_overload import make_offer, with_sidecar
 from tests.virtual import run_virtually
 
--- a/tests/request/test_expected_cost.py
+++ b/tests/request/test_expected_cost.py
@@ -6,12 +6,12 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from guavawalk.process.bench.placement import placement_scene
 from guavawalk.request.affinity import affinity_order
 from guavawalk.request.expected_cost import SCAN_ALL_UP_TO, cost_parts, create_expected_cost
 from guavawalk.request.placement import capable_targets
 from guavawalk.request.target_view import StaticViews, TargetView
 from guavawalk.request.types import LoadReport
+from guavawalk.tools.bench.placement import placement_scene
 from guavawalk.version.build import build_configuration
 from guavawalk.version.publish import render_documents
 
--- a/tests/request/test_explain.py
+++ b/tests/request/test_explain.py
@@ -2,10 +2,10 @@
 
 import pytest
 
-from guavawalk.process.commands.config import request_of
 from guavawalk.request.explain import explain_placement
 from guavawalk.request.placement import capable_targets, create_least_reported_load
 from guavawalk.request.policies import PLACEMENTS, create_placement
+from guavawalk.tools.commands.config import request_of
 from guavawalk.version.authoring import check_draft
 from tests.version.authoring.test_draft import add_engine, small_draft
 
--- a/tests/test_catalogues.py
+++ b/tests/test_catalogues.py
@@ -4,7 +4,7 @@
 
 from guavawalk.codes import CODES, ResultCode
 from guavawalk.events import EVENTS
-from guavawalk.process.commands.catalogue import codes_table, events_table
+from guavawalk.tools.commands.catalogue import codes_table, events_table
 
 DOCS = Path(__file__).parent.parent / "docs"
 
--- a/tests/test_exports.py
+++ b/tests/test_exports.py
@@ -2,6 +2,8 @@
 
 import importlib
 import pkgutil
+import subprocess
+import sys
 
 import pytest
 
@@ -32,12 +34,17 @@
             importlib.import_module("guavawalk.connection").nothing
 
     def test_a_gateway_loads_none_of_the_libraries_that_it_does_not_run(self):
-        import subprocess
-        import sys
-
-        code = "import guavawalk.process.gateway_daemon, sys; print(*sys.modules)"
-        found = subprocess.run(
-            [sys.executable, "-c", code], capture_output=True, text=True, check=True
-        )
-        loaded = set(found.stdout.split())
+        loaded = modules_after_import("guavawalk.process.gateway_daemon")
         assert not loaded & {"httpcore", "uvicorn", "starlette", "thrift", "cyclopts", "h11"}
+
+    @pytest.mark.parametrize("role", ["entry", "gateway", "sidecar"])
+    def test_no_daemon_imports_the_tools(self, role):
+        loaded = modules_after_import(f"guavawalk.process.{role}_daemon")
+        assert not {name for name in loaded if name.startswith("guavawalk.tools")}
+
+
+def modules_after_import(name):
+    """Return the modules that a new interpreter has loaded after an import."""
+    code = f"import {name}, sys; print(*sys.modules)"
+    found = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True)
+    return set(found.stdout.split())
--- a/tests/process/bench/test_policy.py
+++ b/tests/tools/bench/test_policy.py
@@ -1,8 +1,8 @@
 """The policy benchmark counts what engines did, not what the scheduler says."""
 
-from guavawalk.process.bench.arrivals import capacity_requests_per_s, draw_arrivals, work_kinds
-from guavawalk.process.bench.policy import bench_plan, count_waste, run_policy
-from guavawalk.process.standins.engine_model import RunRecord
+from guavawalk.tools.bench.arrivals import capacity_requests_per_s, draw_arrivals, work_kinds
+from guavawalk.tools.bench.policy import bench_plan, count_waste, run_policy
+from guavawalk.tools.standins.engine_model import RunRecord
 
 PROMPT = "a" * 1024
 
--- a/tests/process/bench/test_window.py
+++ b/tests/tools/bench/test_window.py
@@ -2,8 +2,8 @@
 
 import pytest
 
-from guavawalk.process.bench.window import measure_window
 from guavawalk.process.sidecar.adaptive_window import AdaptiveWindow
+from guavawalk.tools.bench.window import measure_window
 
 DURATION_S = 8.0
 
--- a/tests/process/commands/test_admin.py
+++ b/tests/tools/commands/test_admin.py
@@ -9,11 +9,11 @@
 from guavawalk.connection.tasks.admin import create_admin_app
 from guavawalk.exception import AdminError
 from guavawalk.process.admin.entry_node import create_entry_node
-from guavawalk.process.commands.admin import KEY_VARIABLE, read_key
-from guavawalk.process.commands.app import app
-from guavawalk.process.embedded import FREE_ADDRESS, run_embedded
 from guavawalk.process.http_server import serve_asgi
-from guavawalk.process.plan import kestrel_lane_plan
+from guavawalk.tools.commands.admin import KEY_VARIABLE, read_key
+from guavawalk.tools.commands.app import app
+from guavawalk.tools.embedded import FREE_ADDRESS, run_embedded
+from guavawalk.tools.plan import kestrel_lane_plan
 from tests.process.admin.keys import KEYS, OPERATOR, READER
 
 
--- a/tests/process/commands/test_config.py
+++ b/tests/tools/commands/test_config.py
@@ -7,7 +7,7 @@
 import pytest
 
 from guavawalk.exception import ConfigurationError
-from guavawalk.process.commands.app import app
+from guavawalk.tools.commands.app import app
 from guavawalk.version.authoring import load_configuration
 
 EXAMPLES = Path(__file__).parents[3] / "examples"
--- a/tests/process/load/test_plan_file.py
+++ b/tests/tools/load/test_plan_file.py
@@ -5,9 +5,9 @@
 import pytest
 
 from guavawalk.exception import SettingsError
-from guavawalk.process.bench.policy import bench_plan
-from guavawalk.process.load.faults import check_faults
-from guavawalk.process.load.plan_file import read_load_plan
+from guavawalk.tools.bench.policy import bench_plan
+from guavawalk.tools.load.faults import check_faults
+from guavawalk.tools.load.plan_file import read_load_plan
 
 PLANS = Path(__file__).parents[3] / "plans"
 GOOD = '{title: "t", deployment: "kestrel", load: 0.5, duration_s: 10, faults: [%s]}'
--- a/tests/process/load/test_report.py
+++ b/tests/tools/load/test_report.py
@@ -6,9 +6,9 @@
 
 from guavawalk.codes import ResultCode
 from guavawalk.exception import ResultsError
-from guavawalk.process.commands.app import app
-from guavawalk.process.load.results import format_line, read_results
-from guavawalk.process.load.summary import summarize_results
+from guavawalk.tools.commands.app import app
+from guavawalk.tools.load.results import format_line, read_results
+from guavawalk.tools.load.summary import summarize_results
 
 VOID = {"meta"}
 
--- a/tests/process/load/test_run.py
+++ b/tests/tools/load/test_run.py
@@ -5,15 +5,15 @@
 
 import pytest
 
-from guavawalk.process.bench.arrivals import draw_arrivals
-from guavawalk.process.bench.policy import bench_plan
-from guavawalk.process.load.driver import CALL_TIER, CallAnswer, ModelAnswer
-from guavawalk.process.load.oracle import check_promises
-from guavawalk.process.load.page import render_page
-from guavawalk.process.load.plan_file import Fault, LoadPlan
-from guavawalk.process.load.results import format_line, read_results
-from guavawalk.process.load.run import lines_of_run, run_policy_of_plan
-from guavawalk.process.load.summary import summarize_results
+from guavawalk.tools.bench.arrivals import draw_arrivals
+from guavawalk.tools.bench.policy import bench_plan
+from guavawalk.tools.load.driver import CALL_TIER, CallAnswer, ModelAnswer
+from guavawalk.tools.load.oracle import check_promises
+from guavawalk.tools.load.page import render_page
+from guavawalk.tools.load.plan_file import Fault, LoadPlan
+from guavawalk.tools.load.results import format_line, read_results
+from guavawalk.tools.load.run import lines_of_run, run_policy_of_plan
+from guavawalk.tools.load.summary import summarize_results
 
 CRASHING_TIMES = 3
 PLAN = LoadPlan(
--- a/tests/process/test_embedded.py
+++ b/tests/tools/test_embedded.py
@@ -3,7 +3,7 @@
 import anyio
 from rich.console import Console
 
-from guavawalk.process.demo import run_demo
+from guavawalk.tools.demo import run_demo
 
 
 class TestDemo:
--- a/tests/process/test_fleet.py
+++ b/tests/tools/test_fleet.py
@@ -3,8 +3,8 @@
 import anyio
 
 from guavawalk.codes import ResultCode
-from guavawalk.process.fleet import run_fleet
-from guavawalk.process.plan import kestrel_lane_plan
+from guavawalk.tools.fleet import run_fleet
+from guavawalk.tools.plan import kestrel_lane_plan
 from tests.virtual import run_virtually
 
 EXPECTED = "".join(f"w{i} " for i in range(16)).encode()
--- a/tests/version/test_build.py
+++ b/tests/version/test_build.py
@@ -5,7 +5,7 @@
 from hypothesis import strategies as st
 
 from guavawalk.exception import ConfigurationError
-from guavawalk.process.plan import kestrel_lane_plan, plan_parts
+from guavawalk.tools.plan import kestrel_lane_plan, plan_parts
 from guavawalk.version.build import build_version
 from guavawalk.version.documents import digest_bytes
 from guavawalk.version.held import Taken, create_held_version
--- a/tests/virtual.py
+++ b/tests/virtual.py
@@ -2,7 +2,7 @@
 
 from functools import partial
 
-from guavawalk.process.virtual_time import run_in_virtual_time
+from guavawalk.tools.virtual_time import run_in_virtual_time
 
 __all__ = ["run_virtually"]
 
