--- a/guavawalk/connection/tasks/attempt_call.py
+++ b/guavawalk/connection/tasks/attempt_call.py
@@ -137,6 +137,10 @@
         headers = encode_forwarded(
             call.fields, self._choice.target_id, call.workspace.name, left_s, last_id
         )
+        if self._progress.sent == 1:
+            self._gateway.metrics.observe(
+                "queue_seconds", now_s - call.arrived_s, service=call.service
+            )
         self._gateway.log.emit(
             events.CALL_SENT,
             trace_id=call.fields.request_id,
@@ -168,6 +172,7 @@
             fields = decode_answer(head)
             if fields.request_id in ("", self._call.fields.request_id):
                 self._fields = fields
+                self._belief.heard_s = self._gateway.clock.now_s()
                 return head
             self._gateway.metrics.count("surplus_answers_total")
             reader.is_spoilt = True
--- a/guavawalk/connection/tasks/follow_registry.py
+++ b/guavawalk/connection/tasks/follow_registry.py
@@ -44,6 +44,7 @@
 
     def note_success(self) -> None:
         now_s = self._gateway.clock.now_s()
+        self._gateway.registry_heard_s[self._what] = now_s
         if self._failures:
             self._back_at_s = now_s
             self._gateway.log.emit(
@@ -100,7 +101,7 @@
 def take_routes(gateway: Gateway, table: RouteTable, source: str) -> None:
     """Bring routes into force if they are newer than those held."""
     before = gateway.routes.table.version
-    if gateway.routes.take(table):
+    if gateway.routes.take(table, gateway.clock.now_s()):
         gateway.log.emit(
             events.ROUTES_IN_FORCE,
             version=table.version,
--- a/guavawalk/connection/tasks/forward_call.py
+++ b/guavawalk/connection/tasks/forward_call.py
@@ -156,6 +156,8 @@
     gateway.metrics.observe("call_seconds", total_s, kind=call.route.kind.value)
     if progress.first_s:
         gateway.metrics.observe("first_event_seconds", progress.first_s, rank=str(call.rank))
+    if progress.longest_pause_s:
+        gateway.metrics.observe("pause_seconds", progress.longest_pause_s, rank=str(call.rank))
     gateway.log.emit(
         events.CALL_ENDED,
         trace_id=call.fields.request_id,
--- a/guavawalk/process/gateway/gauges.py
+++ b/guavawalk/process/gateway/gauges.py
@@ -2,9 +2,10 @@
 
 import resource
 from collections.abc import Mapping
+from itertools import islice
 
 from guavawalk.process.gateway.state import Gateway
-from guavawalk.process.observe.exposition import Labels
+from guavawalk.process.observe.exposition import MAX_SERIES, Labels
 
 __all__ = ["register_gauges"]
 
@@ -18,6 +19,8 @@
     metrics.gauge("caller_connections", lambda: {(): gateway.callers.connections})
     metrics.gauge("calls_waiting", lambda: _by("service", gateway.dispatch.waiting()))
     metrics.gauge("routes_version", lambda: {(): gateway.routes.table.version})
+    metrics.gauge("routes_age_seconds", lambda: {(): _age_s(gateway, gateway.routes.taken_s)})
+    metrics.gauge("registry_silent_seconds", lambda: _registry_silent_s(gateway))
     metrics.gauge("targets_revision", lambda: {(): gateway.targets.revision})
     metrics.gauge("ready", lambda: {(): gateway.is_ready()})
     metrics.gauge("gateways_heard", lambda: {(): len(gateway.peers.heard())})
@@ -25,6 +28,9 @@
     metrics.gauge("target_running", lambda: _running(gateway))
     metrics.gauge("target_failure_share", lambda: _failures(gateway))
     metrics.gauge("target_slowness", lambda: _slowness(gateway))
+    metrics.gauge("target_silent_seconds", lambda: _target_silent_s(gateway))
+    metrics.gauge("quota_admitted", lambda: _admitted(gateway))
+    metrics.gauge("repeats_left", lambda: _repeats_left(gateway))
     metrics.gauge("connections_opened", lambda: {(): gateway.connections.opened})
     metrics.gauge("crash_suspects", lambda: {(): len(gateway.suspects)})
     metrics.gauge("log_lines_dropped", lambda: {(): gateway.log.dropped})
@@ -54,6 +60,33 @@
     return _by("target", {found.registration.target_id: found.slowness.value for found in known})
 
 
+def _age_s(gateway: Gateway, at_s: float) -> float:
+    return gateway.clock.now_s() - at_s
+
+
+def _registry_silent_s(gateway: Gateway) -> Mapping[Labels, float]:
+    heard = gateway.registry_heard_s
+    return _by("what", {what: _age_s(gateway, at_s) for what, at_s in heard.items()})
+
+
+def _target_silent_s(gateway: Gateway) -> Mapping[Labels, float]:
+    answered = [found for found in gateway.targets if found.heard_s]
+    ages = {found.registration.target_id: _age_s(gateway, found.heard_s) for found in answered}
+    return _by("target", ages)
+
+
+def _admitted(gateway: Gateway) -> Mapping[Labels, float]:
+    return _by("workspace", dict(islice(gateway.quotas.admitted.items(), MAX_SERIES)))
+
+
+def _repeats_left(gateway: Gateway) -> Mapping[Labels, float]:
+    retries, gateways, now_s = gateway.retries, gateway.peers.count(), gateway.clock.now_s()
+    return _by(
+        "service",
+        {service: retries.left(service, gateways, now_s) for service in retries.services()},
+    )
+
+
 def _peak_memory() -> Mapping[Labels, float]:
     return {(): resource.getrusage(resource.RUSAGE_SELF).ru_maxrss * KIB}
 
--- a/guavawalk/process/gateway/held_routes.py
+++ b/guavawalk/process/gateway/held_routes.py
@@ -12,16 +12,20 @@
     ----------
     table : RouteTable
         In force; of version 0 before any is known.
+    taken_s : float
+        When it came into force here, on the process's clock.
     """
 
     def __init__(self) -> None:
         self.table: RouteTable = NO_ROUTES
+        self.taken_s = 0.0
 
-    def take(self, table: RouteTable) -> bool:
+    def take(self, table: RouteTable, now_s: float = 0.0) -> bool:
         """Bring a newer table into force; False for one that isn't newer."""
         if table.version <= self.table.version:
             return False
         self.table = table
+        self.taken_s = now_s
         return True
 
 
--- a/guavawalk/process/gateway/retry_window.py
+++ b/guavawalk/process/gateway/retry_window.py
@@ -55,13 +55,21 @@
         gateways : int
             How many share the slack.
         """
+        if self.left(service, gateways, now_s) < 1.0:
+            return False
+        self._window(service, now_s).repeats.append(now_s)
+        return True
+
+    def left(self, service: str, gateways: int, now_s: float) -> float:
+        """Return how many repeats this gateway may still make now."""
         window = self._window(service, now_s)
         bounds = self._bounds
         allowed = bounds.ratio * len(window.requests) + bounds.slack / max(gateways, 1)
-        if len(window.repeats) + 1 > USED_PART * allowed:
-            return False
-        window.repeats.append(now_s)
-        return True
+        return USED_PART * allowed - len(window.repeats)
+
+    def services(self) -> list[str]:
+        """Return the services that were asked for."""
+        return list(self._windows)
 
     def _window(self, service: str, now_s: float) -> _ServiceWindow:
         window = self._windows.setdefault(service, _ServiceWindow())
--- a/guavawalk/process/gateway/state.py
+++ b/guavawalk/process/gateway/state.py
@@ -29,6 +29,8 @@
 
     Attributes
     ----------
+    registry_heard_s : dict of str to float
+        When the registry last answered, by what was asked for.
     started_s : float
         When the process started, on its monotonic clock.
     """
@@ -46,6 +48,7 @@
     peers: PeerTable
     callers: CallerGauge
     dispatch: Dispatcher
+    registry_heard_s: dict[str, float]
     started_s: float
 
     def is_ready(self) -> bool:
@@ -78,5 +81,6 @@
         peers=create_peer_table(settings.peer_listen, settings.peers, targets, quotas),
         callers=create_caller_gauge(),
         dispatch=create_dispatcher(targets, settings.data_centre, clock),
+        registry_heard_s={},
         started_s=started_s,
     )
--- a/guavawalk/process/gateway/targets.py
+++ b/guavawalk/process/gateway/targets.py
@@ -69,6 +69,8 @@
         The same of the other gateways, as they last told.
     usable_until_s : float
         When a target without an entry is given up.
+    heard_s : float
+        When it last answered a call of this gateway.
     """
 
     def __init__(self, registration: Registration) -> None:
@@ -81,6 +83,7 @@
         self.answer_s = MovingAverage(USUAL_ANSWER_S, ANSWER_WEIGHT)
         self.failures = DecayingShare(FAILURE_HALF_LIFE_S, FAILURE_PRIOR)
         self.usable_until_s = float("inf")
+        self.heard_s = 0.0
         self._lost_calls: deque[tuple[float, int]] = deque(maxlen=MAX_LOST_CALLS)
         self._parts: OrderedDict[str, float] = OrderedDict()
 
--- a/guavawalk/process/gateway_daemon.py
+++ b/guavawalk/process/gateway_daemon.py
@@ -103,8 +103,10 @@
 
 async def _sweep(gateway: Gateway) -> None:
     while True:
+        due_s = gateway.clock.now_s() + SWEEP_EVERY_S
         await anyio.sleep(SWEEP_EVERY_S)
         now_s = gateway.clock.now_s()
+        gateway.metrics.observe("loop_delay_seconds", max(now_s - due_s, 0.0))
         for target_id in gateway.targets.expire(now_s):
             gateway.log.emit(events.TARGET_GONE, target=target_id, reason="entry stayed away")
             await gateway.connections.drop(target_id)
--- a/guavawalk/process/observe/exposition.py
+++ b/guavawalk/process/observe/exposition.py
@@ -3,7 +3,7 @@
 from bisect import bisect_left
 from collections.abc import Callable, Mapping
 
-__all__ = ["Labels", "MetricSet", "create_metric_set"]
+__all__ = ["MAX_SERIES", "Labels", "MetricSet", "create_metric_set"]
 
 # Upper bounds of the histograms' buckets, in seconds: from an event's pass to a long answer.
 BUCKETS_S = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 0.8, 1.0, 2.5, 5.0, 10.0, 15.0)
--- a/guavawalk/process/observe/names.py
+++ b/guavawalk/process/observe/names.py
@@ -86,12 +86,30 @@
         "gateway",
         "arrival to the first event or the whole answer, by rank",
     ),
+    MetricName(
+        "queue_seconds{service}", "observe", "gateway", "arrival to the first send to a target"
+    ),
+    MetricName(
+        "pause_seconds{rank}", "observe", "gateway", "longest time between events of a stream"
+    ),
+    MetricName(
+        "loop_delay_seconds", "observe", "gateway", "how late the event loop runs a due timer"
+    ),
     MetricName("calls_running", "gauge", "gateway", "calls under way"),
     MetricName("caller_connections", "gauge", "gateway", "callers' connections that are open"),
     MetricName(
         "calls_waiting{service}", "gauge", "gateway", "calls that wait for a place at a target"
     ),
     MetricName("routes_version", "gauge", "gateway", "version of the routes in force"),
+    MetricName(
+        "routes_age_seconds", "gauge", "gateway", "time since the routes came into force here"
+    ),
+    MetricName(
+        "registry_silent_seconds{what}",
+        "gauge",
+        "gateway",
+        "time since the registry last answered; a calm watch answers after 28 s",
+    ),
     MetricName("targets_revision", "gauge", "gateway", "revision of the last registration taken"),
     MetricName("ready", "gauge", "gateway", "1 while new connections are welcome"),
     MetricName("gateways_heard", "gauge", "gateway", "other gateways whose reports come"),
@@ -114,6 +132,24 @@
         "gateway",
         "a target's times as a multiple of the nominal ones",
     ),
+    MetricName(
+        "target_silent_seconds{target}",
+        "gauge",
+        "gateway",
+        "time since a target last answered a call of this gateway",
+    ),
+    MetricName(
+        "quota_admitted{workspace}",
+        "gauge",
+        "gateway",
+        "what this gateway admitted of a workspace's quota and was not given back",
+    ),
+    MetricName(
+        "repeats_left{service}",
+        "gauge",
+        "gateway",
+        "further attempts that this gateway may make now within the retry budget",
+    ),
     MetricName(
         "connections_opened", "gauge", "gateway", "connections opened to targets since the start"
     ),
--- a/tests/gateway_standins.py
+++ b/tests/gateway_standins.py
@@ -29,6 +29,7 @@
     """A log that keeps its events."""
 
     level = "INFO"
+    dropped = 0
 
     def __init__(self):
         self.lines = []
