--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -7,6 +7,7 @@
 import anyio
 from cyclopts import App, Parameter
 
+from soak.mutants import MUTANTS
 from soak.regressions import SEEDS
 from soak.story import Result, Shape, run_story
 
@@ -24,9 +25,12 @@
     gateways: int = 3,
     askers: int = 8,
     regressions: Annotated[bool, Parameter(help="Run the seeds that failed before.")] = False,
+    mutants: Annotated[bool, Parameter(help="Run faulty gateways until each is caught.")] = False,
 ) -> int:
-    """Run stories one after the other; exit 1 if a promise was broken."""
+    """Run stories one after the other; exit 1 if a promise was broken, or a mutant was not."""
     shape = Shape(gateways=gateways, askers=askers, seconds=seconds)
+    if mutants:
+        return _run_mutants(range(first, first + seeds), shape)
     wanted = list(SEEDS) if regressions else range(first, first + seeds)
     results = [_run_one(seed, shape) for seed in wanted]
     broken = [result.seed for result in results if result.broken]
@@ -34,6 +38,19 @@
     return BROKEN_EXIT if broken else 0
 
 
+def _run_mutants(seeds: range, shape: Shape) -> int:
+    missed = []
+    for mutant in MUTANTS:
+        print(f"mutant {mutant}")
+        results = (_run_one(seed, shape._replace(mutant=mutant)) for seed in seeds)
+        if not any(result.broken for result in results):
+            missed.append(mutant)
+    print(
+        f"{len(MUTANTS) - len(missed)} caught, {len(missed)} missed: {', '.join(missed) or 'none'}"
+    )
+    return BROKEN_EXIT if missed else 0
+
+
 def _run_one(seed: int, shape: Shape) -> Result:
     result = anyio.run(run_story, seed, shape)
     totals: Counter[str] = Counter()
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -16,6 +16,7 @@
 
 __all__ = ["GatewayProcess", "create_fleet", "free_ports"]
 
+DAEMON = "guavawalk.process.gateway_daemon"
 GRACE_MS = 4_000
 # Below the range from which the kernel takes ports for outgoing connections; each process that
 # starts gateways has a part of them to itself.
@@ -33,7 +34,9 @@
         How often it was started.
     """
 
-    def __init__(self, name: str, folder: Path, ports: list[int], registry: str, seeds) -> None:
+    def __init__(
+        self, name: str, folder: Path, ports: list[int], registry: str, seeds, mutant: str = ""
+    ) -> None:
         callers, readiness, peers, metrics = ports
         self.name = name
         self.address = f"127.0.0.1:{callers}"
@@ -41,6 +44,7 @@
         self._readiness = f"127.0.0.1:{readiness}"
         self._path = folder / f"{name}.json"
         self._output = folder / f"{name}.log"
+        self._program = ["soak.mutants", mutant] if mutant else [DAEMON]
         self._process: subprocess.Popen | None = None
         self._settings = {
             "instance": name,
@@ -61,7 +65,7 @@
         self.starts += 1
         with self._output.open("ab") as output:
             self._process = subprocess.Popen(
-                [sys.executable, "-m", "guavawalk.process.gateway_daemon"],
+                [sys.executable, "-m", *self._program],
                 env={**os.environ, "GUAVAWALK_CONFIG": str(self._path)},
                 stdout=output,
                 stderr=subprocess.STDOUT,
@@ -130,13 +134,19 @@
     return ports
 
 
-def create_fleet(folder: Path, registries: list[str]) -> list[GatewayProcess]:
-    """Create gateways that are not started yet, each with its own link to the registry."""
+def create_fleet(folder: Path, registries: list[str], mutant: str = "") -> list[GatewayProcess]:
+    """Create gateways that are not started yet, each with its own link to the registry.
+
+    Parameters
+    ----------
+    mutant : str, optional
+        Fault of `soak.mutants` that is built into all of them.
+    """
     ports = free_ports(4 * len(registries))
     seeds = [f"127.0.0.1:{port}" for port in ports[2::4]][:3]
     return [
         GatewayProcess(
-            f"gateway-{number}", folder, ports[4 * number : 4 * number + 4], registry, seeds
+            f"gateway-{number}", folder, ports[4 * number : 4 * number + 4], registry, seeds, mutant
         )
         for number, registry in enumerate(registries)
     ]
--- a/soak/story.py
+++ b/soak/story.py
@@ -29,7 +29,8 @@
     targets: int = 2
     askers: int = 8
     seconds: float = 6.0
-    faults: int = 6
+    faults: int = 12
+    mutant: str = ""
 
 
 class Result(NamedTuple):
@@ -79,7 +80,9 @@
             await link.serve(tasks)
         self.links += store_links
         self.store.put("op/config", configuration(self.version))
-        self.fleet = create_fleet(self.folder, [link.address for link in store_links])
+        self.fleet = create_fleet(
+            self.folder, [link.address for link in store_links], self.shape.mutant
+        )
         for gateway in self.fleet:
             gateway.start()
         with anyio.fail_after(READY_WITHIN_S):
@@ -117,7 +120,7 @@
             ]
         async with anyio.create_task_group() as tasks:
             for _ in range(self.shape.faults):
-                await anyio.sleep(self.rng.uniform(0.1, 1.6) * self.shape.seconds / 6)
+                await anyio.sleep(self.rng.uniform(0.05, 0.8) * self.shape.seconds / 6)
                 fault = self.rng.choice(kinds)
                 at_s = anyio.current_time() - began_s
                 self.faults.append(f"{at_s:.1f} s {fault.__name__.strip('_')}")
