--- a/guavawalk/events.py
+++ b/guavawalk/events.py
@@ -73,6 +73,10 @@
 LINK_REJECTED = _event(3001, "link_rejected", logging.WARNING, "a link was rejected")
 LINK_BROKEN = _event(3002, "link_broken", logging.INFO, "a link broke")
 
+CALLER_TURNED_AWAY = _event(
+    3010, "caller_turned_away", logging.WARNING, "a connection was closed: no descriptors are left"
+)
+
 OFFER_LINK_BROKEN = _event(
     3070, "offer_link_broken", logging.INFO, "a link broke that carried an offer"
 )
--- a/guavawalk/process/gateway_daemon.py
+++ b/guavawalk/process/gateway_daemon.py
@@ -39,6 +39,8 @@
 # How often a settings file is looked at that has changed without a signal, in seconds.
 LOOK_AT_SETTINGS_EVERY_S = 2.0
 BACKLOG = 1024
+# Descriptors that callers' connections leave to the registry, peers, pages and files.
+KEPT_DESCRIPTORS = 220
 STDOUT = 1
 ERROR_EXIT = 2
 
@@ -89,7 +91,14 @@
         events.PROCESS_READY, address=f"{host}:{listener.extra(SocketAttribute.local_port)}"
     )
 
+    # Each caller may need a connection to a target besides its own.
+    most_callers = max((gateway.settings.max_descriptors - KEPT_DESCRIPTORS) // 2, 1)
+
     async def serve(stream: ByteStream) -> None:
+        if gateway.callers.connections >= most_callers:
+            gateway.log.emit(events.CALLER_TURNED_AWAY, connections=most_callers)
+            await anyio.aclose_forcefully(stream)
+            return
         await run_guarded(gateway.log, "caller", partial(serve_caller, gateway, stream))
 
     await listener.serve(serve)
--- a/tests/process/test_gateway_daemon.py
+++ b/tests/process/test_gateway_daemon.py
@@ -8,7 +8,7 @@
 import pytest
 
 from guavawalk.connection.http_client import create_http_client
-from guavawalk.exception import TargetError
+from guavawalk.exception import TargetError, TargetLost
 from soak.fleet import free_ports
 from soak.standins import Caller, StandInStore, StandInTarget, answer_plain, listen
 from tests.gateway_standins import run_story
@@ -33,7 +33,7 @@
 class Daemon:
     """A gateway as a process of its own, with the platform's variable for its settings."""
 
-    def __init__(self, folder, registry):
+    def __init__(self, folder, registry, **settings):
         callers, readiness, peers, metrics = free_ports(4)
         self.callers = f"127.0.0.1:{callers}"
         self.readiness = create_http_client(f"127.0.0.1:{readiness}")
@@ -49,6 +49,7 @@
             "metrics_port": metrics,
             "registry": registry,
             "is_first_start": True,
+            **settings,
         }
         self.write("// the settings of a test\n" + json.dumps(self.settings))
         self.process = subprocess.Popen(
@@ -92,13 +93,13 @@
         await anyio.sleep(0.02)
 
 
-def with_daemon(tmp_path, use, script=answer_plain):
+def with_daemon(tmp_path, use, script=answer_plain, **settings):
     async def run():
         store, target = StandInStore(), StandInTarget(script)
         store_listener, registry = await listen(store.serve)
         target_listener, target.address = await listen(target.serve)
         store.put("servers/i-1", {**ROW, "service": "desk", "address": target.address})
-        daemon = Daemon(tmp_path, registry)
+        daemon = Daemon(tmp_path, registry, **settings)
         try:
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(store_listener.serve, store.serve)
@@ -153,6 +154,18 @@
 
         with_daemon(tmp_path, use, slow)
 
+    def test_callers_beyond_the_descriptors_are_turned_away(self, tmp_path):
+        async def use(daemon, store, target):
+            store.put("op/config", DOCUMENT)
+            await until(daemon.ready)
+            callers = [await daemon.caller() for _ in range(2)]
+            assert [(await caller.ask())[0] for caller in callers] == [200, 200]
+            with pytest.raises((TargetLost, OSError, anyio.BrokenResourceError)):
+                await (await daemon.caller()).ask()
+            assert (await callers[0].ask())[0] == 200
+
+        with_daemon(tmp_path, use, max_descriptors=224)
+
     @pytest.mark.parametrize("with_signal", [True, False])
     def test_settings_are_read_again(self, tmp_path, with_signal):
         async def use(daemon, store, target):
