A second SIGTERM no longer ends a gateway with calls under way

Cause: the receiver of signals closed after the first one, so the next one had its default effect. The receiver now stays until the process ends; SIGHUP before the settings are read is ignored.

--- a/guavawalk/connection/tasks/attempt_call.py
+++ b/guavawalk/connection/tasks/attempt_call.py
@@ -69,8 +69,7 @@
 
 def _note_unreached(gateway: Gateway, belief: TargetBelief) -> None:
     now_s = gateway.clock.now_s()
-    belief.failures.note(True, now_s)
-    belief.forget_parts()
+    belief.note_unreached(now_s)
     target_id = belief.registration.target_id
     for fingerprint in belief.take_crash_suspects(now_s):
         gateway.suspects.note_death(fingerprint, target_id)
@@ -172,7 +171,7 @@
             fields = decode_answer(head)
             if fields.request_id in ("", self._call.fields.request_id):
                 self._fields = fields
-                self._belief.heard_s = self._gateway.clock.now_s()
+                self._belief.note_answer(self._gateway.clock.now_s())
                 return head
             self._gateway.metrics.count("surplus_answers_total")
             reader.is_spoilt = True
--- a/guavawalk/connection/tasks/gossip.py
+++ b/guavawalk/connection/tasks/gossip.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Iterable
 from contextlib import suppress
 from typing import TYPE_CHECKING
 
@@ -32,6 +33,7 @@
 
 if TYPE_CHECKING:
     from guavawalk.process.gateway.state import Gateway
+    from guavawalk.process.gateway.targets import TargetBelief
 
 __all__ = ["hear_peers", "make_report", "tell_peers"]
 
@@ -46,52 +48,90 @@
 MAX_PARTS = 32
 
 
-def make_report(gateway: Gateway, incarnation: int, sequence: int) -> PeerReport:
-    """Return what this gateway tells now."""
-    uses = tuple(
-        TargetUse(
-            belief.registration.target_id,
-            belief.running,
-            belief.prefill_tokens,
-            round(belief.slowness.value, 2) if belief.slowness.count else 0.0,
-        )
-        for belief in gateway.targets
-        if belief.running
-    )
-    peers = gateway.peers
-    is_full = sequence <= FULL_AT_FIRST or sequence % FULL_EVERY == 1
+def make_report(
+    gateway: Gateway, incarnation: int, sequence: int, since_mark: int = 0
+) -> PeerReport:
+    """Return what this gateway tells now.
+
+    Parameters
+    ----------
+    since_mark : int
+        Of the quotas: only totals that have changed since are told. With 0 all are told, and
+        which gateways are heard.
+    """
+    now_s = gateway.clock.now_s()
+    uses = tuple(_use(belief, now_s) for belief in gateway.targets)
     return PeerReport(
         address=gateway.settings.peer_listen,
         incarnation=incarnation,
         sequence=sequence,
-        age_s=round(gateway.clock.now_s() - gateway.started_s, 1),
+        age_s=round(now_s - gateway.started_s, 1),
         routes_version=gateway.routes.table.version,
         targets_revision=gateway.targets.revision,
         is_leaving=gateway.callers.is_closing,
-        uses=uses,
-        admitted=gateway.quotas.take_admitted(is_full),
+        uses=tuple(use for use in uses if use.running or use.failed),
+        admitted=gateway.quotas.admitted_since(since_mark),
         sent_parts=gateway.targets.take_sent_parts(MAX_PARTS),
         suspects=gateway.suspects.shared(),
-        addresses=tuple(report.address for report in peers.heard()) if is_full else (),
+        addresses=() if since_mark else _heard_addresses(gateway),
+        data_centre=gateway.settings.data_centre,
     )
 
 
+def _use(belief: TargetBelief, now_s: float) -> TargetUse:
+    failed, ended = belief.failures.counts(now_s)
+    return TargetUse(
+        belief.registration.target_id,
+        belief.running,
+        belief.prefill_tokens,
+        round(belief.slowness.value, 2) if belief.slowness.count else 0.0,
+        round(10 * failed),
+        round(10 * ended),
+    )
+
+
+def _heard_addresses(gateway: Gateway) -> tuple[str, ...]:
+    return tuple(report.address for report in gateway.peers.heard())
+
+
 async def tell_peers(gateway: Gateway, socket: UDPSocket, incarnation: int) -> None:
-    """Send reports to all gateways known, and to the seeds of which none is heard."""
-    sequence = 0
+    """Send reports to all gateways known, and more often to those of the same data centre."""
+    peers, quotas, now_s = gateway.peers, gateway.quotas, gateway.clock.now_s
+    sequence = rounds = all_mark = near_mark = 0
+    next_for_all_s = now_s()
     while True:
         sequence += 1
-        data = encode_report(make_report(gateway, incarnation, sequence))
-        for address in gateway.peers.addresses():
-            try:
-                await socket.sendto(data, *split_address(address))
-            except OSError as error:
-                gateway.log.emit(events.PEER_UNREACHABLE, peer=address, reason=str(error))
-        await anyio.sleep(random.uniform(0.8, 1.2) * gateway.peers.report_every_s())
+        if now_s() >= next_for_all_s:
+            next_for_all_s = now_s() + _jittered_s(peers.report_every_s())
+            rounds += 1
+            is_full = rounds <= FULL_AT_FIRST or rounds % FULL_EVERY == 1
+            mark, all_mark = (0 if is_full else all_mark), quotas.mark
+            addresses = peers.addresses()
+        else:
+            mark, addresses = near_mark, peers.near_addresses()
+        near_mark = quotas.mark
+        data = encode_report(make_report(gateway, incarnation, sequence, mark))
+        await _send_to(gateway, socket, data, addresses)
+        wait_s = min(_jittered_s(peers.near_report_every_s()), next_for_all_s - now_s())
+        await anyio.sleep(max(wait_s, 0.0))
         for address in gateway.peers.expire(gateway.clock.now_s()):
             gateway.log.emit(events.GATEWAY_SILENT, peer=address)
 
 
+def _jittered_s(every_s: float) -> float:
+    return random.uniform(0.8, 1.2) * every_s
+
+
+async def _send_to(
+    gateway: Gateway, socket: UDPSocket, data: bytes, addresses: Iterable[str]
+) -> None:
+    for address in addresses:
+        try:
+            await socket.sendto(data, *split_address(address))
+        except OSError as error:
+            gateway.log.emit(events.PEER_UNREACHABLE, peer=address, reason=str(error))
+
+
 async def hear_peers(gateway: Gateway, socket: UDPSocket) -> None:
     """Take the reports of other gateways, and fetch routes newer than those in force."""
     tell_newer, newer = anyio.create_memory_object_stream[PeerReport](1)
@@ -126,7 +166,6 @@
             incarnation=report.incarnation,
             routes_version=report.routes_version,
         )
-    gateway.dispatch.gateways = gateway.peers.count()
     gateway.dispatch.dispatch_all()
     gateway.suspects.merge(report.suspects)
     gateway.peers.note_addresses(report.addresses)
--- a/guavawalk/process/gateway/dispatch.py
+++ b/guavawalk/process/gateway/dispatch.py
@@ -7,7 +7,7 @@
 
 from collections import deque
 from collections.abc import Collection, Iterator
-from typing import NamedTuple
+from typing import NamedTuple, Protocol
 
 import anyio
 
@@ -18,10 +18,16 @@
 from guavawalk.request.call import Call
 from guavawalk.request.target_choice import TargetChoice, TargetCondition, choose_target
 
-__all__ = ["Dispatcher", "Placed", "create_dispatcher"]
+__all__ = ["Dispatcher", "Placed", "SharingGateways", "create_dispatcher"]
 
 # Calls that a target is sent beyond its slots, so that a slot that falls free is taken at once.
 SPARE_SLOTS = 1
+# Part of a target's slots that calls may fill that are late already; the rest is for those in time.
+LATE_SLOTS_PART = 0.7
+# Part of the slots in another data centre that is left free for each second by which reports from
+# there come later than those from near by: what others send there meanwhile is not known here.
+FAR_RESERVE_PER_S = 0.6
+MOST_FAR_RESERVE = 0.6
 # First events take this multiple of their expected time where targets are busy.
 FIRST_MARGIN = 1.3
 # Longest wait for a place, in seconds: an answer that begins later finds few callers still there.
@@ -39,6 +45,18 @@
 OVERDUE_LEAST_S = 0.4
 
 
+class SharingGateways(Protocol):
+    """The gateways that share the targets."""
+
+    def count(self) -> int:
+        """Return how many there are, with this one."""
+        ...
+
+    def far_lag_s(self) -> float:
+        """Return by how much reports from other data centres come later than those from here."""
+        ...
+
+
 class Placed(NamedTuple):
     """A place at a target, held until `TargetBelief.end` is called with its running call."""
 
@@ -62,8 +80,17 @@
     def order(self, now_s: float) -> tuple[bool, bool, int, int, float]:
         """Return the sort key: streams that go on, then what can be in time, then urgency."""
         call = self.call
-        is_late = now_s >= self.timely_until_s
-        return not self.has_begun, is_late, call.rank, call.route.rank, call.goal_at_s
+        return (
+            not self.has_begun,
+            self.is_late(now_s),
+            call.rank,
+            call.route.rank,
+            call.goal_at_s,
+        )
+
+    def is_late(self, now_s: float) -> bool:
+        """Say whether its first event is expected late; never for a stream that goes on."""
+        return not self.has_begun and now_s >= self.timely_until_s
 
 
 class _ServiceQueue:
@@ -79,18 +106,13 @@
 
 
 class Dispatcher:
-    """Calls that wait for a place, by service.
-
-    Attributes
-    ----------
-    gateways : int
-        Gateways that share the targets; each may use a fair part of every target's slots even
-        when the others fill it.
-    """
+    """Calls that wait for a place, by service."""
 
-    def __init__(self, targets: TargetTable, here: str, clock: Clock) -> None:
-        self.gateways = 1
+    def __init__(
+        self, targets: TargetTable, gateways: SharingGateways, here: str, clock: Clock
+    ) -> None:
         self._targets = targets
+        self._gateways = gateways
         self._here = here
         self._clock = clock
         self._queues: dict[str, _ServiceQueue] = {}
@@ -181,7 +203,8 @@
 
     def _try_place(self, queue: _ServiceQueue, waiter: _Waiter, now_s: float) -> Placed | None:
         call = waiter.call
-        open_ones = self._with_room(call, waiter.tried, now_s)
+        slots_part = LATE_SLOTS_PART if waiter.is_late(now_s) else 1.0
+        open_ones = self._with_room(call, waiter.tried, now_s, slots_part)
         choice = choose_target(call, self._here, open_ones, now_s)
         belief = None if choice is None else self._targets.get(choice.target_id)
         if choice is None or belief is None:
@@ -191,12 +214,24 @@
         return Placed(choice, belief, belief.begin(call, now_s, overdue_s))
 
     def _with_room(
-        self, call: Call, tried: Collection[str], now_s: float
+        self, call: Call, tried: Collection[str], now_s: float, slots_part: float
     ) -> Iterator[TargetCondition]:
+        """Yield the targets that may be sent a call now.
+
+        Notes
+        -----
+        Each gateway may use a fair part of every target's slots even when the others fill it.
+        """
+        fair_part = slots_part / (self._gateways.count() + 1)
+        reserve = min(FAR_RESERVE_PER_S * self._gateways.far_lag_s(), MOST_FAR_RESERVE)
         for condition in self._conditions(call, tried, now_s):
             belief = self._targets.get(condition.target_id)
-            fair = condition.slots // (self.gateways + 1)
-            if condition.running < condition.slots + SPARE_SLOTS or belief.running < fair:
+            most = slots_part * (condition.slots + SPARE_SLOTS)
+            if condition.data_centre != self._here:
+                most -= reserve * condition.slots
+            if now_s < belief.paused_until_s:
+                continue
+            if condition.running < most or belief.running < int(fair_part * condition.slots):
                 yield condition
 
     def _soonest_s(self, call: Call, tried: Collection[str], now_s: float) -> float:
@@ -232,6 +267,8 @@
     return call.arrived_s + min(LONGEST_WAIT_S, WAIT_PART * whole_s) - now_s
 
 
-def create_dispatcher(targets: TargetTable, here: str, clock: Clock) -> Dispatcher:
+def create_dispatcher(
+    targets: TargetTable, gateways: SharingGateways, here: str, clock: Clock
+) -> Dispatcher:
     """Create a dispatcher for the gateway of a data centre; no call waits."""
-    return Dispatcher(targets, here, clock)
+    return Dispatcher(targets, gateways, here, clock)
--- a/guavawalk/process/gateway/gauges.py
+++ b/guavawalk/process/gateway/gauges.py
@@ -49,9 +49,7 @@
 
 def _failures(gateway: Gateway) -> Mapping[Labels, float]:
     now_s = gateway.clock.now_s()
-    shares = {
-        found.registration.target_id: found.failures.share(now_s) for found in gateway.targets
-    }
+    shares = {found.registration.target_id: found.failure_share(now_s) for found in gateway.targets}
     return _by("target", shares)
 
 
--- a/guavawalk/process/gateway/peers.py
+++ b/guavawalk/process/gateway/peers.py
@@ -20,7 +20,8 @@
 ]
 
 # Time between reports where a few gateways hear each other, in seconds. With more of them it grows
-# in proportion, so that a gateway's bytes stay the same.
+# in proportion, so that a gateway's bytes stay the same; the more so between data centres, where
+# bytes are dear.
 REPORT_EVERY_S = 0.2
 REPORT_GATEWAYS = 6
 # A gateway not heard for so many reports, and at least this long, no longer counts for loads.
@@ -33,12 +34,20 @@
 
 
 class TargetUse(NamedTuple):
-    """What one gateway has at one target."""
+    """What one gateway has at one target, and has lately seen of it.
+
+    Attributes
+    ----------
+    failed, ended : int
+        Tenths of attempts that failed, and of all that ended, as much as they still count.
+    """
 
     target_id: str
     running: int
     prefill_tokens: int
     slowness: float = 0.0
+    failed: int = 0
+    ended: int = 0
 
 
 class PeerReport(NamedTuple):
@@ -68,6 +77,8 @@
         Requests that crashed targets, as `SuspectTable.shared` gives them.
     addresses : tuple of str
         Gateways that it has heard itself.
+    data_centre : str
+        Where it runs.
     """
 
     address: str
@@ -82,6 +93,7 @@
     sent_parts: tuple[tuple[str, str], ...] = ()
     suspects: tuple[int, ...] = ()
     addresses: tuple[str, ...] = ()
+    data_centre: str = ""
 
 
 _encoder = msgspec.msgpack.Encoder()
@@ -127,11 +139,14 @@
     def __init__(
         self,
         own_address: str,
+        data_centre: str,
         seeds: Iterable[str],
         targets: TargetTable,
         quotas: QuotaWindows,
     ) -> None:
         self.own_address = own_address
+        self._data_centre = data_centre
+        self._near = 0
         self.seeds = tuple(seeds)
         self._targets = targets
         self._quotas = quotas
@@ -204,9 +219,21 @@
         seeds = self.seeds if len(self.heard()) < len(self.seeds) else ()
         return {*self._peers, *introduced, *seeds} - {self.own_address}
 
+    def near_addresses(self) -> set[str]:
+        """Return the addresses of the gateways that are heard in the same data centre."""
+        return {report.address for report in self.heard() if self._is_near(report)}
+
+    def far_lag_s(self) -> float:
+        """Return by how much reports from other data centres come later than those from here."""
+        return self.report_every_s() - self.near_report_every_s()
+
     def report_every_s(self) -> float:
-        """Return the time between two reports."""
-        return REPORT_EVERY_S * max(self.count() / REPORT_GATEWAYS, 1.0)
+        """Return the time between two reports to all gateways."""
+        return _report_every_s(self.count())
+
+    def near_report_every_s(self) -> float:
+        """Return the time between two reports within the data centre."""
+        return _report_every_s(self._near + 1)
 
     def count(self) -> int:
         """Return how many gateways there are, with this one and those lately silent."""
@@ -216,13 +243,18 @@
         """Return the part of all gateways that is heard, this one included."""
         return (sum(peer.counts for peer in self._peers.values()) + 1) / self.count()
 
+    def _is_near(self, report: PeerReport) -> bool:
+        return report.data_centre == self._data_centre
+
     def _count(self, peer: _Peer) -> None:
         peer.counts = True
+        self._near += self._is_near(peer.report)
         for use in peer.report.uses:
             belief = self._targets.get(use.target_id)
             if belief is not None:
                 belief.peer_running += use.running
                 belief.peer_prefill_tokens += use.prefill_tokens
+                belief.add_peer_ends(use.failed, use.ended)
                 if use.slowness and not belief.slowness.count:
                     belief.slowness.value = use.slowness
 
@@ -230,15 +262,25 @@
         if not peer.counts:
             return
         peer.counts = False
+        self._near -= self._is_near(peer.report)
         for use in peer.report.uses:
             belief = self._targets.get(use.target_id)
             if belief is not None:
+                belief.add_peer_ends(-use.failed, -use.ended)
                 belief.peer_running = max(belief.peer_running - use.running, 0)
                 belief.peer_prefill_tokens = max(belief.peer_prefill_tokens - use.prefill_tokens, 0)
 
 
+def _report_every_s(gateways: int) -> float:
+    return REPORT_EVERY_S * max(gateways / REPORT_GATEWAYS, 1.0)
+
+
 def create_peer_table(
-    own_address: str, seeds: Iterable[str], targets: TargetTable, quotas: QuotaWindows
+    own_address: str,
+    data_centre: str,
+    seeds: Iterable[str],
+    targets: TargetTable,
+    quotas: QuotaWindows,
 ) -> PeerTable:
-    """Create a table without gateways."""
-    return PeerTable(own_address, seeds, targets, quotas)
+    """Create a table without gateways for the gateway at an address."""
+    return PeerTable(own_address, data_centre, seeds, targets, quotas)
--- a/guavawalk/process/gateway/quota.py
+++ b/guavawalk/process/gateway/quota.py
@@ -6,7 +6,7 @@
 """
 
 import math
-from collections import deque
+from collections import OrderedDict, deque
 from collections.abc import Mapping
 
 from guavawalk.version.routes import Quota
@@ -80,12 +80,15 @@
     ----------
     admitted : dict of str to float
         Running total of what this gateway admitted and was not given back, by workspace.
+    mark : int
+        Grows with each change of a total.
     """
 
     def __init__(self, window_s: float, blind_from_s: float) -> None:
         self._blind_from_s = blind_from_s
         self.admitted: dict[str, float] = {}
-        self._untold: set[str] = set()
+        self._changes: OrderedDict[str, int] = OrderedDict()
+        self.mark = 0
         self._window_s = window_s
         self._windows: dict[str, _Window] = {}
         self._told: dict[str, dict[str, float]] = {}
@@ -114,8 +117,7 @@
             if lately and lately + amount > half_limit:
                 return min((lately + amount - half_limit) / quota.per_s, half_s)
         window.add(amount, now_s)
-        self.admitted[workspace] = self.admitted.get(workspace, 0.0) + amount
-        self._untold.add(workspace)
+        self._note_admitted(workspace, amount)
         return 0.0
 
     def give_back(self, workspace: str, amount: float, taken_s: float) -> None:
@@ -123,16 +125,23 @@
         window = self._windows.get(workspace)
         if window is not None:
             window.remove(amount, taken_s)
-        self.admitted[workspace] = max(self.admitted.get(workspace, 0.0) - amount, 0.0)
-        self._untold.add(workspace)
-
-    def take_admitted(self, is_full: bool) -> dict[str, float]:
-        """Return the totals that have changed since the last call, or all of them."""
-        names = self.admitted if is_full else self._untold
-        told = {name: float(round(self.admitted[name])) for name in names}
-        self._untold.clear()
+        self._note_admitted(workspace, -amount)
+
+    def admitted_since(self, mark: int) -> dict[str, float]:
+        """Return the totals that have changed since a mark; all of them since mark 0."""
+        told = {}
+        for workspace, changed in reversed(self._changes.items()):
+            if changed <= mark:
+                break
+            told[workspace] = float(round(self.admitted[workspace]))
         return told
 
+    def _note_admitted(self, workspace: str, amount: float) -> None:
+        self.admitted[workspace] = max(self.admitted.get(workspace, 0.0) + amount, 0.0)
+        self.mark += 1
+        self._changes[workspace] = self.mark
+        self._changes.move_to_end(workspace)
+
     def _counted_s(self, now_s: float) -> float:
         age_s = now_s - self._blind_from_s
         return min(age_s, self._window_s)
--- a/guavawalk/process/gateway/state.py
+++ b/guavawalk/process/gateway/state.py
@@ -63,10 +63,13 @@
 def create_gateway(settings: GatewaySettings, clock: Clock, log: EventLog) -> Gateway:
     """Assemble a gateway that knows nothing yet."""
     bounds = RetryBounds(settings.retry_ratio, settings.retry_slack, settings.retry_window_s)
-    targets = create_target_table()
+    targets = create_target_table(settings.drain_ms / 1000)
     started_s = clock.now_s()
     blind_from_s = -math.inf if settings.is_first_start else started_s
     quotas = create_quota_windows(settings.quota_window_s, blind_from_s)
+    peers = create_peer_table(
+        settings.peer_listen, settings.data_centre, settings.peers, targets, quotas
+    )
     return Gateway(
         settings=settings,
         clock=clock,
@@ -78,9 +81,9 @@
         retries=create_retry_windows(bounds),
         quotas=quotas,
         suspects=create_suspect_table(clock),
-        peers=create_peer_table(settings.peer_listen, settings.peers, targets, quotas),
+        peers=peers,
         callers=create_caller_gauge(),
-        dispatch=create_dispatcher(targets, settings.data_centre, clock),
+        dispatch=create_dispatcher(targets, peers, settings.data_centre, clock),
         registry_heard_s={},
         started_s=started_s,
     )
--- a/guavawalk/process/gateway/targets.py
+++ b/guavawalk/process/gateway/targets.py
@@ -19,11 +19,17 @@
 ANSWER_WEIGHT = 0.1
 # Time to an answer of a plain service that has given none yet.
 USUAL_ANSWER_S = 0.05
-# A target whose entry lapsed while the registry was unavailable goes on being used for so long;
-# below the time that a leaving target still serves.
-LAPSED_TRUST_S = 1.5
+# Part of the time that a leaving target still serves, for which a target is used whose entry
+# lapsed while the registry was unavailable: it may be leaving.
+LAPSED_TRUST_PART = 0.75
+# Time that a leaving target still serves where nothing is set, in seconds.
+USUAL_DRAIN_S = 2.0
 # A refused connection so soon after an answer was cut off shows that the target died, in seconds.
 CRASH_EVIDENCE_S = 1.5
+# Pause before a target that took no connection is tried again, in seconds: doubles with each trial
+# in vain, and stays well below the time that a crashed target usually needs to come back.
+FIRST_PAUSE_S = 0.15
+LAST_PAUSE_S = 0.8
 # Cut-off calls of one target that are remembered: more than its slots.
 MAX_LOST_CALLS = 64
 # Prompt parts that one target is believed to hold; older ones are taken as evicted.
@@ -71,6 +77,8 @@
         When a target without an entry is given up.
     heard_s : float
         When it last answered a call of this gateway.
+    paused_until_s : float
+        Until when no call goes there, since it took no connection.
     """
 
     def __init__(self, registration: Registration) -> None:
@@ -84,6 +92,10 @@
         self.failures = DecayingShare(FAILURE_HALF_LIFE_S, FAILURE_PRIOR)
         self.usable_until_s = float("inf")
         self.heard_s = 0.0
+        self.paused_until_s = 0.0
+        self._pause_s = 0.0
+        self._peer_failed = 0
+        self._peer_ended = 0
         self._lost_calls: deque[tuple[float, int]] = deque(maxlen=MAX_LOST_CALLS)
         self._parts: OrderedDict[str, float] = OrderedDict()
 
@@ -120,6 +132,28 @@
         if not running.first_at_s:
             self.prefill_tokens -= running.prefill_tokens
 
+    def add_peer_ends(self, failed: int, ended: int) -> None:
+        """Add what a gateway told of ended attempts, in tenths; below 0 to take it away."""
+        self._peer_failed = max(self._peer_failed + failed, 0)
+        self._peer_ended = max(self._peer_ended + ended, 0)
+
+    def failure_share(self, now_s: float) -> float:
+        """Return the share of attempts that failed lately, at all gateways."""
+        return self.failures.share(now_s, (self._peer_failed / 10, self._peer_ended / 10))
+
+    def note_unreached(self, now_s: float) -> None:
+        """Note that it took no connection: it is paused, and its cache is taken as lost."""
+        self.failures.note(True, now_s)
+        if now_s >= self.paused_until_s:
+            self._pause_s = min(max(2 * self._pause_s, FIRST_PAUSE_S), LAST_PAUSE_S)
+            self.paused_until_s = now_s + self._pause_s
+        self._parts.clear()
+
+    def note_answer(self, now_s: float) -> None:
+        """Note that an answer to a call has begun."""
+        self.heard_s = now_s
+        self._pause_s = 0.0
+
     def note_lost(self, fingerprint: int, now_s: float) -> None:
         """Note a call whose answer was cut off here: the target may have died of it."""
         self._lost_calls.append((now_s, fingerprint))
@@ -151,10 +185,6 @@
             tokens += part.tokens
         return tokens
 
-    def forget_parts(self) -> None:
-        """Take its cache as lost."""
-        self._parts.clear()
-
 
 class TargetTable:
     """Targets by id.
@@ -167,7 +197,8 @@
         Of the last change taken.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, lapsed_trust_s: float) -> None:
+        self._lapsed_trust_s = lapsed_trust_s
         self.is_known = False
         self.revision = 0
         self._beliefs: dict[str, TargetBelief] = {}
@@ -209,7 +240,7 @@
         if known is None:
             return False
         if has_lapsed and not known.registration.draining:
-            known.usable_until_s = min(known.usable_until_s, now_s + LAPSED_TRUST_S)
+            known.usable_until_s = min(known.usable_until_s, now_s + self._lapsed_trust_s)
         else:
             del self._beliefs[target_id]
         return True
@@ -257,7 +288,7 @@
                 belief.prefill_tokens + belief.peer_prefill_tokens,
                 belief.slowness.value,
                 belief.answer_s.value,
-                belief.failures.share(now_s),
+                belief.failure_share(now_s),
                 belief.overdue(now_s),
                 belief.cached_tokens(call.fields.prompt_parts, now_s),
                 is_engine,
@@ -270,6 +301,6 @@
     )
 
 
-def create_target_table() -> TargetTable:
-    """Create a table without targets."""
-    return TargetTable()
+def create_target_table(drain_s: float = USUAL_DRAIN_S) -> TargetTable:
+    """Create a table without targets, of which a leaving one serves for a time."""
+    return TargetTable(LAPSED_TRUST_PART * drain_s)
--- a/guavawalk/process/gateway_daemon.py
+++ b/guavawalk/process/gateway_daemon.py
@@ -158,8 +158,13 @@
 
 
 async def _wait_for_end(gateway: Gateway) -> None:
+    """Wait for a signal to end, then for the calls under way; further signals change nothing."""
     with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
         await anext(signals)
+        await _drain(gateway)
+
+
+async def _drain(gateway: Gateway) -> None:
     gateway.callers.is_draining = True
     gateway.log.emit(events.SHUTDOWN_BEGUN, running=gateway.callers.calls)
     patience_s = gateway.settings.grace_ms / 1000 - EXIT_BEFORE_KILL_S
@@ -172,6 +177,8 @@
 
 def main() -> None:
     """Run a gateway with the settings file that the platform names."""
+    # A signal to read the settings again may come before they have been read at all.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     try:
         sys.exit(run_tasks(partial(run_gateway, settings_path())))
     except SettingsError as error:
--- a/soak/regressions.py
+++ b/soak/regressions.py
@@ -4,4 +4,5 @@
 
 SEEDS: dict[int, str] = {
     21: "the soak itself: of two overlapping restarts one waited for the wrong process",
+    207: "a second SIGTERM ended a gateway at once, with calls under way",
 }
--- a/tests/connection/tasks/test_gossip.py
+++ b/tests/connection/tasks/test_gossip.py
@@ -3,6 +3,7 @@
 from guavawalk.connection.tasks.gossip import hear_peers, make_report, tell_peers
 from guavawalk.connection.tasks.serve_probe import serve_pages
 from guavawalk.process.gateway.pages import peer_pages
+from guavawalk.version.routes import Quota
 from tests.gateway_calls import make_call, make_registration, make_route, make_table
 from tests.gateway_standins import GatewayStory, run_story
 
@@ -111,6 +112,18 @@
 
 
 class TestMakeReport:
+    def test_only_what_has_changed_since_a_mark(self):
+        async def run():
+            gateway = GatewayStory().gateway
+            gateway.quotas.take("w", Quota(), 5.0, 1.0, 0.0)
+            mark = gateway.quotas.mark
+            gateway.quotas.take("v", Quota(), 2.0, 1.0, 0.0)
+            return make_report(gateway, 1, 2), make_report(gateway, 1, 3, mark)
+
+        full, changed = run_story(run)
+        assert full.admitted == {"w": 5.0, "v": 2.0}
+        assert changed.admitted == {"v": 2.0}
+
     def test_idle_targets_are_left_out(self):
         async def run():
             story = GatewayStory()
@@ -119,6 +132,16 @@
 
         assert run_story(run).uses == ()
 
+    def test_targets_that_failed_are_told_of_when_idle_too(self):
+        async def run():
+            gateway = GatewayStory().gateway
+            gateway.targets.put(make_registration("i-1"))
+            gateway.targets.get("i-1").failures.note(True, gateway.clock.now_s())
+            return make_report(gateway, 1, 2)
+
+        (use,) = run_story(run).uses
+        assert (use.running, use.failed, use.ended) == (0, 10, 10)
+
     def test_leaving(self):
         async def run():
             story = GatewayStory()
--- a/tests/process/gateway/test_dispatch.py
+++ b/tests/process/gateway/test_dispatch.py
@@ -14,6 +14,19 @@
 QUICK = make_route(RouteKind.STREAM, "model", timeout_s=15.0, goal_s=0.5, rank=1)
 
 
+class Gateways:
+    """Gateways that share the targets."""
+
+    number = 1
+    lag_s = 0.0
+
+    def count(self):
+        return self.number
+
+    def far_lag_s(self):
+        return self.lag_s
+
+
 class Story:
     """A dispatcher with targets of two slots; a place more is given besides."""
 
@@ -23,7 +36,9 @@
         self.targets = create_target_table()
         for target_id in target_ids or ("i-1",):
             self.targets.put(make_registration(target_id, "model"))
-        self.dispatcher = create_dispatcher(self.targets, "a", create_clock(0.0))
+        self.gateways = Gateways()
+        clock = create_clock(0.0)
+        self.dispatcher = create_dispatcher(self.targets, self.gateways, "a", clock)
         self.order = []
 
     def call(self, route=STREAM, **fields):
@@ -149,12 +164,62 @@
 
         assert run_virtually(story) == "i-2"
 
+    def test_a_paused_target_gets_nothing_until_its_pause_ends(self):
+        async def story():
+            found = Story()
+            found.targets.get("i-1").note_unreached(anyio.current_time())
+            placed = [found.dispatcher.try_place(found.call(), ())]
+            await anyio.sleep(0.2)
+            return [*placed, found.dispatcher.try_place(found.call(), ())]
+
+        before, after = run_virtually(story)
+        assert before is None
+        assert after.choice.target_id == "i-1"
+
+    def test_a_call_waits_for_a_paused_target(self):
+        async def story():
+            found = Story()
+            found.targets.get("i-1").note_unreached(anyio.current_time())
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(found.place, "waits", found.call())
+                await anyio.sleep(0.2)
+                found.dispatcher.dispatch_all()
+            return found.order
+
+        assert run_virtually(story) == ["waits"]
+
+    def test_slots_in_another_data_centre_are_left_free_while_reports_come_late(self):
+        async def places(lag_s):
+            found = Story()
+            found.gateways.number, found.gateways.lag_s = 20, lag_s
+            far = make_registration("i-1", "model", slots=10, data_centre="b")
+            found.targets.put(far)
+            found.targets.get("i-1").peer_running = 6
+            return found.dispatcher.try_place(found.call(), ())
+
+        assert run_virtually(places, 0.0) is not None
+        assert run_virtually(places, 1.0) is None
+
+    def test_calls_that_are_late_leave_slots_to_those_in_time(self):
+        async def story():
+            found = Story()
+            found.gateways.number = 20
+            found.targets.put(make_registration("i-1", "model", slots=10))
+            found.targets.get("i-1").peer_running = 8
+            late = found.call()._replace(arrived_s=anyio.current_time() - 1.0)
+            with anyio.move_on_after(0.5):
+                await found.place("late", late)
+            await found.place("timely", found.call())
+            return found.order
+
+        assert run_virtually(story) == ["timely"]
+
     def test_fair_part_of_targets_that_others_fill(self):
         async def story():
             found = Story()
             found.targets.put(make_registration("i-1", "model", slots=10))
             found.targets.get("i-1").peer_running = 50
-            found.dispatcher.gateways = 4
+            found.gateways.number = 4
             return [await found.dispatcher.place(found.call(), ()) for _ in range(2)]
 
         assert len(run_virtually(story)) == 2
--- a/tests/process/gateway/test_peers.py
+++ b/tests/process/gateway/test_peers.py
@@ -20,7 +20,7 @@
         self.targets = create_target_table()
         self.targets.put(make_registration())
         quotas = create_quota_windows(8.0)
-        self.peers = create_peer_table("10.0.0.1:1", seeds, self.targets, quotas)
+        self.peers = create_peer_table("10.0.0.1:1", "a", seeds, self.targets, quotas)
 
     def report(self, sequence, running=0, now_s=0.0, address="10.0.0.2:1", **fields):
         uses = (TargetUse("i-1", running, 10 * running),) if running else ()
@@ -109,6 +109,46 @@
         assert story.peers.addresses() == set()
 
 
+class TestFailures:
+    def test_what_others_saw_fail_counts(self):
+        story = Story()
+        belief = story.targets.get("i-1")
+        uses = (TargetUse("i-1", 1, 0, failed=60, ended=80),)
+        story.peers.take(PeerReport("10.0.0.2:1", 1, 1, uses=uses), 0.0)
+        assert belief.failure_share(0.0) == pytest.approx(6.0 / (8.0 + 2.0))
+        story.peers.take(PeerReport("10.0.0.2:1", 1, 2, uses=()), 0.0)
+        assert belief.failure_share(0.0) == 0.0
+
+    def test_own_and_others_observations_are_added(self):
+        story = Story()
+        belief = story.targets.get("i-1")
+        for _ in range(8):
+            belief.failures.note(False, 0.0)
+        uses = (TargetUse("i-1", 1, 0, failed=20, ended=20),)
+        story.peers.take(PeerReport("10.0.0.2:1", 1, 1, uses=uses), 0.0)
+        assert belief.failure_share(0.0) == pytest.approx(2.0 / (10.0 + 2.0))
+
+
+class TestDataCentres:
+    def fleet(self):
+        story = Story()
+        for number in range(20):
+            data_centre = "a" if number % 4 == 0 else "b"
+            story.report(1, address=f"10.0.1.{number}:1", data_centre=data_centre)
+        return story
+
+    def test_near_are_those_heard_in_the_same_data_centre(self):
+        story = self.fleet()
+        assert story.peers.near_addresses() == {f"10.0.1.{n}:1" for n in range(0, 20, 4)}
+        story.peers.expire(10.0)
+        assert story.peers.near_addresses() == set()
+
+    def test_the_near_are_told_more_often(self):
+        peers = self.fleet().peers
+        assert peers.report_every_s() == pytest.approx(0.2 * 21 / 6)
+        assert peers.near_report_every_s() == pytest.approx(0.2)
+
+
 class TestReportCodec:
     def test_round_trip(self):
         uses = (TargetUse("i", 1, 2),)
--- a/tests/process/gateway/test_quota.py
+++ b/tests/process/gateway/test_quota.py
@@ -82,19 +82,22 @@
         assert take(windows, 10.0, 1.0, quota=lower) == 0.0
         assert take(windows, 1.0, 1.0, quota=lower) > 0.0
 
-    def test_tells_what_has_grown_and_all_at_times(self):
+    def test_tells_what_has_changed_since_a_mark(self):
         windows = create_quota_windows(8.0)
         take(windows, 5.0, 0.0)
-        assert windows.take_admitted(False) == {"w": 5.0}
-        assert windows.take_admitted(False) == {}
-        assert windows.take_admitted(True) == {"w": 5.0}
+        assert windows.admitted_since(0) == {"w": 5.0}
+        mark = windows.mark
+        assert windows.admitted_since(mark) == {}
+        windows.take("v", QUOTA, 2.0, 1.0, 0.0)
+        assert windows.admitted_since(mark) == {"v": 2.0}
+        assert windows.admitted_since(0) == {"w": 5.0, "v": 2.0}
 
     def test_what_did_not_run_is_given_back(self):
         windows = create_quota_windows(8.0)
         take(windows, LIMIT, 0.0)
         windows.give_back("w", LIMIT, 0.0)
         assert take(windows, LIMIT, 1.0) == 0.0
-        assert windows.take_admitted(False) == {"w": LIMIT}
+        assert windows.admitted_since(0) == {"w": LIMIT}
 
     def test_an_amount_given_back_is_the_one_taken(self):
         windows = create_quota_windows(8.0)
@@ -137,7 +140,7 @@
             if now_s - told_s > 0.3:
                 told_s = now_s
                 for teller in range(6):
-                    totals = gateways[teller].take_admitted(True)
+                    totals = gateways[teller].admitted_since(0)
                     for hearer in range(6):
                         if hearer != teller:
                             name = f"{teller}/{start_s}"
--- a/tests/process/gateway/test_targets.py
+++ b/tests/process/gateway/test_targets.py
@@ -14,6 +14,24 @@
     return [condition.target_id for condition in conditions]
 
 
+class TestPause:
+    def test_doubles_with_each_trial_in_vain(self):
+        belief = table_of(make_registration("i-1")).get("i-1")
+        ends = []
+        for now_s in (1.0, 1.05, 2.0, 3.0, 4.0, 5.0):
+            belief.note_unreached(now_s)
+            ends.append(round(belief.paused_until_s - now_s, 2))
+        assert ends == [0.15, 0.1, 0.3, 0.6, 0.8, 0.8]
+
+    def test_is_short_again_after_an_answer(self):
+        belief = table_of(make_registration("i-1")).get("i-1")
+        belief.note_unreached(1.0)
+        belief.note_unreached(2.0)
+        belief.note_answer(3.0)
+        belief.note_unreached(4.0)
+        assert belief.paused_until_s == 4.15
+
+
 class TestTargetTable:
     def test_only_ready_targets_of_the_service(self):
         table = table_of(
@@ -38,6 +56,13 @@
         assert usable(table, 12.0) == []
         assert table.expire(12.0) == ["i-1"]
 
+    def test_trust_in_a_lapsed_entry_grows_with_the_time_that_a_leaving_target_serves(self):
+        table = create_target_table(drain_s=4.0)
+        table.put(make_registration("i-1"))
+        table.remove("i-1", 10.0, has_lapsed=True)
+        assert table.expire(12.9) == []
+        assert table.expire(13.0) == ["i-1"]
+
     def test_lapsed_entry_that_comes_back(self):
         table = table_of(make_registration("i-1"))
         table.remove("i-1", 10.0, has_lapsed=True)
--- a/tests/process/test_gateway_daemon.py
+++ b/tests/process/test_gateway_daemon.py
@@ -136,7 +136,8 @@
 
         with_daemon(tmp_path, use)
 
-    def test_request_under_way_ends_before_the_process(self, tmp_path):
+    @pytest.mark.parametrize("signals", [1, 3])
+    def test_request_under_way_ends_before_the_process(self, tmp_path, signals):
         async def slow(target, stream, request):
             await anyio.sleep(3.5)
             await answer_plain(target, stream, request)
@@ -148,7 +149,9 @@
             await caller.send(body=b"a")
             while not target.got:
                 await anyio.sleep(0.02)
-            daemon.process.send_signal(signal.SIGTERM)
+            for _ in range(signals):
+                daemon.process.send_signal(signal.SIGTERM)
+                await anyio.sleep(0.3)
             assert (await caller.answer())[::2] == (200, b"served a")
             assert await daemon.ended() == 0
 
