--- a/guavawalk/process/gateway/dispatch.py
+++ b/guavawalk/process/gateway/dispatch.py
@@ -16,7 +16,12 @@
 from guavawalk.process.clock import Clock
 from guavawalk.process.gateway.targets import RunningCall, TargetBelief, TargetTable
 from guavawalk.request.call import Call
-from guavawalk.request.target_choice import TargetChoice, TargetCondition, choose_target
+from guavawalk.request.target_choice import (
+    TargetChoice,
+    TargetCondition,
+    choose_target,
+    unfinished_share,
+)
 
 __all__ = ["Dispatcher", "Placed", "SharingGateways", "create_dispatcher"]
 
@@ -28,6 +33,9 @@
 # there come later than those from near by: what others send there meanwhile is not known here.
 FAR_RESERVE_PER_S = 0.6
 MOST_FAR_RESERVE = 0.6
+# Highest risk of not ending in time at which a call goes to a target while others have less: its
+# slot would be taken to the deadline for nothing.
+MOST_UNFINISHED = 0.5
 # First events take this multiple of their expected time where targets are busy.
 FIRST_MARGIN = 1.3
 # Longest wait for a place, in seconds: an answer that begins later finds few callers still there.
@@ -224,16 +232,27 @@
         """
         fair_part = slots_part / (self._gateways.count() + 1)
         reserve = min(FAR_RESERVE_PER_S * self._gateways.far_lag_s(), MOST_FAR_RESERVE)
-        for condition in self._conditions(call, tried, now_s):
+        for condition in self._where_it_can_end(call, tried, now_s):
             belief = self._targets.get(condition.target_id)
+            if not belief.takes_calls(now_s):
+                continue
             most = slots_part * (condition.slots + SPARE_SLOTS)
             if condition.data_centre != self._here:
                 most -= reserve * condition.slots
-            if now_s < belief.paused_until_s:
-                continue
             if condition.running < most or belief.running < int(fair_part * condition.slots):
                 yield condition
 
+    def _where_it_can_end(
+        self, call: Call, tried: Collection[str], now_s: float
+    ) -> Iterator[TargetCondition]:
+        """Yield the targets where the answer can end in time, or those where it is likeliest to."""
+        conditions = list(self._conditions(call, tried, now_s))
+        risks = [unfinished_share(call, condition, now_s) for condition in conditions]
+        most_risk = max(MOST_UNFINISHED, min(risks, default=0.0))
+        for condition, risk in zip(conditions, risks):
+            if risk <= most_risk:
+                yield condition
+
     def _soonest_s(self, call: Call, tried: Collection[str], now_s: float) -> float:
         """Return the time to a first event at the best target, once that has a place."""
         with_place = (
--- a/guavawalk/process/gateway/targets.py
+++ b/guavawalk/process/gateway/targets.py
@@ -149,6 +149,10 @@
             self.paused_until_s = now_s + self._pause_s
         self._parts.clear()
 
+    def takes_calls(self, now_s: float) -> bool:
+        """Say whether a call may go there: after a pause one at a time, until one is answered."""
+        return now_s >= self.paused_until_s and not (self._pause_s and self.calls)
+
     def note_answer(self, now_s: float) -> None:
         """Note that an answer to a call has begun."""
         self.heard_s = now_s
--- a/guavawalk/request/target_choice.py
+++ b/guavawalk/request/target_choice.py
@@ -8,9 +8,15 @@
 from typing import NamedTuple
 
 from guavawalk.request.call import Call
-from guavawalk.request.engine_time import nominal_first_event_s
+from guavawalk.request.engine_time import nominal_event_gap_s, nominal_first_event_s
 
-__all__ = ["TargetChoice", "TargetCondition", "choose_target", "expected_first_s"]
+__all__ = [
+    "TargetChoice",
+    "TargetCondition",
+    "choose_target",
+    "expected_first_s",
+    "unfinished_share",
+]
 
 # Share of a call's worth that the traffic between two data centres costs, after the deployments'
 # price of bytes and the usual size of requests and answers.
@@ -25,6 +31,10 @@
 LATE_COST = 0.7
 # Further loss for each goal's length that the first event is later still.
 LATER_COST = 0.1
+# Of the time that a call has left, the part that its answer may take at a target without a risk of
+# not ending in time, and the part from which it is not expected to; hints are that exact.
+ENDING_PART = 0.6
+UNENDING_PART = 1.4
 # Time that a call waits behind each one over the target's slots, as a part of a run's usual time.
 QUEUED_RUN_S = 0.8
 
@@ -86,6 +96,15 @@
     return condition.slowness * (first_s + wait_s)
 
 
+def unfinished_share(call: Call, condition: TargetCondition, now_s: float) -> float:
+    """Return the risk that an answer does not end before the call's deadline, from 0 to 1."""
+    run_s = condition.slowness * nominal_event_gap_s(
+        call.fields.hinted_output_tokens, condition.running
+    )
+    part = run_s / max(call.deadline_s - now_s, 0.001)
+    return min(max((part - ENDING_PART) / (UNENDING_PART - ENDING_PART), 0.0), 1.0)
+
+
 def target_cost(call: Call, here: str, condition: TargetCondition, now_s: float) -> TargetChoice:
     """Return the share of a call's worth that is expected to be lost at a target."""
     first_s = expected_first_s(call, condition)
@@ -93,6 +112,7 @@
     late = min(max((part - SAFE_PART) / (LATE_PART - SAFE_PART), 0.0), 1.0)
     cost = LATE_COST * late + LATER_COST * max(part - LATE_PART, 0.0)
     cost += condition.failure_share + 0.5 * min(condition.overdue, 2)
+    cost += unfinished_share(call, condition, now_s)
     cost += LOAD_COST * condition.running / max(condition.slots, 1)
     if condition.data_centre != here:
         cost += CROSSING_COST
--- a/tests/process/gateway/test_dispatch.py
+++ b/tests/process/gateway/test_dispatch.py
@@ -188,6 +188,28 @@
 
         assert run_virtually(story) == ["waits"]
 
+    def test_a_long_answer_waits_for_a_target_where_it_can_end(self):
+        async def story():
+            found = Story("slow", "fast")
+            found.gateways.number = 9
+            found.targets.get("slow").slowness.value = 10.0
+            found.targets.get("fast").peer_running = 3
+            long = found.call(hinted_output_tokens=2_000)
+            short = found.call(hinted_output_tokens=10)
+            return [found.dispatcher.try_place(call, ()) for call in (long, short)]
+
+        long, short = run_virtually(story)
+        assert long is None
+        assert short.choice.target_id == "slow"
+
+    def test_a_long_answer_goes_where_it_is_likeliest_to_end(self):
+        async def story():
+            found = Story("slow")
+            found.targets.get("slow").slowness.value = 10.0
+            return found.dispatcher.try_place(found.call(hinted_output_tokens=2_000), ())
+
+        assert run_virtually(story) is not None
+
     def test_slots_in_another_data_centre_are_left_free_while_reports_come_late(self):
         async def places(lag_s):
             found = Story()
--- a/tests/process/gateway/test_targets.py
+++ b/tests/process/gateway/test_targets.py
@@ -31,6 +31,16 @@
         belief.note_unreached(4.0)
         assert belief.paused_until_s == 4.15
 
+    def test_one_call_at_a_time_until_one_is_answered(self):
+        belief = table_of(make_registration("i-1")).get("i-1")
+        belief.note_unreached(1.0)
+        assert not belief.takes_calls(1.1)
+        assert belief.takes_calls(1.2)
+        belief.begin(make_call(), 1.2, 1.0)
+        assert not belief.takes_calls(1.3)
+        belief.note_answer(1.3)
+        assert belief.takes_calls(1.3)
+
 
 class TestTargetTable:
     def test_only_ready_targets_of_the_service(self):
--- a/tests/request/test_target_choice.py
+++ b/tests/request/test_target_choice.py
@@ -2,7 +2,12 @@
 from hypothesis import strategies as st
 
 from guavawalk.request.engine_time import nominal_event_gap_s, nominal_first_event_s
-from guavawalk.request.target_choice import TargetCondition, choose_target, expected_first_s
+from guavawalk.request.target_choice import (
+    TargetCondition,
+    choose_target,
+    expected_first_s,
+    unfinished_share,
+)
 from guavawalk.version.routes import RouteKind
 from tests.gateway_calls import make_call, make_route
 
@@ -74,3 +79,22 @@
 
     def test_gap_grows_with_what_runs(self):
         assert nominal_event_gap_s(5, 1) < nominal_event_gap_s(5, 10) < nominal_event_gap_s(10, 10)
+
+
+class TestUnfinishedShare:
+    def share(self, slowness, **fields):
+        call = make_call(make_route(RouteKind.STREAM, "model", timeout_s=10.0), **fields)
+        return unfinished_share(call, condition(slowness=slowness), 0.0)
+
+    def test_none_without_a_hint(self):
+        assert self.share(4.0, max_output_tokens=100_000) == 0.0
+
+    def test_grows_with_the_expected_length_and_the_slowness(self):
+        assert self.share(1.0, hinted_output_tokens=1_000) == 0.0
+        assert 0.0 < self.share(2.5, hinted_output_tokens=1_000) < 1.0
+        assert self.share(4.0, hinted_output_tokens=1_000) == 1.0
+
+    def test_a_target_where_the_answer_can_end_comes_first(self):
+        call = make_call(STREAM, hinted_output_tokens=400)
+        slow = condition("slow", slowness=4.0)
+        assert chosen(call, slow, condition("fast", "b", running=9)) == "fast"
