Plain names for modules that had metaphors

noting, carry, front, desk, news and the tasks that tell and hear peers are now version_reporting, process_request, entry_app, acceptance, latest_updates, send_reports and receive_reports. No behaviour changed.

--- a/guavawalk/connection/caller.py
+++ b/guavawalk/connection/caller.py
@@ -12,7 +12,7 @@
 
     Notes
     -----
-    Another front end implements this and calls `carry_request`.
+    Another front end implements this and calls `process_request`.
     """
 
     async def start(self, status: int, headers: tuple[str, ...]) -> None:
--- a/guavawalk/connection/registry.py
+++ b/guavawalk/connection/registry.py
@@ -5,10 +5,10 @@
 from guavawalk.version.registrations import Registration
 from guavawalk.version.routes import RouteTable
 
-__all__ = ["Registry", "RouteNews", "TargetNews"]
+__all__ = ["Registry", "RouteUpdate", "TargetUpdate"]
 
 
-class RouteNews(NamedTuple):
+class RouteUpdate(NamedTuple):
     """What a read or a watch of the routes gave.
 
     Attributes
@@ -26,7 +26,7 @@
     problems: tuple[str, ...] = ()
 
 
-class TargetNews(NamedTuple):
+class TargetUpdate(NamedTuple):
     """What a read or a watch of the registrations gave.
 
     Attributes
@@ -45,19 +45,19 @@
 class Registry(Protocol):
     """The registry; `PlatformUnavailable` where it gives no answer."""
 
-    async def read_routes(self) -> RouteNews:
+    async def read_routes(self) -> RouteUpdate:
         """Return the routes published last."""
         ...
 
-    async def watch_routes(self, after: int, wait_s: float) -> RouteNews:
+    async def watch_routes(self, after: int, wait_s: float) -> RouteUpdate:
         """Wait for routes published after a revision; `HistoryGone` if that is too old."""
         ...
 
-    async def read_targets(self) -> TargetNews:
+    async def read_targets(self) -> TargetUpdate:
         """Return all registrations."""
         ...
 
-    async def watch_targets(self, after: int, wait_s: float) -> TargetNews:
+    async def watch_targets(self, after: int, wait_s: float) -> TargetUpdate:
         """Wait for registrations after a revision; `HistoryGone` if that is too old."""
         ...
 
--- a/guavawalk/connection/tasks/front.py
+++ b/guavawalk/connection/tasks/entry_app.py
@@ -22,7 +22,7 @@
     read_trace_id,
     read_work,
 )
-from guavawalk.connection.tasks.carry import carry_request
+from guavawalk.connection.tasks.process_request import process_request
 from guavawalk.connection.tasks.ticket import fetch_ticket
 from guavawalk.exception import RequestError
 from guavawalk.process.entry.observed import note_invalid
@@ -32,12 +32,12 @@
 if TYPE_CHECKING:
     from guavawalk.process.entry.state import Entry
 
-__all__ = ["create_front"]
+__all__ = ["create_entry_app"]
 
 ANY_METHOD = ("GET", "POST", "PUT", "PATCH", "DELETE")
 
 
-def create_front(entry: Entry) -> Starlette:
+def create_entry_app(entry: Entry) -> Starlette:
     """Create the ASGI application of an entry."""
 
     async def healthz(request: Request) -> Response:
@@ -84,7 +84,7 @@
         chat = work.path == MODEL_PATHS[0]
         caller = create_http_caller(receive, send, work.trace_id, whole, chat)
         try:
-            await carry_request(entry, work, caller)
+            await process_request(entry, work, caller)
         except Exception as error:
             entry.log.emit(events.TASK_FAILED, trace_id=work.trace_id, reason=repr(error))
             raise
--- a/guavawalk/connection/tasks/follow_platform.py
+++ b/guavawalk/connection/tasks/follow_platform.py
@@ -51,7 +51,7 @@
     while True:
         burden = spread.members.roster.watch_burden()
         if burden is None:
-            await _wait_for_news_of_nodes(spread)
+            await _wait_for_node_updates(spread)
             continue
         try:
             found = await _next_root(spread, burden, revision)
@@ -78,6 +78,6 @@
     return await spread.platform.read(ROOT_KEY)
 
 
-async def _wait_for_news_of_nodes(spread: Spread) -> None:
+async def _wait_for_node_updates(spread: Spread) -> None:
     with anyio.move_on_after(RECHECK_S):
         await spread.members.roster.wait_changed()
--- a/guavawalk/connection/tasks/follow_registry.py
+++ b/guavawalk/connection/tasks/follow_registry.py
@@ -9,7 +9,7 @@
 import anyio
 
 from guavawalk import events
-from guavawalk.connection.registry import Registry, TargetNews
+from guavawalk.connection.registry import Registry, TargetUpdate
 from guavawalk.exception import HistoryGone, PlatformUnavailable
 from guavawalk.version.registrations import ListedTargets, Registration
 from guavawalk.version.routes import RouteTable
@@ -79,15 +79,15 @@
     while True:
         try:
             if as_of is None:
-                news = await registry.read_routes()
+                update = await registry.read_routes()
             else:
-                news = await registry.watch_routes(as_of, contact.watch_s())
+                update = await registry.watch_routes(as_of, contact.watch_s())
             contact.note_success()
-            as_of = news.as_of
-            for problem in news.problems:
-                gateway.log.emit(events.ROUTES_INVALID, reason=problem, revision=news.as_of)
-            if news.table is not None:
-                take_routes(gateway, news.table, "registry")
+            as_of = update.as_of
+            for problem in update.problems:
+                gateway.log.emit(events.ROUTES_INVALID, reason=problem, revision=update.as_of)
+            if update.table is not None:
+                take_routes(gateway, update.table, "registry")
             elif not gateway.routes.table.version:
                 as_of = None
                 await anyio.sleep(FIRST_PAUSE_S)
@@ -118,15 +118,15 @@
     while True:
         try:
             if as_of is None:
-                news = await registry.read_targets()
+                update = await registry.read_targets()
                 contact.note_success()
-                news = news._replace(removed=_missing(gateway, news.registered))
+                update = update._replace(removed=_missing(gateway, update.registered))
             else:
-                news = await registry.watch_targets(as_of, contact.watch_s())
+                update = await registry.watch_targets(as_of, contact.watch_s())
                 contact.note_success()
-            as_of = news.as_of
+            as_of = update.as_of
             gateway.targets.is_known = True
-            await _take_targets(gateway, news, contact.is_just_back())
+            await _take_targets(gateway, update, contact.is_just_back())
         except HistoryGone:
             as_of = None
         except PlatformUnavailable as error:
@@ -139,10 +139,10 @@
     if listed.revision <= gateway.targets.revision:
         return
     removed = _missing(gateway, listed.registrations)
-    news = TargetNews(listed.registrations, removed, listed.revision, listed.revision)
+    update = TargetUpdate(listed.registrations, removed, listed.revision, listed.revision)
     gateway.targets.is_known = True
     gateway.log.emit(events.TARGETS_FETCHED, peer=source, revision=listed.revision)
-    await _take_targets(gateway, news, is_just_back=True)
+    await _take_targets(gateway, update, is_just_back=True)
 
 
 def _missing(gateway: Gateway, registered: Iterable[Registration]) -> tuple[str, ...]:
@@ -150,25 +150,25 @@
     return tuple(gateway.targets.ids() - listed)
 
 
-async def _take_targets(gateway: Gateway, news: TargetNews, is_just_back: bool) -> None:
+async def _take_targets(gateway: Gateway, update: TargetUpdate, is_just_back: bool) -> None:
     targets = gateway.targets
     now_s = gateway.clock.now_s()
-    for problem in news.problems:
-        gateway.log.emit(events.REGISTRATION_INVALID, reason=problem, revision=news.as_of)
-    for registration in news.registered:
+    for problem in update.problems:
+        gateway.log.emit(events.REGISTRATION_INVALID, reason=problem, revision=update.as_of)
+    for registration in update.registered:
         if targets.put(registration):
-            _tell_registered(gateway, registration, news.last_change)
-    for target_id in news.removed:
+            _tell_registered(gateway, registration, update.last_change)
+    for target_id in update.removed:
         if targets.remove(target_id, now_s, is_just_back):
             gateway.log.emit(
                 events.TARGET_GONE,
                 target=target_id,
                 reason="entry lapsed" if is_just_back else "entry removed",
-                revision=news.as_of,
+                revision=update.as_of,
             )
             await gateway.connections.drop(target_id)
     gateway.dispatch.dispatch_all()
-    targets.revision = max(targets.revision, news.last_change)
+    targets.revision = max(targets.revision, update.last_change)
 
 
 def _tell_registered(gateway: Gateway, registration: Registration, revision: int) -> None:
--- a/guavawalk/connection/tasks/give_orders.py
+++ b/guavawalk/connection/tasks/give_orders.py
@@ -80,16 +80,16 @@
 
 
 async def _order(sidecar: Sidecar, engine: EngineClient, step: Step) -> None:
-    desk = sidecar.orders
-    fence = desk.next_fence(sidecar.held.stamp.version)
+    orders = sidecar.orders
+    fence = orders.next_fence(sidecar.held.stamp.version)
     if fence is None:
         await anyio.sleep(SETTLE_S)
         return
     sidecar.log.emit(events.ORDER_GIVEN, kind=step.kind, name=step.name, fence=list(fence))
     try:
         await engine.order(EngineOrder(step.kind, step.name, fence))
-        desk.refused = frozenset()
+        orders.refused = frozenset()
     except TargetError as error:
-        desk.refused |= {step}
+        orders.refused |= {step}
         sidecar.log.emit(events.ORDER_FAILED, kind=step.kind, name=step.name, reason=str(error))
         await anyio.sleep(SETTLE_S)
--- a/guavawalk/connection/tasks/gossip.py
+++ b/guavawalk/connection/tasks/gossip.py
@@ -35,7 +35,7 @@
     from guavawalk.process.gateway.state import Gateway
     from guavawalk.process.gateway.targets import TargetBelief
 
-__all__ = ["hear_peers", "make_report", "tell_peers"]
+__all__ = ["make_report", "receive_reports", "send_reports"]
 
 # A newer version told by another gateway is fetched after this time unless the registry gives it.
 FETCH_AFTER_S = 0.25
@@ -94,7 +94,7 @@
     return tuple(report.address for report in gateway.peers.heard())
 
 
-async def tell_peers(gateway: Gateway, socket: UDPSocket, incarnation: int) -> None:
+async def send_reports(gateway: Gateway, socket: UDPSocket, incarnation: int) -> None:
     """Send reports to all gateways known, and more often to those of the same data centre."""
     peers, quotas, now_s = gateway.peers, gateway.quotas, gateway.clock.now_s
     sequence = rounds = all_mark = near_mark = 0
@@ -132,7 +132,7 @@
             gateway.log.emit(events.PEER_UNREACHABLE, peer=address, reason=str(error))
 
 
-async def hear_peers(gateway: Gateway, socket: UDPSocket) -> None:
+async def receive_reports(gateway: Gateway, socket: UDPSocket) -> None:
     """Take the reports of other gateways, and fetch routes newer than those in force."""
     tell_newer, newer = anyio.create_memory_object_stream[PeerReport](1)
 
--- a/guavawalk/connection/tasks/carry.py
+++ b/guavawalk/connection/tasks/process_request.py
@@ -20,7 +20,7 @@
 if TYPE_CHECKING:
     from guavawalk.process.entry.state import Entry
 
-__all__ = ["carry_request"]
+__all__ = ["process_request"]
 
 LEAVING_ATTEMPTS = 8
 ASK_TRIES = 3
@@ -30,8 +30,8 @@
 CRASH_CODES = (ResultCode.TARGET_CRASHED, ResultCode.TARGET_LOST)
 
 
-async def carry_request(entry: Entry, work: Work, caller: Caller) -> Outcome:
-    """Carry a request to a target and its answer to the caller.
+async def process_request(entry: Entry, work: Work, caller: Caller) -> Outcome:
+    """Take a request to a target and its answer to the caller.
 
     Parameters
     ----------
@@ -50,7 +50,7 @@
     progress = Progress(entry.clock.now_s())
     entry.gauge.running += 1
     try:
-        outcome = await _carry_while_wanted(entry, work, caller, progress)
+        outcome = await _process_while_wanted(entry, work, caller, progress)
     finally:
         entry.gauge.running -= 1
     note_outcome(entry, work, outcome)
@@ -58,7 +58,7 @@
     return outcome
 
 
-async def _carry_while_wanted(
+async def _process_while_wanted(
     entry: Entry, work: Work, caller: Caller, progress: Progress
 ) -> Outcome:
     outcome = None
@@ -69,7 +69,7 @@
             tasks.cancel_scope.cancel()
 
         tasks.start_soon(watch_caller)
-        outcome = await _carry_admitted(entry, work, caller, progress)
+        outcome = await _process_admitted(entry, work, caller, progress)
         tasks.cancel_scope.cancel()
     if outcome is not None:
         return outcome
@@ -79,7 +79,9 @@
     return outcome._replace(code=code_for_key(outcome.code, work.idempotency_key))
 
 
-async def _carry_admitted(entry: Entry, work: Work, caller: Caller, progress: Progress) -> Outcome:
+async def _process_admitted(
+    entry: Entry, work: Work, caller: Caller, progress: Progress
+) -> Outcome:
     work = entry.view.lengths.sized(work)
     try:
         if entry.gauge.draining:
--- a/guavawalk/connection/tasks/spread.py
+++ b/guavawalk/connection/tasks/spread.py
@@ -41,7 +41,7 @@
         for slot in range(FEEDS):
             tasks.start_soon(follow_peer, spread, slot)
         tasks.start_soon(_follow_instances, spread)
-        tasks.start_soon(_chase_news, spread)
+        tasks.start_soon(_chase_updates, spread)
         tasks.start_soon(follow_platform, spread)
 
 
@@ -66,17 +66,17 @@
         spread.log.emit(events.PLATFORM_UNAVAILABLE, reason=str(error))
 
 
-async def _chase_news(spread: Spread) -> None:
+async def _chase_updates(spread: Spread) -> None:
     """Fetch a version that a message has named, if no feed brings it by itself."""
-    news = spread.members.news
+    updates = spread.members.latest_updates
     while True:
-        await news.wait_above(spread.held.stamp.version)
+        await updates.wait_above(spread.held.stamp.version)
         with anyio.move_on_after(CHASE_GRACE_S):
-            await spread.held.wait_newer(news.version - 1)
-        if spread.held.stamp.version < news.version:
-            await ask_peer(spread, news.address)
-        if spread.held.stamp.version < news.version:
-            news.forget()
+            await spread.held.wait_newer(updates.version - 1)
+        if spread.held.stamp.version < updates.version:
+            await ask_peer(spread, updates.address)
+        if spread.held.stamp.version < updates.version:
+            updates.forget()
 
 
 async def _revalidate(spread: Spread) -> None:
--- a/guavawalk/connection/noting.py
+++ b/guavawalk/connection/version_reporting.py
@@ -7,12 +7,12 @@
 from guavawalk.connection.link import Link, LinkHandler, Network
 from guavawalk.connection.messages import Hello, Message
 
-__all__ = ["create_noting_network"]
+__all__ = ["create_version_reporting_network"]
 
 VersionHeard = Callable[[int, str], None]
 
 
-class NotingLink:
+class VersionReportingLink:
     """A link that reports what it hears."""
 
     def __init__(self, link: Link, heard: VersionHeard) -> None:
@@ -46,8 +46,8 @@
         await self._link.aclose()
 
 
-class NotingNetwork:
-    """A network of noting links over another network."""
+class VersionReportingNetwork:
+    """A network of such links over another network."""
 
     def __init__(self, network: Network, heard: VersionHeard) -> None:
         self._network = network
@@ -55,7 +55,7 @@
 
     async def connect(self, address: str) -> Link:
         """Open a link."""
-        return NotingLink(await self._network.connect(address), self._heard)
+        return VersionReportingLink(await self._network.connect(address), self._heard)
 
     async def serve(
         self, address: str, handler: LinkHandler, *, task_status: TaskStatus[str]
@@ -63,12 +63,12 @@
         """Take links."""
 
         async def serve_link(link: Link) -> None:
-            await handler(NotingLink(link, self._heard))
+            await handler(VersionReportingLink(link, self._heard))
 
         await self._network.serve(address, serve_link, task_status=task_status)
 
 
-def create_noting_network(network: Network, heard: VersionHeard) -> Network:
+def create_version_reporting_network(network: Network, heard: VersionHeard) -> Network:
     """Create a network that reports versions.
 
     Parameters
@@ -78,4 +78,4 @@
     heard : callable
         Takes a version and the address at which its holder takes links.
     """
-    return NotingNetwork(network, heard)
+    return VersionReportingNetwork(network, heard)
--- a/guavawalk/platform/store.py
+++ b/guavawalk/platform/store.py
@@ -8,7 +8,7 @@
 import msgspec.json
 
 from guavawalk.connection.http_client import HttpClient, create_http_client
-from guavawalk.connection.registry import Registry, RouteNews, TargetNews
+from guavawalk.connection.registry import Registry, RouteUpdate, TargetUpdate
 from guavawalk.exception import (
     ConfigurationError,
     HistoryGone,
@@ -37,21 +37,21 @@
         self._routes = create_http_client(address)
         self._targets = create_http_client(address)
 
-    async def read_routes(self) -> RouteNews:
+    async def read_routes(self) -> RouteUpdate:
         """Read the configuration."""
         path = f"/kv-key?key={quote(CONFIGURATION_KEY, safe='/')}"
         document = await _get(self._routes, path, READ_TIMEOUT_S)
         if document is None:
-            return RouteNews(None, 0)
+            return RouteUpdate(None, 0)
         # "revision" is the item's last change; "asOf" is the store's own count at the answer.
-        return _route_news([document], int(document.get("asOf", document["revision"])))
+        return _route_update([document], int(document.get("asOf", document["revision"])))
 
-    async def watch_routes(self, after: int, wait_s: float) -> RouteNews:
+    async def watch_routes(self, after: int, wait_s: float) -> RouteUpdate:
         """Watch the configuration."""
         document = await _watch(self._routes, CONFIGURATION_KEY, after, wait_s)
-        return _route_news(document["events"], int(document["asOf"]))
+        return _route_update(document["events"], int(document["asOf"]))
 
-    async def read_targets(self) -> TargetNews:
+    async def read_targets(self) -> TargetUpdate:
         """Read the servers' entries, page by page."""
         items: list[dict[str, Any]] = []
         as_of: int | None = None
@@ -65,13 +65,13 @@
             # Pages are no snapshot: what changes between them is told by a watch from the first.
             as_of = int(document["asOf"]) if as_of is None else as_of
             if not document.get("truncated") or not document["items"]:
-                return _target_news(items, as_of)
+                return _target_update(items, as_of)
             after = items[-1]["key"]
 
-    async def watch_targets(self, after: int, wait_s: float) -> TargetNews:
+    async def watch_targets(self, after: int, wait_s: float) -> TargetUpdate:
         """Watch the servers' entries."""
         document = await _watch(self._targets, PREFIX, after, wait_s)
-        return _target_news(document["events"], int(document["asOf"]))
+        return _target_update(document["events"], int(document["asOf"]))
 
     async def aclose(self) -> None:
         """Close both connections."""
@@ -104,7 +104,7 @@
         raise PlatformUnavailable(f"{path}: {error}") from error
 
 
-def _route_news(items: list[dict[str, Any]], as_of: int) -> RouteNews:
+def _route_update(items: list[dict[str, Any]], as_of: int) -> RouteUpdate:
     table = None
     problems = []
     for item in items:
@@ -117,10 +117,10 @@
             continue
         if table is None or found.version > table.version:
             table = found
-    return RouteNews(table, as_of, tuple(problems))
+    return RouteUpdate(table, as_of, tuple(problems))
 
 
-def _target_news(items: list[dict[str, Any]], as_of: int) -> TargetNews:
+def _target_update(items: list[dict[str, Any]], as_of: int) -> TargetUpdate:
     registered = {}
     removed = {}
     problems = []
@@ -139,7 +139,7 @@
             removed[target_id] = True
             problems.append(str(error))
     last_change = max((int(item["revision"]) for item in items), default=0)
-    return TargetNews(
+    return TargetUpdate(
         tuple(registered.values()), tuple(removed), as_of, last_change, tuple(problems)
     )
 
--- a/guavawalk/process/entry_daemon.py
+++ b/guavawalk/process/entry_daemon.py
@@ -10,13 +10,13 @@
 from guavawalk.codes import ResultCode
 from guavawalk.connection.handshake import Identity
 from guavawalk.connection.link import Network
-from guavawalk.connection.noting import create_noting_network
 from guavawalk.connection.platform import Platform, create_http_platform
 from guavawalk.connection.tasks.admin import serve_admin
-from guavawalk.connection.tasks.front import create_front
+from guavawalk.connection.tasks.entry_app import create_entry_app
 from guavawalk.connection.tasks.peer_link import serve_peer_link
 from guavawalk.connection.tasks.spread import run_spread
 from guavawalk.connection.tcp import create_tcp_network
+from guavawalk.connection.version_reporting import create_version_reporting_network
 from guavawalk.exception import RequestError
 from guavawalk.process.admin.entry_node import create_entry_node
 from guavawalk.process.clock import Clock, create_clock
@@ -49,7 +49,7 @@
 
 IDLE_SWEEP_S = 5.0
 SEED_BITS = 64
-# The front answers a head over the limit with its number; the listener only bounds memory.
+# The application answers a head over the limit with its number; the listener only bounds memory.
 HEAD_SLACK = 2
 
 
@@ -74,7 +74,7 @@
     secret = settings.fleet_secret.encode()
     own = Node("", settings.data_centre, "entry")
     members = create_members(settings.instance, own, settings.peers, clock)
-    network = create_noting_network(network, members.news.post)
+    network = create_version_reporting_network(network, members.latest_updates.post)
     identity = Identity(
         "entry",
         settings.instance,
@@ -145,7 +145,7 @@
     task_status: TaskStatus[str],
 ) -> None:
     await serve_asgi(
-        create_front(entry),
+        create_entry_app(entry),
         address,
         entry.limits.header_bytes * HEAD_SLACK,
         entry.limits.head_timeout_s,
--- a/guavawalk/process/gateway/dispatch.py
+++ b/guavawalk/process/gateway/dispatch.py
@@ -180,7 +180,7 @@
             waiter.ready.set()
 
     def dispatch_all(self) -> None:
-        """Do so for all services, after news of other gateways or of targets."""
+        """Do so for all services, after reports of other gateways or changes of targets."""
         for service in self._queues:
             self.dispatch_ready(service)
 
--- a/guavawalk/process/gateway/targets.py
+++ b/guavawalk/process/gateway/targets.py
@@ -34,7 +34,7 @@
 MAX_LOST_CALLS = 64
 # Prompt parts that one target is believed to hold; older ones are taken as evicted.
 MAX_CACHED_PARTS = 512
-# Parts shorter than this, in tokens, are read again sooner than their news is worth its bytes.
+# Parts shorter than this, in tokens, are read again sooner than telling of them is worth its bytes.
 TOLD_PART_TOKENS = 512
 # Parts that have not been used for this long no longer count as held.
 CACHED_FOR_S = 30.0
--- a/guavawalk/process/gateway_daemon.py
+++ b/guavawalk/process/gateway_daemon.py
@@ -15,7 +15,7 @@
 from guavawalk import events
 from guavawalk.connection.address import split_address
 from guavawalk.connection.tasks.follow_registry import follow_routes, follow_targets
-from guavawalk.connection.tasks.gossip import hear_peers, tell_peers
+from guavawalk.connection.tasks.gossip import receive_reports, send_reports
 from guavawalk.connection.tasks.serve_caller import serve_caller
 from guavawalk.connection.tasks.serve_probe import serve_pages
 from guavawalk.exception import SettingsError
@@ -59,8 +59,8 @@
         "log": partial(log.write, STDOUT),
         "routes": partial(follow_routes, gateway, registry),
         "targets": partial(follow_targets, gateway, registry),
-        "hear peers": partial(hear_peers, gateway, socket),
-        "tell peers": partial(tell_peers, gateway, socket, incarnation),
+        "hear peers": partial(receive_reports, gateway, socket),
+        "tell peers": partial(send_reports, gateway, socket, incarnation),
         "sweep": partial(_sweep, gateway),
         "reload": partial(_reload_settings, gateway, path),
     }
--- a/guavawalk/process/orders/desk.py
+++ b/guavawalk/process/orders/acceptance.py
@@ -6,14 +6,14 @@
 from guavawalk.process.orders.decide import Step
 from guavawalk.request.types import Offer
 
-__all__ = ["OrderDesk", "create_order_desk"]
+__all__ = ["OrderAcceptance", "create_order_acceptance"]
 
 RELOAD_RETRY_MS = 5_000
 
 Fence = tuple[int, int]
 
 
-class OrderDesk:
+class OrderAcceptance:
     """The engine's state as it was read last, and the last fencing number known.
 
     Attributes
@@ -62,6 +62,6 @@
             raise RequestError(ResultCode.MODEL_NOT_LOADED, offer.adapter, RELOAD_RETRY_MS)
 
 
-def create_order_desk() -> OrderDesk:
-    """Create a desk of a process that has not met its engine."""
-    return OrderDesk()
+def create_order_acceptance() -> OrderAcceptance:
+    """Create the acceptance of a process that has not met its engine."""
+    return OrderAcceptance()
--- a/guavawalk/process/sidecar/state.py
+++ b/guavawalk/process/sidecar/state.py
@@ -12,7 +12,7 @@
 from guavawalk.process.observe.log import EventLog
 from guavawalk.process.observe.metrics import Metrics
 from guavawalk.process.observe.observations import Observations
-from guavawalk.process.orders.desk import OrderDesk
+from guavawalk.process.orders.acceptance import OrderAcceptance
 from guavawalk.process.sidecar.accounting import account_end
 from guavawalk.process.sidecar.drain import DrainRates
 from guavawalk.process.sidecar.leaving import create_departure
@@ -139,7 +139,7 @@
     observed: Observations
     tasks: TaskGroup
     members: Members
-    orders: OrderDesk
+    orders: OrderAcceptance
     suspects: SuspectTable
 
 
--- a/guavawalk/process/sidecar_daemon.py
+++ b/guavawalk/process/sidecar_daemon.py
@@ -10,7 +10,6 @@
 from guavawalk.connection.handshake import Identity
 from guavawalk.connection.http_target import create_http_engine, create_http_service
 from guavawalk.connection.link import Network
-from guavawalk.connection.noting import create_noting_network
 from guavawalk.connection.platform import Platform, create_http_platform
 from guavawalk.connection.target import TargetClient
 from guavawalk.connection.tasks.admin import serve_admin
@@ -20,6 +19,7 @@
 from guavawalk.connection.tasks.leave_notices import follow_notices
 from guavawalk.connection.tasks.spread import run_spread
 from guavawalk.connection.tcp import create_tcp_network
+from guavawalk.connection.version_reporting import create_version_reporting_network
 from guavawalk.process.admin.sidecar_node import create_sidecar_node
 from guavawalk.process.clock import Clock, create_clock
 from guavawalk.process.observe.gauges import GaugeValues, report_gauges
@@ -31,7 +31,7 @@
     create_statsd_metrics,
 )
 from guavawalk.process.observe.observations import create_observations
-from guavawalk.process.orders.desk import create_order_desk
+from guavawalk.process.orders.acceptance import create_order_acceptance
 from guavawalk.process.pauses import Nap
 from guavawalk.process.settings import (
     SidecarSettings,
@@ -130,7 +130,7 @@
         observed=create_observations(),
         tasks=tasks,
         members=members,
-        orders=create_order_desk(),
+        orders=create_order_acceptance(),
         suspects=members.suspects,
     )
 
@@ -156,12 +156,12 @@
 ) -> None:
     """Serve links and keep the configuration in force until cancelled."""
     members = sidecar.members
-    noting = create_noting_network(network, members.news.post)
+    reporting = create_version_reporting_network(network, members.latest_updates.post)
     spread = create_spread(
         sidecar.identity,
         sidecar.held,
         members,
-        noting,
+        reporting,
         platform,
         sidecar.clock,
         sidecar.log,
@@ -170,7 +170,7 @@
     )
     async with anyio.create_task_group() as tasks:
         handler = partial(serve_entry_link, sidecar)
-        bound = await tasks.start(noting.serve, address, handler)
+        bound = await tasks.start(reporting.serve, address, handler)
         members.roster.set_address(bound)
         tasks.start_soon(run_spread, spread)
         tasks.start_soon(watch_stalled, sidecar)
--- a/guavawalk/process/spread/news.py
+++ b/guavawalk/process/spread/latest_updates.py
@@ -2,10 +2,10 @@
 
 import anyio
 
-__all__ = ["NewsBoard", "create_news_board"]
+__all__ = ["LatestUpdates", "create_latest_updates"]
 
 
-class NewsBoard:
+class LatestUpdates:
     """A version that a peer has, and where that peer takes links."""
 
     def __init__(self) -> None:
@@ -23,7 +23,7 @@
         self._posted = anyio.Event()
 
     def forget(self) -> None:
-        """Drop the news, since the version could not be had from there."""
+        """Drop the update, since the version could not be had from there."""
         self.version = 0
 
     async def wait_above(self, version: int) -> None:
@@ -32,6 +32,6 @@
             await self._posted.wait()
 
 
-def create_news_board() -> NewsBoard:
-    """Create a board without news."""
-    return NewsBoard()
+def create_latest_updates() -> LatestUpdates:
+    """Create a table without updates."""
+    return LatestUpdates()
--- a/guavawalk/process/spread/members.py
+++ b/guavawalk/process/spread/members.py
@@ -4,7 +4,7 @@
 
 from guavawalk.process.clock import Clock
 from guavawalk.process.pauses import PauseGauge, create_pause_gauge
-from guavawalk.process.spread.news import NewsBoard, create_news_board
+from guavawalk.process.spread.latest_updates import LatestUpdates, create_latest_updates
 from guavawalk.process.spread.ranking import Node
 from guavawalk.process.spread.roster import Roster, create_roster
 from guavawalk.process.suspects import SuspectTable, create_suspect_table
@@ -16,7 +16,7 @@
     """The nodes known, what was heard of them, and whether this process has been awake."""
 
     roster: Roster
-    news: NewsBoard
+    latest_updates: LatestUpdates
     pauses: PauseGauge
     suspects: SuspectTable
 
@@ -25,7 +25,7 @@
     """Create what a process knows of others before it has met any."""
     return Members(
         create_roster(name, own, seeds, clock),
-        create_news_board(),
+        create_latest_updates(),
         create_pause_gauge(clock),
         create_suspect_table(clock),
     )
--- a/guavawalk/tools/bench/control.py
+++ b/guavawalk/tools/bench/control.py
@@ -16,11 +16,11 @@
 from guavawalk.connection.codec import encode_message
 from guavawalk.connection.handshake import Identity
 from guavawalk.connection.messages import VersionOffer, VersionRequest
-from guavawalk.connection.noting import create_noting_network
 from guavawalk.connection.platform import create_http_platform
 from guavawalk.connection.tasks.peer_link import serve_peer_link
 from guavawalk.connection.tasks.spread import run_spread
 from guavawalk.connection.tcp import create_tcp_network
+from guavawalk.connection.version_reporting import create_version_reporting_network
 from guavawalk.process.clock import create_clock
 from guavawalk.process.http_server import serve_asgi
 from guavawalk.process.observe.log import create_null_log
@@ -178,8 +178,8 @@
         lambda: held.stamp,
         lambda: members.roster.own.address,
     )
-    network = create_noting_network(
-        create_tcp_network(lambda: held.stamp.version), members.news.post
+    network = create_version_reporting_network(
+        create_tcp_network(lambda: held.stamp.version), members.latest_updates.post
     )
     platform = create_http_platform(platform_url)
     log = create_null_log()
--- a/guavawalk/tools/fleet.py
+++ b/guavawalk/tools/fleet.py
@@ -11,7 +11,7 @@
 import anyio
 from anyio.abc import TaskGroup
 
-from guavawalk.connection.tasks.carry import carry_request
+from guavawalk.connection.tasks.process_request import process_request
 from guavawalk.process.clock import create_clock
 from guavawalk.process.entry.state import Entry
 from guavawalk.process.entry_daemon import create_entry, serve_entry_peers
@@ -186,7 +186,7 @@
     async def send(self, centre: str, work: Work, caller: MemoryCaller | None = None):
         """Carry a request through the entry of a data centre; return its caller."""
         caller = caller or MemoryCaller()
-        await carry_request(self.entry(centre), work, caller)
+        await process_request(self.entry(centre), work, caller)
         return caller
 
     async def _run_sidecar(self, target: PlannedTarget, *, task_status) -> None:
--- a/tests/connection/tasks/test_gossip.py
+++ b/tests/connection/tasks/test_gossip.py
@@ -1,6 +1,6 @@
 import anyio
 
-from guavawalk.connection.tasks.gossip import hear_peers, make_report, tell_peers
+from guavawalk.connection.tasks.gossip import make_report, receive_reports, send_reports
 from guavawalk.connection.tasks.serve_probe import serve_pages
 from guavawalk.process.gateway.pages import peer_pages
 from guavawalk.version.routes import Quota
@@ -33,8 +33,8 @@
         await serve_pages(peer_pages(story.gateway), stream)
 
     tasks.start_soon(listener.serve, serve)
-    tasks.start_soon(hear_peers, story.gateway, socket)
-    tasks.start_soon(tell_peers, story.gateway, socket, port)
+    tasks.start_soon(receive_reports, story.gateway, socket)
+    tasks.start_soon(send_reports, story.gateway, socket, port)
     return story
 
 
--- a/tests/platform/test_boundary.py
+++ b/tests/platform/test_boundary.py
@@ -11,7 +11,7 @@
     r"|/readyz|kv-watch|kv-range|kv-key|waitMs|staleOk|asOf|GUAVAWALK_CONFIG",
 )
 # The product's own HTTP interface uses headers of the same standard names.
-OWN_INTERFACE = ("connection/http_", "connection/tasks/front.py", "tools/load/")
+OWN_INTERFACE = ("connection/http_", "connection/tasks/entry_app.py", "tools/load/")
 
 
 class TestBoundary:
--- a/tests/process/orders/test_orders.py
+++ b/tests/process/orders/test_orders.py
@@ -8,8 +8,8 @@
 from guavawalk.codes import ResultCode
 from guavawalk.connection.target import EngineOrder, EngineState
 from guavawalk.exception import TargetError
+from guavawalk.process.orders.acceptance import create_order_acceptance
 from guavawalk.process.orders.decide import load_wait_s, next_step
-from guavawalk.process.orders.desk import create_order_desk
 from guavawalk.tools.fleet import run_fleet
 from guavawalk.tools.plan import kestrel_lane_plan, plan_parts
 from guavawalk.version.types import DesiredState, Model
@@ -165,7 +165,7 @@
 
 class TestOrderDesk:
     def test_an_older_version_gives_no_order(self):
-        desk = create_order_desk()
+        desk = create_order_acceptance()
         desk.note_state(EngineState((), (), "mixed", (7, 3)))
         assert desk.next_fence(6) is None
         assert desk.next_fence(7) == (7, 4)
--- a/tests/process/promise_story.py
+++ b/tests/process/promise_story.py
@@ -5,7 +5,7 @@
 
 import anyio
 
-from guavawalk.connection.tasks.carry import carry_request
+from guavawalk.connection.tasks.process_request import process_request
 from guavawalk.connection.tasks.ticket import fetch_ticket
 from guavawalk.exception import RequestError
 from guavawalk.process.entry_daemon import drain_entry
@@ -246,7 +246,7 @@
 
     async def _carry(self, entry, work, sending: Sending, scope: anyio.CancelScope) -> None:
         with scope:
-            await carry_request(entry, work, sending.caller)
+            await process_request(entry, work, sending.caller)
         if not scope.cancelled_caught and sending.caller.outcome is None:
             raise PromiseBroken(f"answered: {sending.text} ended without an outcome")
 
--- a/tests/process/test_promises_mutants.py
+++ b/tests/process/test_promises_mutants.py
@@ -5,7 +5,7 @@
 from hypothesis.stateful import run_state_machine_as_test
 
 from guavawalk.codes import ResultCode
-from guavawalk.connection.tasks import carry, entry_link, offer
+from guavawalk.connection.tasks import entry_link, offer, process_request
 from guavawalk.process.sidecar.link_ledger import LinkLedger
 from guavawalk.process.sidecar.queue import TierQueue
 from guavawalk.process.sidecar.records import Records
@@ -35,7 +35,9 @@
 class TestDispatchedOnce:
     def test_sending_elsewhere_after_an_unknown_outcome(self, monkeypatch):
         monkeypatch.setattr(
-            carry, "code_class", lambda code: carry.CodeClass.NOT_RUN if code else 0
+            process_request,
+            "code_class",
+            lambda code: process_request.CodeClass.NOT_RUN if code else 0,
         )
         with pytest.raises(PromiseBroken, match="^dispatch"):
             tell(SIDECARS_KILLED)
--- a/tests/process/test_request_story.py
+++ b/tests/process/test_request_story.py
@@ -4,7 +4,7 @@
 
 from guavawalk import events
 from guavawalk.codes import ResultCode
-from guavawalk.connection.tasks.carry import carry_request
+from guavawalk.connection.tasks.process_request import process_request
 from guavawalk.process.sidecar.admission import start_leaving
 from guavawalk.tools.fleet import run_fleet
 from guavawalk.tools.plan import kestrel_lane_plan
@@ -23,7 +23,7 @@
                     start_leaving(fleet.sidecar(target))
                 work = fleet.work("harbour", "onsite", "which glaze?", model="quill")
                 entry = fleet.entry("victoria")._replace(log=log)
-                return work, await carry_request(entry, work, MemoryCaller())
+                return work, await process_request(entry, work, MemoryCaller())
 
         work, outcome = run_virtually(story)
         assert outcome.code is ResultCode.COMPLETED
@@ -40,7 +40,7 @@
                 work = fleet.work("harbour", "onsite", "which glaze?", model="quill")
                 entry = fleet.entry("victoria")._replace(log=log)
                 async with anyio.create_task_group() as tasks:
-                    tasks.start_soon(carry_request, entry, work, MemoryCaller())
+                    tasks.start_soon(process_request, entry, work, MemoryCaller())
                     await anyio.sleep(0.05)
                     fleet.fabric.break_links("entry-victoria")
 
