--- a/guavawalk/process/gateway_daemon.py
+++ b/guavawalk/process/gateway_daemon.py
@@ -1,6 +1,6 @@
 """The gateway process: assembly, serving and shutdown.
 
-Started as a module it needs no command line, since loading one would cost it time at each start.
+`start_gateway` runs it without the command line, which would cost it time at each start.
 """
 
 import os
@@ -177,14 +177,8 @@
 
 def main() -> None:
     """Run a gateway with the settings file that the platform names."""
-    # A signal to read the settings again may come before they have been read at all.
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     try:
         sys.exit(run_tasks(partial(run_gateway, settings_path())))
     except SettingsError as error:
         print(f"guavawalk: {error}", file=sys.stderr)
         sys.exit(ERROR_EXIT)
-
-
-if __name__ == "__main__":
-    main()
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -16,7 +16,7 @@
 
 __all__ = ["GatewayProcess", "create_fleet", "free_ports"]
 
-DAEMON = "guavawalk.process.gateway_daemon"
+DAEMON = "guavawalk.process.start_gateway"
 GRACE_MS = 4_000
 # Below the range from which the kernel takes ports for outgoing connections; each process that
 # starts gateways has a part of them to itself.
--- a/soak/mutants.py
+++ b/soak/mutants.py
@@ -1,8 +1,9 @@
 """Gateways with one fault built in each; the soak must catch every one of them.
 
-`python -m soak.mutants NAME` runs such a gateway as `guavawalk.process.gateway_daemon` does.
+`python -m soak.mutants NAME` runs such a gateway as `guavawalk.process.start_gateway` does.
 """
 
+import signal
 import sys
 from collections.abc import Callable
 from types import MappingProxyType
@@ -98,5 +99,6 @@
 
 
 if __name__ == "__main__":
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     MUTANTS[sys.argv[1]]()
     gateway_daemon.main()
--- a/tests/process/test_gateway_daemon.py
+++ b/tests/process/test_gateway_daemon.py
@@ -53,7 +53,7 @@
         }
         self.write("// the settings of a test\n" + json.dumps(self.settings))
         self.process = subprocess.Popen(
-            [sys.executable, "-m", "guavawalk.process.gateway_daemon"],
+            [sys.executable, "-m", "guavawalk.process.start_gateway"],
             env={**os.environ, "GUAVAWALK_CONFIG": str(self.path)},
             stdout=self.output.open("wb"),
             stderr=subprocess.STDOUT,
@@ -115,6 +115,21 @@
     run_story(run)
 
 
+class TestStart:
+    def test_a_signal_to_reload_is_ignored_before_anything_else_is_loaded(self):
+        code = (
+            "import signal, sys; from guavawalk.process import start_gateway;"
+            "assert 'guavawalk.process.gateway_daemon' not in sys.modules;"
+            "from guavawalk.process import gateway_daemon;"
+            "gateway_daemon.main = lambda: print(signal.getsignal(signal.SIGHUP).name);"
+            "start_gateway.main()"
+        )
+        found = subprocess.run(
+            [sys.executable, "-c", code], capture_output=True, text=True, check=True
+        )
+        assert found.stdout == "SIG_IGN\n"
+
+
 class TestGatewayDaemon:
     def test_life(self, tmp_path):
         async def use(daemon, store, target):
@@ -211,7 +226,7 @@
         }
         path.write_text(json.dumps({**good, **change}))
         found = subprocess.run(
-            [sys.executable, "-m", "guavawalk.process.gateway_daemon"],
+            [sys.executable, "-m", "guavawalk.process.start_gateway"],
             env={**os.environ, "GUAVAWALK_CONFIG": str(path)},
             capture_output=True,
             text=True,
