A caller found gone while an event is sent is logged as one that left

Cause: the error of the send left the task group as a group of errors, past the handler for callers that are gone, and ended as task_failed.

--- a/guavawalk/connection/tasks/serve_caller.py
+++ b/guavawalk/connection/tasks/serve_caller.py
@@ -116,7 +116,10 @@
     try:
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(watch_caller, tasks.cancel_scope)
-            await forward_call(gateway, call, progress, answer)
+            try:
+                await forward_call(gateway, call, progress, answer)
+            except CallerGone:
+                has_left = True
             tasks.cancel_scope.cancel()
     finally:
         if not progress.has_run:
--- a/tests/connection/tasks/test_serve_caller.py
+++ b/tests/connection/tasks/test_serve_caller.py
@@ -9,6 +9,7 @@
     encode_response,
     encode_response_head,
 )
+from guavawalk.connection.request_reader import RequestReader
 from guavawalk.exception import TargetLost
 from guavawalk.version.routes import CallerLimits, Quota, RouteKind
 from soak.standins import (
@@ -289,6 +290,30 @@
         assert story.code() == "CALLER_LEFT"
         assert story.gateway.targets.get("i-1").running == 0
 
+    def test_leaving_that_shows_only_while_an_event_is_sent(self, monkeypatch):
+        async def slowly(target, stream, request):
+            await stream.send(encode_response_head(200, signed(request), CHUNKED))
+            for number in range(1, 100):
+                await stream.send(encode_chunk(event(number)))
+                await anyio.sleep(0.02)
+
+        async def never(reader):
+            await anyio.sleep_forever()
+
+        async def run():
+            story = GatewayStory(PLAN)
+            async with story.running(StandInTarget(slowly), service="model"):
+                caller = await story.caller()
+                await caller.send()
+                await caller.reader.head()
+                await anyio.aclose_forcefully(caller.stream)
+                while not story.log.named("call_ended"):
+                    await anyio.sleep(0.01)
+            return story
+
+        monkeypatch.setattr(RequestReader, "wait_closed", never)
+        assert run_story(run).code() == "CALLER_LEFT"
+
 
 class TestRefusals:
     def refusal(self, status, code=None, table=None, **request):
