Random stories of three gateways in virtual time, with a mutant for each promise

The real tasks of connections, reports and the registry run over a network in memory among the platform's stand-ins; callers and targets judge TWICE, REFUSED, ORDER, GONE, DRAIN, CONFIG, BUDGET, QUOTA, UNASKED and DENIED.

--- /dev/null
+++ b/tests/process/test_gateway_promises.py
@@ -0,0 +1,146 @@
+"""What gateways promise callers and targets, under random failures in virtual time."""
+
+import random
+
+import anyio
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from guavawalk.connection import http_client
+from guavawalk.connection.request_reader import RequestReader
+from guavawalk.connection.tasks import attempt_call, forward_call
+from guavawalk.exception import TargetLost
+from guavawalk.process.gateway import connections
+from guavawalk.process.gateway.held_routes import HeldRoutes
+from guavawalk.process.gateway.quota import QuotaWindows
+from guavawalk.process.gateway.retry_window import RetryWindows
+from guavawalk.process.gateway.targets import TargetTable
+from guavawalk.request.repeat import AttemptEnd, AttemptResult
+from guavawalk.version.routes import Route
+from tests.gateway_fuzz import STEPS, Broken, Step, tell_story
+from tests.virtual import run_virtually
+
+STEPS_A_STORY = 50
+STORY = st.lists(
+    st.builds(Step, st.sampled_from(STEPS), st.integers(0, 5), st.floats(0.02, 0.5)),
+    min_size=STEPS_A_STORY,
+    max_size=STEPS_A_STORY,
+)
+# Stories in which a mutant must be found.
+MOST_SEEDS = 8
+
+
+@pytest.fixture(autouse=True)
+def memory_streams(monkeypatch):
+    """Let connections be those of the story's own network."""
+    for module in (connections, http_client):
+        monkeypatch.setattr(module, "open_stream", None)
+        monkeypatch.setattr(module, "has_input", lambda stream: stream.has_input)
+
+
+def random_steps(seed, kinds=STEPS):
+    """Return the steps of a seeded story."""
+    rng = random.Random(seed)
+    return [
+        Step(rng.choice(kinds), rng.randint(0, 5), rng.uniform(0.02, 0.5))
+        for _ in range(STEPS_A_STORY)
+    ]
+
+
+def broken_rules(kinds=STEPS):
+    """Return the promises broken first in seeded stories, until one is."""
+    for seed in range(MOST_SEEDS):
+        try:
+            run_virtually(tell_story, random_steps(seed, kinds), seed)
+        except Broken as found:
+            return str(found).partition(":")[0]
+    return ""
+
+
+class TestPromises:
+    def test_calm_story(self):
+        statuses = run_virtually(tell_story, [Step("pause", wait_s=5.0)], 1)
+        assert statuses[200] > 100
+        assert set(statuses) <= {200, 404, 429}
+
+    @settings(max_examples=8)
+    @given(STORY, st.integers(0, 1_000_000))
+    def test_random_stories(self, steps, seed):
+        run_virtually(tell_story, steps, seed)
+
+
+class TestMutants:
+    """Each promise broken on purpose must be found."""
+
+    def test_repeats_what_may_run_once(self, monkeypatch):
+        monkeypatch.setattr(Route, "is_idempotent", property(lambda route: True))
+        assert broken_rules() == "TWICE"
+
+    def test_unknown_outcome_told_as_not_run(self, monkeypatch):
+        monkeypatch.setattr(forward_call, "encode_status", lambda code: 503)
+        assert broken_rules() == "REFUSED"
+
+    def test_broken_stream_ended_as_whole(self, monkeypatch):
+        pass_on = attempt_call._Attempt._pass_stream
+
+        async def lenient(attempt, head):
+            try:
+                return await pass_on(attempt, head)
+            except TargetLost:
+                await attempt._answer.finish()
+                return AttemptEnd(AttemptResult.DELIVERED)
+
+        monkeypatch.setattr(attempt_call._Attempt, "_pass_stream", lenient)
+        assert broken_rules() == "ORDER"
+
+    def test_caller_that_left_is_not_noticed(self, monkeypatch):
+        async def never(reader):
+            await anyio.sleep_forever()
+
+        monkeypatch.setattr(RequestReader, "wait_closed", never)
+        assert broken_rules() == "GONE"
+
+    def test_leaving_target_goes_on_being_used(self, monkeypatch):
+        put = TargetTable.put
+        monkeypatch.setattr(
+            TargetTable, "put", lambda table, found: put(table, found._replace(draining=False))
+        )
+        assert broken_rules() == "DRAIN"
+
+    def test_first_routes_stay_in_force(self, monkeypatch):
+        take = HeldRoutes.take
+
+        def take_once(held, table, now_s=0.0):
+            return not held.table.version and take(held, table, now_s)
+
+        monkeypatch.setattr(HeldRoutes, "take", take_once)
+        assert broken_rules() == "CONFIG"
+
+    def test_repeats_without_a_budget(self, monkeypatch):
+        monkeypatch.setattr(RetryWindows, "take", lambda *args: True)
+        assert broken_rules(("break_target",)) == "BUDGET"
+
+    def test_budget_holds_where_all_targets_break(self):
+        assert broken_rules(("break_target",)) == ""
+
+    def test_no_quota(self, monkeypatch):
+        monkeypatch.setattr(QuotaWindows, "take", lambda *args: 0.0)
+        assert broken_rules() == "QUOTA"
+
+    def test_key_is_passed_on(self, monkeypatch):
+        encode = attempt_call.encode_forwarded
+        key = (b"Authorization", b"Bearer k1")
+        monkeypatch.setattr(attempt_call, "encode_forwarded", lambda *args: (*encode(*args), key))
+        assert broken_rules() == "UNASKED"
+
+    def test_routes_are_lost_by_a_change(self, monkeypatch):
+        take = HeldRoutes.take
+
+        def take_empty(held, table, now_s=0.0):
+            if held.table.version:
+                table = table._replace(routes_by_host={})
+            return take(held, table, now_s)
+
+        monkeypatch.setattr(HeldRoutes, "take", take_empty)
+        assert broken_rules() == "DENIED"
