An encoded answer is not passed on as a target's own

Cause: tried by hand, a target that answers with Content-Encoding had its body passed on with its signature, though no caller asks for an encoding. Such an answer now counts as one without signature.

--- a/guavawalk/platform/requests.py
+++ b/guavawalk/platform/requests.py
@@ -204,7 +204,7 @@
     forwarded: list[Header] = []
     request_id = ""
     is_not_run = is_misdirected(head.status)
-    is_stamped = False
+    is_stamped = is_encoded = False
     idle_s: float | None = None
     per_connection = _named_by_connection(head.headers)
     for name, value in head.headers:
@@ -216,6 +216,8 @@
             request_id = value.decode("latin-1")
         elif lower == STAMP:
             is_stamped = True
+        elif lower == b"content-encoding":
+            is_encoded = value.strip().lower() != b"identity"
         elif lower == b"keep-alive":
             idle_s = _idle_s(value)
         if lower not in HOP_BY_HOP and lower not in per_connection:
@@ -224,7 +226,7 @@
         status=head.status,
         request_id=request_id,
         is_not_run=is_not_run,
-        is_stamped=is_stamped,
+        is_stamped=is_stamped and not is_encoded,
         idle_s=idle_s,
         keep_alive=head.keep_alive,
         forwarded=tuple(forwarded),
--- a/guavawalk/request/target_answer.py
+++ b/guavawalk/request/target_answer.py
@@ -15,7 +15,8 @@
     is_not_run : bool
         Whether the target states that it has not run the request and won't.
     is_stamped : bool
-        Whether it carries the signature of the target that ran the request.
+        Whether it carries the signature of the target that ran the request, and its body as the
+        target made it: nobody asks for an encoded one.
     idle_s : float, optional
         How long the target keeps the connection open without a request.
     keep_alive : bool
--- a/tests/platform/test_requests.py
+++ b/tests/platform/test_requests.py
@@ -117,6 +117,11 @@
         assert found.is_stamped and found.request_id == "r1" and not found.is_not_run
         assert (b"Server-Stamp", b"s") in found.forwarded
 
+    def test_an_encoded_body_is_not_what_the_target_signed(self):
+        stamp = (b"Server-Stamp", b"s")
+        assert not self.answer(200, stamp, (b"Content-Encoding", b"gzip")).is_stamped
+        assert self.answer(200, stamp, (b"Content-Encoding", b"identity")).is_stamped
+
     def test_not_run(self):
         found = self.answer(503, (b"Not-Executed", b"1"))
         assert found.is_not_run and found.forwarded == ()
