--- /dev/null
+++ b/tests/connection/tasks/test_serve_caller_refusals.py
@@ -0,0 +1,226 @@
+import anyio
+import pytest
+
+from guavawalk.version.routes import CallerLimits, Quota
+from soak.standins import (
+    StandInTarget,
+    answer_not_run,
+    answer_nothing,
+    answer_plain,
+    break_stream,
+)
+from tests.gateway_calls import PLAN, SAFE, UNSAFE, make_table
+from tests.gateway_standins import GatewayStory, ask_once, run_story
+
+
+class TestRefusals:
+    def refusal(self, status, code=None, table=None, **request):
+        async def run():
+            story = GatewayStory(SAFE)
+            if table is not None:
+                story.gateway.routes.take(table)
+            async with story.running(StandInTarget(answer_plain)):
+                caller = await story.caller()
+                answer = await caller.ask(**request)
+            return story, answer
+
+        story, answer = run_story(run)
+        assert answer[0] == status
+        assert code is None or story.code() == code
+        return answer
+
+    def test_unknown_path(self):
+        self.refusal(404, "NOT_FOUND", path=b"/y/")
+
+    def test_unknown_key(self):
+        table = make_table(SAFE, version=5)._replace(workspaces_by_key={})
+        self.refusal(401, "UNAUTHENTICATED", table)
+
+    def test_header_that_can_not_be_read(self):
+        self.refusal(400, headers=[(b"Token-Count", b"x")])
+
+    def test_over_the_quota(self):
+        table = make_table(SAFE, version=5, quota=Quota(0.1, 0.0, True, 5))
+
+        async def run():
+            story = GatewayStory(SAFE)
+            story.gateway.routes.take(table)
+            async with story.running(StandInTarget(answer_plain)):
+                caller = await story.caller()
+                return [await caller.ask() for _ in range(3)]
+
+        first, *others = run_story(run)
+        assert first[0] == 200
+        assert [(status, float(headers[b"Retry-After"]) > 0) for status, headers, _ in others] == [
+            (429, True)
+        ] * 2
+
+    def test_what_did_not_run_takes_nothing_of_the_quota(self):
+        async def run():
+            story = GatewayStory(SAFE)
+            story.gateway.routes.take(make_table(SAFE, version=5, quota=Quota(0.1, 0.0, True, 5)))
+            async with story.running(StandInTarget(answer_not_run)):
+                caller = await story.caller()
+                return [(await caller.ask())[0] for _ in range(3)]
+
+        assert run_story(run) == [503, 503, 503]
+
+    def test_no_routes_known_yet(self):
+        async def run():
+            story = GatewayStory(SAFE)
+            story.gateway.routes.table = story.gateway.routes.table._replace(version=0)
+            async with story.running():
+                return await (await story.caller()).ask()
+
+        status, headers, _ = run_story(run)
+        assert status == 503 and b"Retry-After" in headers
+
+    def test_call_that_crashed_two_targets(self):
+        async def run():
+            story = GatewayStory(SAFE)
+            async with story.running(StandInTarget(answer_plain)):
+                caller = await story.caller()
+                assert (await caller.ask(body=b"bad"))[0] == 200
+                table, log = story.gateway.suspects, story.log
+                mark = make_mark(story, b"bad")
+                table.note_death(mark, "i-1")
+                table.note_death(mark, "i-2")
+                return await caller.ask(body=b"bad"), await caller.ask(body=b"good"), log
+
+        blocked, served, _ = run_story(run)
+        assert (blocked[0], served[0]) == (503, 200)
+
+    def test_unreadable_request_is_answered_and_closed(self):
+        async def run():
+            story = GatewayStory(SAFE)
+            async with story.running(StandInTarget(answer_plain)):
+                caller = await story.caller()
+                await caller.stream.send(b"POST /x/ HTTP/1.1\r\nContent-Length: 1\r\n")
+                await caller.stream.send(b"Content-Length: 2\r\n\r\nab")
+                answer = await caller.answer()
+                with pytest.raises(anyio.EndOfStream):
+                    await caller.stream.receive()
+            return answer, story.log.named("call_rejected")
+
+        (status, headers, _), lines = run_story(run)
+        assert (status, headers[b"Connection"]) == (400, b"close")
+        assert lines and lines[0]["reason"]
+
+    def test_body_over_the_limit(self):
+        limits = CallerLimits(body_bytes=10)
+        self.refusal(413, table=make_table(SAFE, version=5, limits=limits), body=b"x" * 11)
+
+
+class TestExplaining:
+    """The log of a failed call has its whole chain of causes under its id."""
+
+    def chain(self, story):
+        return [
+            (name, fields) for name, fields in story.log.lines if fields.get("trace_id") == "r1"
+        ]
+
+    def test_stream_that_ended_half_way(self):
+        story, _, _ = ask_once(PLAN, break_stream)
+        (sent_name, sent), (ended_name, ended), (end_name, end) = self.chain(story)
+        assert (sent_name, ended_name, end_name) == (
+            "call_sent",
+            "call_attempt_ended",
+            "call_ended",
+        )
+        assert sent["target"] == "i-1" and sent["routes_version"] == 1
+        assert (ended["result"], ended["next"]) == ("lost", "break")
+        assert (end["code_name"], end["events"], end["is_whole"]) == ("TARGET_LOST", 2, False)
+
+    def test_booking_with_unknown_outcome(self):
+        story, _, _ = ask_once(UNSAFE, answer_nothing)
+        (_, sent), (_, ended), (_, end) = self.chain(story)
+        assert sent["left_ms"] > 0
+        assert (ended["result"], ended["next"], ended["may_retry"]) == ("lost", "fail", True)
+        assert (end["code_name"], end["status"]) == ("TARGET_LOST", 502)
+
+    def test_refused_by_the_target(self):
+        story, _, _ = ask_once(UNSAFE._replace(max_targets=1), answer_not_run)
+        (_, _), (_, ended), (_, end) = self.chain(story)
+        assert (ended["result"], ended["detail"]) == ("not run", "HTTP 503")
+        assert (end["code_name"], end["status"]) == ("QUEUE_FULL", 503)
+
+    def test_refused_over_the_quota(self):
+        async def run():
+            story = GatewayStory(SAFE)
+            quota = Quota(0.1, 0.0, True, 5)
+            story.gateway.routes.take(make_table(SAFE, version=5, quota=quota))
+            async with story.running(StandInTarget(answer_plain)):
+                caller = await story.caller()
+                await caller.ask(request_id=b"r0")
+                await caller.ask()
+            return story
+
+        ((name, refused),) = self.chain(run_story(run))
+        assert name == "call_refused"
+        assert (refused["code_name"], refused["status"]) == ("LIMIT_TOKENS", 429)
+        assert refused["retry_after_ms"] > 0 and "workspace w" in refused["reason"]
+        assert refused["routes_version"] == 5
+
+
+class TestDraining:
+    def test_answers_announce_the_close(self):
+        async def run():
+            story = GatewayStory(SAFE)
+            async with story.running(StandInTarget(answer_plain)):
+                caller = await story.caller()
+                await caller.ask()
+                story.gateway.callers.is_draining = True
+                _, headers, _ = await caller.ask()
+                with pytest.raises(anyio.EndOfStream):
+                    await caller.stream.receive()
+            return headers
+
+        assert run_story(run)[b"Connection"] == b"close"
+
+    def test_idle_connections_close(self):
+        async def run():
+            story = GatewayStory(SAFE)
+            async with story.running(StandInTarget(answer_plain)):
+                caller = await story.caller()
+                await caller.ask()
+                await anyio.sleep(0.05)
+                story.gateway.callers.close_idle()
+                with pytest.raises(anyio.EndOfStream):
+                    await caller.stream.receive()
+
+        run_story(run)
+
+    def test_calls_that_come_too_late_are_refused_and_those_under_way_end(self):
+        async def run():
+            gate = anyio.Event()
+
+            async def wait(target, stream, request):
+                await gate.wait()
+                await answer_plain(target, stream, request)
+
+            story = GatewayStory(SAFE._replace(max_targets=1))
+            target = StandInTarget(wait)
+            async with story.running(target):
+                early, late = await story.caller(), await story.caller()
+                await early.send(body=b"early")
+                while not target.got:
+                    await anyio.sleep(0.01)
+                story.gateway.callers.is_draining = story.gateway.callers.is_closing = True
+                refused = await late.ask(body=b"late")
+                gate.set()
+                return refused, await early.answer()
+
+        refused, served = run_story(run)
+        assert refused[0] == 503 and refused[1][b"Connection"] == b"close"
+        assert served[2] == b"served early"
+
+
+def make_mark(story, body):
+    """Return the fingerprint under which a body's calls are known."""
+    from guavawalk.platform.requests import decode_call
+    from guavawalk.request.admission import admit_call
+
+    headers = [(b"Host", b"a.example"), (b"Request-Id", b"r1"), (b"Authorization", b"Bearer k1")]
+    table = story.gateway.routes.table
+    call = admit_call(table, decode_call(headers), "POST", b"/x/1", body, 0.0)
+    return call.fingerprint
--- a/tests/gateway_calls.py
+++ b/tests/gateway_calls.py
@@ -14,7 +14,18 @@
     build_route_table,
 )
 
-__all__ = ["HOST", "make_call", "make_parts", "make_registration", "make_route", "make_table"]
+__all__ = [
+    "HOST",
+    "PLAN",
+    "RESUMABLE",
+    "SAFE",
+    "UNSAFE",
+    "make_call",
+    "make_parts",
+    "make_registration",
+    "make_route",
+    "make_table",
+]
 
 HOST = "a.example"
 
@@ -61,3 +72,9 @@
 def make_parts(*parts):
     """Return prompt parts of pairs."""
     return tuple(PromptPart(*part) for part in parts)
+
+
+UNSAFE = make_route(RouteKind.UNSAFE, max_targets=3)
+SAFE = make_route(RouteKind.SAFE, max_targets=2)
+PLAN = make_route(RouteKind.STREAM, "model")
+RESUMABLE = make_route(RouteKind.STREAM, "model", max_targets=2, resumable=True)
--- a/tests/gateway_standins.py
+++ b/tests/gateway_standins.py
@@ -6,13 +6,14 @@
 import anyio
 
 from guavawalk.connection.tasks.serve_caller import serve_caller
+from guavawalk.exception import TargetLost
 from guavawalk.process.clock import create_clock
 from guavawalk.process.gateway.settings import GatewaySettings
 from guavawalk.process.gateway.state import create_gateway
-from soak.standins import Caller, listen
+from soak.standins import Caller, StandInTarget, listen
 from tests.gateway_calls import make_registration, make_table
 
-__all__ = ["GatewayStory", "ListLog", "run_story"]
+__all__ = ["GatewayStory", "ListLog", "ask_once", "run_story"]
 
 
 def run_story(story, *args):
@@ -89,3 +90,21 @@
         """Return the name of the outcome logged last."""
         names = [*self.log.named("call_ended"), *self.log.named("call_refused")]
         return names[-1]["code_name"]
+
+
+def ask_once(route, *scripts, **request):
+    """Return the story, its targets and the answer to one request."""
+
+    async def run():
+        story = GatewayStory(route)
+        targets = [StandInTarget(script) for script in scripts]
+        service = route.services[0].service
+        async with story.running(*targets, service=service):
+            caller = await story.caller()
+            try:
+                answer = await caller.ask(**request)
+            except TargetLost:
+                answer = None
+        return story, targets, answer
+
+    return run_story(run)
--- a/tests/process/test_gateway_promises.py
+++ b/tests/process/test_gateway_promises.py
@@ -18,7 +18,8 @@
 from guavawalk.process.gateway.targets import TargetTable
 from guavawalk.request.repeat import AttemptEnd, AttemptResult
 from guavawalk.version.routes import Route
-from tests.gateway_fuzz import STEPS, Broken, Step, tell_story
+from tests.gateway_fuzz import STEPS, Step, tell_story
+from tests.gateway_judge import Broken
 from tests.virtual import run_virtually
 
 STEPS_A_STORY = 50
