--- a/guavawalk/connection/tasks/attempt_call.py
+++ b/guavawalk/connection/tasks/attempt_call.py
@@ -69,8 +69,16 @@
 
 def _note_unreached(gateway: Gateway, belief: TargetBelief) -> None:
     now_s = gateway.clock.now_s()
-    belief.note_unreached(now_s)
+    pause_s = belief.note_unreached(now_s)
     target_id = belief.registration.target_id
+    if pause_s:
+        gateway.log.emit(
+            events.TARGET_PAUSED,
+            target=target_id,
+            pause_ms=int(pause_s * 1000),
+            failure_share=round(belief.failure_share(now_s), 2),
+            silent_ms=int((now_s - belief.heard_s) * 1000) if belief.heard_s else None,
+        )
     for fingerprint in belief.take_crash_suspects(now_s):
         gateway.suspects.note_death(fingerprint, target_id)
         gateway.log.emit(
--- a/guavawalk/events.py
+++ b/guavawalk/events.py
@@ -100,6 +100,9 @@
 TARGETS_FETCHED = _event(
     4017, "targets_fetched", logging.INFO, "another gateway gave newer entries"
 )
+TARGET_PAUSED = _event(
+    4018, "target_paused", logging.INFO, "a target took no connection and is left alone for a while"
+)
 REGISTRY_LOST = _event(4015, "registry_lost", logging.WARNING, "the registry gave no answer")
 REGISTRY_BACK = _event(4016, "registry_back", logging.INFO, "the registry answers again")
 
--- a/guavawalk/process/gateway/targets.py
+++ b/guavawalk/process/gateway/targets.py
@@ -141,13 +141,20 @@
         """Return the share of attempts that failed lately, at all gateways."""
         return self.failures.share(now_s, (self._peer_failed / 10, self._peer_ended / 10))
 
-    def note_unreached(self, now_s: float) -> None:
-        """Note that it took no connection: it is paused, and its cache is taken as lost."""
+    def note_unreached(self, now_s: float) -> float:
+        """Note that it took no connection; return the pause that begins now, 0 if one has begun.
+
+        Notes
+        -----
+        Its cache is taken as lost.
+        """
         self.failures.note(True, now_s)
-        if now_s >= self.paused_until_s:
-            self._pause_s = min(max(2 * self._pause_s, FIRST_PAUSE_S), LAST_PAUSE_S)
-            self.paused_until_s = now_s + self._pause_s
         self._parts.clear()
+        if now_s < self.paused_until_s:
+            return 0.0
+        self._pause_s = min(max(2 * self._pause_s, FIRST_PAUSE_S), LAST_PAUSE_S)
+        self.paused_until_s = now_s + self._pause_s
+        return self._pause_s
 
     def takes_calls(self, now_s: float) -> bool:
         """Say whether a call may go there: after a pause one at a time, until one is answered."""
--- a/tests/connection/tasks/test_serve_caller.py
+++ b/tests/connection/tasks/test_serve_caller.py
@@ -23,10 +23,11 @@
     answer_stream,
     break_stream,
     event,
+    listen,
     signed,
     stay_silent,
 )
-from tests.gateway_calls import PLAN, RESUMABLE, SAFE, UNSAFE
+from tests.gateway_calls import PLAN, RESUMABLE, SAFE, UNSAFE, make_registration
 from tests.gateway_standins import GatewayStory, ask_once, run_story
 
 
@@ -188,6 +189,33 @@
         assert (status, body) == (502, b"")
 
 
+class TestPausedTargets:
+    def test_a_target_without_connection_is_paused_once_and_told(self):
+        async def run():
+            story = GatewayStory(SAFE)
+            async with story.running(StandInTarget(answer_plain)):
+                await down(story, "i-0")
+                caller = await story.caller()
+                answers = [(await caller.ask())[0] for _ in range(3)]
+            return story, answers
+
+        story, answers = run_story(run)
+        assert answers == [200, 200, 200]
+        assert [line["target"] for line in story.log.named("target_paused")] == ["i-0"]
+
+
+async def down(story, target_id):
+    """Register a target that takes no connection, and that is chosen first."""
+    listener, address = await listen(None)
+    await listener.aclose()
+    others = [belief.registration for belief in story.gateway.targets]
+    for found in others:
+        story.gateway.targets.remove(found.target_id, 0.0, has_lapsed=False)
+    story.gateway.targets.put(make_registration(target_id, "desk", address))
+    for found in others:
+        story.gateway.targets.put(found)
+
+
 class TestStreams:
     def test_resumable_stream_goes_on_in_the_same_answer(self):
         _, targets, (status, _, body) = ask_once(RESUMABLE, break_first, break_first)
