Soak and stories share their mutants, and say once what may be repeated

A mutant takes the function that sets an attribute, so that a test can undo it. The refusal of a full target is the stand-in's own. Assertions are unchanged.

--- a/soak/mutants.py
+++ b/soak/mutants.py
@@ -16,25 +16,37 @@
 from guavawalk.request.repeat import AttemptEnd, AttemptResult
 from guavawalk.version.routes import Route, RouteKind
 
-__all__ = ["MUTANTS"]
+__all__ = [
+    "MUTANTS",
+    "end_broken_streams_as_whole",
+    "lose_routes",
+    "pass_keys_on",
+    "promise_what_is_unknown",
+    "repeat_what_may_run_once",
+]
 
 
-def repeat_what_may_run_once() -> None:
+# Sets an attribute of a class or module; a test passes one that undoes it afterwards.
+Patch = Callable[[object, str, object], None]
+
+
+def repeat_what_may_run_once(patch: Patch) -> None:
     """Repeat requests whatever their route says."""
-    Route.is_idempotent = property(lambda route: True)
+    patch(Route, "is_idempotent", property(lambda route: True))
 
 
-def resume_every_stream() -> None:
+def resume_every_stream(patch: Patch) -> None:
     """Resume streams at another target though their route forbids it."""
-    Route.is_idempotent = property(lambda route: route.kind in (RouteKind.SAFE, RouteKind.STREAM))
+    kinds = (RouteKind.SAFE, RouteKind.STREAM)
+    patch(Route, "is_idempotent", property(lambda route: route.kind in kinds))
 
 
-def promise_what_is_unknown() -> None:
+def promise_what_is_unknown(patch: Patch) -> None:
     """Tell callers that a request has not run when nothing is known of it."""
-    forward_call.encode_status = lambda code: 503
+    patch(forward_call, "encode_status", lambda code: 503)
 
 
-def end_broken_streams_as_whole() -> None:
+def end_broken_streams_as_whole(patch: Patch) -> None:
     """Let a stream that a target broke off look complete."""
     pass_on = attempt_call._Attempt._pass_stream
 
@@ -45,20 +57,17 @@
             await attempt._answer.finish()
             return AttemptEnd(AttemptResult.DELIVERED)
 
-    attempt_call._Attempt._pass_stream = lenient
+    patch(attempt_call._Attempt, "_pass_stream", lenient)
 
 
-def pass_keys_on() -> None:
+def pass_keys_on(patch: Patch) -> None:
     """Send callers' keys to the targets."""
     encode = attempt_call.encode_forwarded
-
-    def with_key(*args):
-        return (*encode(*args), (b"Authorization", b"Bearer k1"))
-
-    attempt_call.encode_forwarded = with_key
+    key = (b"Authorization", b"Bearer k1")
+    patch(attempt_call, "encode_forwarded", lambda *args: (*encode(*args), key))
 
 
-def lose_routes() -> None:
+def lose_routes(patch: Patch) -> None:
     """Take every later version of the routes without its routes."""
     take = HeldRoutes.take
 
@@ -67,21 +76,21 @@
             table = table._replace(routes_by_host={})
         return take(held, table, now_s)
 
-    HeldRoutes.take = take_empty
+    patch(HeldRoutes, "take", take_empty)
 
 
-def leak_places() -> None:
+def leak_places(patch: Patch) -> None:
     """Never give a place at a target back."""
-    Dispatcher.release = lambda dispatcher, placed: None
+    patch(Dispatcher, "release", lambda dispatcher, placed: None)
 
 
-def end_at_once() -> None:
+def end_at_once(patch: Patch) -> None:
     """End on SIGTERM without waiting for what is under way."""
-    gateway_daemon.NOTICE_S = 0.0
-    gateway_daemon.EXIT_BEFORE_KILL_S = 60.0
+    patch(gateway_daemon, "NOTICE_S", 0.0)
+    patch(gateway_daemon, "EXIT_BEFORE_KILL_S", 60.0)
 
 
-MUTANTS: MappingProxyType[str, Callable[[], None]] = MappingProxyType(
+MUTANTS: MappingProxyType[str, Callable[[Patch], None]] = MappingProxyType(
     {
         mutate.__name__: mutate
         for mutate in (
@@ -100,5 +109,5 @@
 
 if __name__ == "__main__":
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
-    MUTANTS[sys.argv[1]]()
+    MUTANTS[sys.argv[1]](setattr)
     gateway_daemon.main()
--- a/soak/world.py
+++ b/soak/world.py
@@ -12,7 +12,16 @@
     encode_response_head,
 )
 from guavawalk.exception import TargetLost
-from soak.standins import CHUNKED, HOST, Caller, EndConnection, StandInTarget, event, signed
+from soak.standins import (
+    CHUNKED,
+    HOST,
+    Caller,
+    EndConnection,
+    StandInTarget,
+    answer_not_run,
+    event,
+    signed,
+)
 
 __all__ = ["KINDS", "Asker", "Ledger", "configuration", "create_target", "registration"]
 
@@ -81,11 +90,9 @@
         """Note that a target begins to run a request."""
         self.runs[request_id] += 1
         name = path.split("/")[1]
-        kind, resumable, _ = KINDS[name]
-        may_repeat = kind == "safe" or resumable
-        if self.runs[request_id] > 1 and not may_repeat:
+        if self.runs[request_id] > 1 and not may_repeat(name):
             self.broken.append(f"{request_id} ({name}) ran {self.runs[request_id]} times")
-        if resumed and not resumable:
+        if resumed and not KINDS[name][1]:
             self.broken.append(f"{request_id} ({name}) was resumed")
 
     def note_answer(self, request_id: str, name: str, status: int, headers, body: bytes) -> None:
@@ -117,14 +124,19 @@
             cut = [request_id for request_id in sorted(self.lost) if self.runs[request_id]]
             self.broken += [f"{request_id} was cut off by planned work" for request_id in cut]
         ran = [request_id for request_id in self.refused if self.runs[request_id]]
-        idempotent = ("safe", "question")
         return self.broken + [
             f"{request_id} was refused as not run, and ran"
             for request_id in ran
-            if request_id.split("-")[0] not in idempotent
+            if not may_repeat(request_id.split("-")[0])
         ]
 
 
+def may_repeat(name: str) -> bool:
+    """Say whether a kind of request may run more than once."""
+    kind, resumable, _ = KINDS[name]
+    return kind == "safe" or resumable
+
+
 def expected_body(request_id: str, name: str) -> bytes:
     """Return the whole answer to a request."""
     if KINDS[name][0] == "streaming":
@@ -141,7 +153,7 @@
             await stream.send(encode_response(421, ((b"Instance-Id", target_id.encode()),)))
             return
         if rng.random() < target.shed_share:
-            await stream.send(encode_response(503, ((b"Not-Executed", b"1"),)))
+            await answer_not_run(target, stream, request)
             return
         request_id = headers[b"Request-Id"].decode()
         last = int(headers.get(b"Last-Event-Id", b"0"))
--- a/tests/gateway_fuzz.py
+++ b/tests/gateway_fuzz.py
@@ -21,7 +21,16 @@
 from guavawalk.platform.store import create_store
 from guavawalk.process.gateway import connections
 from guavawalk.process.gateway.pages import peer_pages
-from soak.standins import CHUNKED, Caller, EndConnection, StandInStore, StandInTarget, event, signed
+from soak.standins import (
+    CHUNKED,
+    Caller,
+    EndConnection,
+    StandInStore,
+    StandInTarget,
+    answer_not_run,
+    event,
+    signed,
+)
 from soak.world import configuration, registration
 from tests.gateway_judge import (
     KINDS,
@@ -127,7 +136,7 @@
             return
         mode = self.modes[target_id]
         if mode == "full":
-            await stream.send(encode_response(503, ((b"Not-Executed", b"1"),)))
+            await answer_not_run(target, stream, request)
             return
         request_id = headers[b"Request-Id"].decode()
         name = request.target.decode().split("/")[1]
--- a/tests/process/test_gateway_promises.py
+++ b/tests/process/test_gateway_promises.py
@@ -9,15 +9,18 @@
 
 from guavawalk.connection import http_client
 from guavawalk.connection.request_reader import RequestReader
-from guavawalk.connection.tasks import attempt_call, forward_call
-from guavawalk.exception import TargetLost
 from guavawalk.process.gateway import connections
 from guavawalk.process.gateway.held_routes import HeldRoutes
 from guavawalk.process.gateway.quota import QuotaWindows
 from guavawalk.process.gateway.retry_window import RetryWindows
 from guavawalk.process.gateway.targets import TargetTable
-from guavawalk.request.repeat import AttemptEnd, AttemptResult
-from guavawalk.version.routes import Route
+from soak.mutants import (
+    end_broken_streams_as_whole,
+    lose_routes,
+    pass_keys_on,
+    promise_what_is_unknown,
+    repeat_what_may_run_once,
+)
 from tests.gateway_fuzz import STEPS, Step, tell_story
 from tests.gateway_judge import Broken
 from tests.virtual import run_virtually
@@ -75,24 +78,15 @@
     """Each promise broken on purpose must be found."""
 
     def test_repeats_what_may_run_once(self, monkeypatch):
-        monkeypatch.setattr(Route, "is_idempotent", property(lambda route: True))
+        repeat_what_may_run_once(monkeypatch.setattr)
         assert broken_rules() == "TWICE"
 
     def test_unknown_outcome_told_as_not_run(self, monkeypatch):
-        monkeypatch.setattr(forward_call, "encode_status", lambda code: 503)
+        promise_what_is_unknown(monkeypatch.setattr)
         assert broken_rules() == "REFUSED"
 
     def test_broken_stream_ended_as_whole(self, monkeypatch):
-        pass_on = attempt_call._Attempt._pass_stream
-
-        async def lenient(attempt, head):
-            try:
-                return await pass_on(attempt, head)
-            except TargetLost:
-                await attempt._answer.finish()
-                return AttemptEnd(AttemptResult.DELIVERED)
-
-        monkeypatch.setattr(attempt_call._Attempt, "_pass_stream", lenient)
+        end_broken_streams_as_whole(monkeypatch.setattr)
         assert broken_rules() == "ORDER"
 
     def test_caller_that_left_is_not_noticed(self, monkeypatch):
@@ -130,18 +124,9 @@
         assert broken_rules() == "QUOTA"
 
     def test_key_is_passed_on(self, monkeypatch):
-        encode = attempt_call.encode_forwarded
-        key = (b"Authorization", b"Bearer k1")
-        monkeypatch.setattr(attempt_call, "encode_forwarded", lambda *args: (*encode(*args), key))
+        pass_keys_on(monkeypatch.setattr)
         assert broken_rules() == "UNASKED"
 
     def test_routes_are_lost_by_a_change(self, monkeypatch):
-        take = HeldRoutes.take
-
-        def take_empty(held, table, now_s=0.0):
-            if held.table.version:
-                table = table._replace(routes_by_host={})
-            return take(held, table, now_s)
-
-        monkeypatch.setattr(HeldRoutes, "take", take_empty)
+        lose_routes(monkeypatch.setattr)
         assert broken_rules() == "DENIED"
