--- a/guavawalk/connection/__init__.py
+++ b/guavawalk/connection/__init__.py
@@ -65,7 +65,14 @@
     "registry": ["Registry", "RouteUpdate", "TargetUpdate"],
     "request_reader": ["ReceivedRequest", "RequestReader"],
     "response_reader": ["BodyFraming", "ResponseHead", "ResponseReader"],
-    "streams": ["close_stream", "has_input", "open_stream", "reset_stream", "watch_peer"],
+    "streams": [
+        "STREAM_BROKEN",
+        "close_stream",
+        "has_input",
+        "open_stream",
+        "reset_stream",
+        "watch_peer",
+    ],
     "target": [
         "AnswerPart",
         "CacheEvent",
--- a/guavawalk/connection/caller_answer.py
+++ b/guavawalk/connection/caller_answer.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Sequence
 
-import anyio
 from anyio.abc import ByteStream
 
 from guavawalk.connection.http_encoding import (
@@ -12,13 +11,13 @@
     encode_response,
     encode_response_head,
 )
+from guavawalk.connection.streams import STREAM_BROKEN
 from guavawalk.exception import CallerGone
 
 __all__ = ["CallerAnswer"]
 
 CLOSE = (b"Connection", b"close")
 CHUNKED = (b"Transfer-Encoding", b"chunked")
-_BROKEN = (anyio.BrokenResourceError, anyio.ClosedResourceError, OSError)
 
 
 class CallerAnswer:
@@ -72,5 +71,5 @@
     async def _send(self, data: bytes) -> None:
         try:
             await self._stream.send(data)
-        except _BROKEN as error:
+        except STREAM_BROKEN as error:
             raise CallerGone(type(error).__name__) from error
--- a/guavawalk/connection/request_reader.py
+++ b/guavawalk/connection/request_reader.py
@@ -13,6 +13,7 @@
 from anyio.abc import ByteStream
 
 from guavawalk.connection.http_encoding import Header
+from guavawalk.connection.streams import STREAM_BROKEN
 from guavawalk.exception import HttpInvalid
 from guavawalk.version.routes import CallerLimits
 
@@ -22,7 +23,6 @@
 READ_BYTES = 65_536
 # Requests of one connection that are parsed ahead of the one being answered; more are left unread.
 MAX_PARSED_AHEAD = 16
-_ENDED = (anyio.EndOfStream, anyio.BrokenResourceError, anyio.ClosedResourceError, OSError)
 
 
 class ReceivedRequest(NamedTuple):
@@ -156,7 +156,7 @@
     async def _receive(self) -> bool:
         try:
             data = await self._stream.receive(READ_BYTES)
-        except _ENDED:
+        except (anyio.EndOfStream, *STREAM_BROKEN):
             return False
         try:
             self._parser.feed(data)
--- a/guavawalk/connection/response_reader.py
+++ b/guavawalk/connection/response_reader.py
@@ -11,13 +11,13 @@
 from anyio.abc import ByteStream
 
 from guavawalk.connection.http_encoding import Header
+from guavawalk.connection.streams import STREAM_BROKEN
 from guavawalk.exception import TargetLost
 
 __all__ = ["BodyFraming", "ResponseHead", "ResponseReader"]
 
 # One read of a stream, in bytes: a usual socket buffer.
 READ_BYTES = 65_536
-_BROKEN = (anyio.BrokenResourceError, anyio.ClosedResourceError, OSError)
 _BODILESS = (HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED)
 
 
@@ -114,7 +114,7 @@
             data = await self._stream.receive(READ_BYTES)
         except anyio.EndOfStream:
             return False
-        except _BROKEN as error:
+        except STREAM_BROKEN as error:
             raise TargetLost(f"broken: {type(error.__cause__ or error).__name__}") from error
         try:
             self._parser.feed_data(data)
--- a/guavawalk/connection/streams.py
+++ b/guavawalk/connection/streams.py
@@ -9,7 +9,17 @@
 from guavawalk.connection.address import split_address
 from guavawalk.exception import TargetConnectError
 
-__all__ = ["close_stream", "has_input", "open_stream", "reset_stream", "watch_peer"]
+__all__ = [
+    "STREAM_BROKEN",
+    "close_stream",
+    "has_input",
+    "open_stream",
+    "reset_stream",
+    "watch_peer",
+]
+
+# What sending and receiving raise on a connection that is broken or was closed here.
+STREAM_BROKEN = (anyio.BrokenResourceError, anyio.ClosedResourceError, OSError)
 
 # Twice the round trip across a region plus a retransmission of a lost opening packet would take
 # over a second; a target that far away is better left for another one.
--- a/guavawalk/connection/tasks/attempt_call.py
+++ b/guavawalk/connection/tasks/attempt_call.py
@@ -11,6 +11,7 @@
 from guavawalk.connection.caller_answer import CallerAnswer
 from guavawalk.connection.http_encoding import encode_request
 from guavawalk.connection.response_reader import ResponseHead
+from guavawalk.connection.streams import STREAM_BROKEN
 from guavawalk.connection.tasks.call_progress import FailedAnswer, Progress
 from guavawalk.exception import TargetConnectError, TargetLost
 from guavawalk.platform.requests import decode_answer, encode_forwarded, is_misdirected
@@ -167,7 +168,7 @@
         request = encode_request(call.method, call.path, headers, call.body)
         try:
             await self._connection.stream.send(request)
-        except (anyio.BrokenResourceError, anyio.ClosedResourceError, OSError):
+        except STREAM_BROKEN:
             # The target may have answered before it closed; if not, reading says so.
             self._gateway.metrics.count("sends_broken_total")
 
--- a/guavawalk/connection/tasks/gossip.py
+++ b/guavawalk/connection/tasks/gossip.py
@@ -114,7 +114,7 @@
         await _send_to(gateway, socket, data, addresses)
         wait_s = min(_jittered_s(peers.near_report_every_s()), next_for_all_s - now_s())
         await anyio.sleep(max(wait_s, 0.0))
-        for address in gateway.peers.expire(gateway.clock.now_s()):
+        for address in peers.expire(now_s()):
             gateway.log.emit(events.GATEWAY_SILENT, peer=address)
 
 
--- a/guavawalk/platform/requests.py
+++ b/guavawalk/platform/requests.py
@@ -18,7 +18,6 @@
     "is_misdirected",
 ]
 
-REQUEST_ID = b"Request-Id"
 DEADLINE = b"Deadline-Ms"
 EXPECTED_TARGET = b"Expect-Instance"
 WORKSPACE = b"Tenant"
--- a/guavawalk/process/gateway/dispatch.py
+++ b/guavawalk/process/gateway/dispatch.py
@@ -6,7 +6,7 @@
 """
 
 from collections import deque
-from collections.abc import Collection, Iterator
+from collections.abc import Collection, Iterable, Iterator, Sequence
 from typing import NamedTuple, Protocol
 
 import anyio
@@ -146,10 +146,11 @@
         """
         queue = self._queues.setdefault(call.service, _ServiceQueue())
         now_s = self._clock.now_s()
-        waiter = _Waiter(call, tried, has_begun, self._soonest_s(call, tried, now_s))
+        conditions = list(self._conditions(call, tried, now_s))
+        waiter = _Waiter(call, tried, has_begun, self._soonest_s(call, conditions, now_s))
         ahead = self._ahead(queue, waiter, now_s)
         if not ahead:
-            placed = self._try_place(queue, waiter, now_s)
+            placed = self._try_place(queue, waiter, conditions, now_s)
             if placed is not None:
                 return placed
         patience_s = _patience_s(call, now_s)
@@ -161,7 +162,9 @@
     def try_place(self, call: Call, tried: Collection[str]) -> Placed | None:
         """Return a place that is free now; None if there is none."""
         queue = self._queues.setdefault(call.service, _ServiceQueue())
-        return self._try_place(queue, _Waiter(call, tried, True), self._clock.now_s())
+        now_s = self._clock.now_s()
+        conditions = list(self._conditions(call, tried, now_s))
+        return self._try_place(queue, _Waiter(call, tried, True), conditions, now_s)
 
     def dispatch_ready(self, service: str) -> None:
         """Give free places of a service's targets to the calls whose turn it is."""
@@ -170,7 +173,8 @@
             return
         now_s = self._clock.now_s()
         for waiter in sorted(queue.waiters, key=lambda waiter: waiter.order(now_s)):
-            placed = self._try_place(queue, waiter, now_s)
+            conditions = list(self._conditions(waiter.call, waiter.tried, now_s))
+            placed = self._try_place(queue, waiter, conditions, now_s)
             if placed is None:
                 if not waiter.tried:
                     return
@@ -209,10 +213,16 @@
         own = waiter.order(now_s)
         return sum(other.order(now_s) <= own for other in queue.waiters)
 
-    def _try_place(self, queue: _ServiceQueue, waiter: _Waiter, now_s: float) -> Placed | None:
+    def _try_place(
+        self,
+        queue: _ServiceQueue,
+        waiter: _Waiter,
+        conditions: Sequence[TargetCondition],
+        now_s: float,
+    ) -> Placed | None:
         call = waiter.call
         slots_part = LATE_SLOTS_PART if waiter.is_late(now_s) else 1.0
-        open_ones = self._with_room(call, waiter.tried, now_s, slots_part)
+        open_ones = self._with_room(_where_it_can_end(call, conditions, now_s), slots_part, now_s)
         choice = choose_target(call, self._here, open_ones, now_s)
         belief = None if choice is None else self._targets.get(choice.target_id)
         if choice is None or belief is None:
@@ -222,7 +232,7 @@
         return Placed(choice, belief, belief.begin(call, now_s, overdue_s))
 
     def _with_room(
-        self, call: Call, tried: Collection[str], now_s: float, slots_part: float
+        self, conditions: Iterable[TargetCondition], slots_part: float, now_s: float
     ) -> Iterator[TargetCondition]:
         """Yield the targets that may be sent a call now.
 
@@ -232,7 +242,7 @@
         """
         fair_part = slots_part / (self._gateways.count() + 1)
         reserve = min(FAR_RESERVE_PER_S * self._gateways.far_lag_s(), MOST_FAR_RESERVE)
-        for condition in self._where_it_can_end(call, tried, now_s):
+        for condition in conditions:
             belief = self._targets.get(condition.target_id)
             if not belief.takes_calls(now_s):
                 continue
@@ -242,22 +252,10 @@
             if condition.running < most or belief.running < int(fair_part * condition.slots):
                 yield condition
 
-    def _where_it_can_end(
-        self, call: Call, tried: Collection[str], now_s: float
-    ) -> Iterator[TargetCondition]:
-        """Yield the targets where the answer can end in time, or those where it is likeliest to."""
-        conditions = list(self._conditions(call, tried, now_s))
-        risks = [unfinished_share(call, condition, now_s) for condition in conditions]
-        most_risk = max(MOST_UNFINISHED, min(risks, default=0.0))
-        for condition, risk in zip(conditions, risks):
-            if risk <= most_risk:
-                yield condition
-
-    def _soonest_s(self, call: Call, tried: Collection[str], now_s: float) -> float:
+    def _soonest_s(self, call: Call, conditions: Iterable[TargetCondition], now_s: float) -> float:
         """Return the time to a first event at the best target, once that has a place."""
         with_place = (
-            found._replace(running=min(found.running, found.slots - 1))
-            for found in self._conditions(call, tried, now_s)
+            found._replace(running=min(found.running, found.slots - 1)) for found in conditions
         )
         best = choose_target(call, self._here, with_place, now_s)
         if best is None:
@@ -281,6 +279,17 @@
         )
 
 
+def _where_it_can_end(
+    call: Call, conditions: Sequence[TargetCondition], now_s: float
+) -> Iterator[TargetCondition]:
+    """Yield the targets where the answer can end in time, or those where it is likeliest to."""
+    risks = [unfinished_share(call, condition, now_s) for condition in conditions]
+    most_risk = max(MOST_UNFINISHED, min(risks, default=0.0))
+    for condition, risk in zip(conditions, risks):
+        if risk <= most_risk:
+            yield condition
+
+
 def _patience_s(call: Call, now_s: float) -> float:
     whole_s = call.deadline_s - call.arrived_s
     return call.arrived_s + min(LONGEST_WAIT_S, WAIT_PART * whole_s) - now_s
--- a/guavawalk/process/gateway_daemon.py
+++ b/guavawalk/process/gateway_daemon.py
@@ -59,8 +59,8 @@
         "log": partial(log.write, STDOUT),
         "routes": partial(follow_routes, gateway, registry),
         "targets": partial(follow_targets, gateway, registry),
-        "hear peers": partial(receive_reports, gateway, socket),
-        "tell peers": partial(send_reports, gateway, socket, incarnation),
+        "receive reports": partial(receive_reports, gateway, socket),
+        "send reports": partial(send_reports, gateway, socket, incarnation),
         "sweep": partial(_sweep, gateway),
         "reload": partial(_reload_settings, gateway, path),
     }
