Bound heads, framing, events and bodies of answers without end

Cause: the HTTP parser reports neither interim answers, chunk extensions nor lines that have not ended, and keeps headers and trailers of any size; surplus answers were read to their end; an event without end grew in memory. Trailers are discarded: they replaced headers of requests. A head that came in parts counted twice towards its limit.

--- a/guavawalk/connection/http_stream.py
+++ b/guavawalk/connection/http_stream.py
@@ -9,6 +9,9 @@
 
 __all__ = ["create_untimed_backend"]
 
+# Most bytes that are read before the head of an answer is complete, interim answers included. The
+# read that completes the head may bring content with it; it counts only for further reads.
+MAX_HEAD_BYTES = 65_536
 _STREAM_ERRORS = (anyio.BrokenResourceError, anyio.ClosedResourceError)
 
 
@@ -23,23 +26,34 @@
 
     def __init__(self, stream: ByteStream) -> None:
         self._stream = stream
+        self._head_bytes: int | None = 0
+
+    def end_head(self) -> None:
+        """Tell that the head of the answer is complete, so that what is read is not limited."""
+        self._head_bytes = None
 
     async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:
         """Return available bytes, waiting for the first up to `timeout` seconds; empty at the end.
 
         Without a timeout it waits without limit; cancelling the task ends the wait.
         """
+        if self._head_bytes is not None and self._head_bytes > MAX_HEAD_BYTES:
+            raise httpcore.RemoteProtocolError(f"the head is over {MAX_HEAD_BYTES} bytes")
         try:
             if timeout is None:
-                return await self._stream.receive(max_bytes)
-            with anyio.fail_after(timeout):
-                return await self._stream.receive(max_bytes)
+                data = await self._stream.receive(max_bytes)
+            else:
+                with anyio.fail_after(timeout):
+                    data = await self._stream.receive(max_bytes)
         except TimeoutError as error:
             raise httpcore.ReadTimeout(error) from error
         except anyio.EndOfStream:
             return b""
         except _STREAM_ERRORS as error:
             raise httpcore.ReadError(error) from error
+        if self._head_bytes is not None:
+            self._head_bytes += len(data)
+        return data
 
     async def write(self, buffer: bytes, timeout: float | None = None) -> None:
         """Write all of a buffer within `timeout` seconds; None for no limit."""
--- a/guavawalk/connection/http_target.py
+++ b/guavawalk/connection/http_target.py
@@ -23,7 +23,8 @@
     TargetAnswer,
     TargetClient,
 )
-from guavawalk.exception import TargetConnectError, TargetError, TargetLost
+from guavawalk.exception import AnswerOverLimit, TargetConnectError, TargetError, TargetLost
+from guavawalk.request.event_stream import EventStream
 from guavawalk.request.types import Offer, Usage
 
 __all__ = ["create_http_engine", "create_http_service"]
@@ -33,6 +34,8 @@
 WRITE_TIMEOUT_S = 60.0
 # Longest wait for each read of an answer from the engine's control interface, in seconds.
 CONTROL_TIMEOUT_S = 5.0
+# Largest answer from the engine's control interface, in bytes: a page of cache events.
+MAX_CONTROL_BYTES = 4 * 1024 * 1024
 # Most connections open to the target at a time.
 MAX_CONNECTIONS = 1_000
 # Headers of an answer that concern only the connection to the target or the framing of the body on
@@ -64,6 +67,7 @@
             method, url, headers=headers, content=body, extensions={"timeout": timeout}
         )
         async with stream as response:
+            response.extensions["network_stream"].end_head()
             yield response
     except _CONNECT_ERRORS as error:
         raise TargetConnectError(f"{type(error).__name__}: {error}") from error
@@ -186,7 +190,7 @@
         async with _open_response(
             self._pool, method, self._url + path, list(headers), body, CONTROL_TIMEOUT_S
         ) as response:
-            content = b"".join([part async for part in response.aiter_stream()])
+            content = await _read_control_answer(response)
             if response.status >= 400:
                 raise TargetError(f"{method} {path}: HTTP {response.status}")
         try:
@@ -195,17 +199,22 @@
             raise TargetError(f"{method} {path}: not JSON") from error
 
 
+async def _read_control_answer(response: httpcore.Response) -> bytes:
+    content = bytearray()
+    async for part in response.aiter_stream():
+        content += part
+        if len(content) > MAX_CONTROL_BYTES:
+            raise AnswerOverLimit(f"the answer is over {MAX_CONTROL_BYTES} bytes")
+    return bytes(content)
+
+
 async def _read_event_parts(response: httpcore.Response) -> AsyncIterator[AnswerPart]:
-    pending = b""
+    stream = EventStream()
     async for data in response.aiter_stream():
-        pending += data
-        end = pending.rfind(b"\n\n") + 2
-        if end < 2:
-            continue
-        events, pending = pending[:end], pending[end:]
-        yield AnswerPart(events, _count_tokens(events), _find_usage(events))
-    if pending:
-        yield AnswerPart(pending)
+        if events := stream.feed(data):
+            yield AnswerPart(events, _count_tokens(events), _find_usage(events))
+    if rest := stream.pop_partial():
+        yield AnswerPart(rest)
 
 
 def _count_tokens(events: bytes) -> int:
--- a/guavawalk/connection/request_reader.py
+++ b/guavawalk/connection/request_reader.py
@@ -54,10 +54,14 @@
         self.is_head_complete = False
         self._head_bytes = 0
         self._body_bytes = 0
+        # Bytes received, after the read that began the head, without completing it; later those
+        # since the last content of the body.
+        self._overhead_bytes = 0
         self._parser = httptools.HttpRequestParser(self)
 
     def feed(self, data: bytes) -> None:
-        continues_head = self.is_in_message and not self.is_head_complete
+        if self.is_in_message:
+            self._overhead_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade as error:
@@ -67,20 +71,23 @@
             raise error.__context__ or error from None
         except httptools.HttpParserError as error:
             raise HttpInvalid(400, str(error)) from error
-        if continues_head and not self.is_head_complete:
-            # The parser makes no callback for an incomplete line of the head; without this count,
-            # an endless line would never reach the limit.
-            self._count_head_bytes(len(data))
+        # The parser makes no callback for an incomplete line of the head, for chunk extensions and
+        # for lines of trailers; without this check, endless ones would never reach the limit.
+        if self.is_in_message:
+            self._check_head_bytes()
 
     def _count_head_bytes(self, size: int) -> None:
         self._head_bytes += size
-        if self._head_bytes > self.limits.head_bytes:
+        self._check_head_bytes()
+
+    def _check_head_bytes(self) -> None:
+        if max(self._head_bytes, self._overhead_bytes) > self.limits.head_bytes:
             raise HttpInvalid(431, f"the head is over {self.limits.head_bytes} bytes")
 
     def on_message_begin(self) -> None:
         self.is_in_message = True
         self.is_head_complete = False
-        self._head_bytes = self._body_bytes = 0
+        self._head_bytes = self._body_bytes = self._overhead_bytes = 0
         self._target = b""
         self._headers: list[Header] = []
         self._body: list[bytes] = []
@@ -90,13 +97,17 @@
         self._count_head_bytes(len(part))
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        self._headers.append((name, value))
+        if not self.is_head_complete:
+            # Trailers are counted, and discarded: they must not replace headers.
+            self._headers.append((name, value))
         self._count_head_bytes(len(name) + len(value))
 
     def on_headers_complete(self) -> None:
         self.is_head_complete = True
+        self._overhead_bytes = 0
 
     def on_body(self, part: bytes) -> None:
+        self._overhead_bytes = 0
         self._body_bytes += len(part)
         if self._body_bytes > self.limits.body_bytes:
             raise HttpInvalid(413, f"the body is over {self.limits.body_bytes} bytes")
--- a/guavawalk/connection/response_reader.py
+++ b/guavawalk/connection/response_reader.py
@@ -12,12 +12,17 @@
 
 from guavawalk.connection.http_encoding import Header
 from guavawalk.connection.streams import STREAM_ERRORS
-from guavawalk.exception import TargetLost
+from guavawalk.exception import AnswerOverLimit, TargetLost
 
 __all__ = ["BodyFraming", "ResponseHead", "ResponseReader"]
 
 # Most bytes of one read from a stream: the size of a usual socket buffer.
 READ_BYTES = 65_536
+# Most bytes without a complete head and without content of a body: a head with the interim answers
+# before it, or chunk sizes, chunk extensions and trailers. The parser discards interim answers,
+# extensions and trailers, and keeps headers, whatever their size. A target's own heads have some
+# hundred bytes. The limit is checked after each read, so up to `READ_BYTES` more may arrive.
+MAX_OVERHEAD_BYTES = 65_536
 _BODILESS = (HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED)
 
 
@@ -63,6 +68,8 @@
         self._heads: deque[ResponseHead] = deque()
         self._parts: list[bytes] = []
         self._framing = BodyFraming.NONE
+        # Bytes received since the last head or content of a body.
+        self._overhead_bytes = 0
         self.is_complete = True
         self.must_close = False
 
@@ -72,7 +79,8 @@
         Raises
         ------
         TargetLost
-            If the connection ends, or carries bytes that are no HTTP answer.
+            If the connection ends, or carries bytes that are no HTTP answer; `AnswerOverLimit` if
+            no head is complete within `MAX_OVERHEAD_BYTES`.
         """
         self._parts.clear()
         while not self._heads:
@@ -86,7 +94,8 @@
         Raises
         ------
         TargetLost
-            If the connection ends before the body does.
+            If the connection ends before the body does; `AnswerOverLimit` if over
+            `MAX_OVERHEAD_BYTES` arrive without content.
         """
         while not self._parts:
             if self.is_complete:
@@ -107,13 +116,14 @@
         Raises
         ------
         TargetLost
-            If the connection ends before the body does, or the rest is over `limit_bytes`.
+            If the connection ends before the body does; `AnswerOverLimit` if the rest is over
+            `limit_bytes`.
         """
         body = bytearray()
         while part := await self.read_part():
             body += part
             if len(body) > limit_bytes:
-                raise TargetLost("the body of the answer is over the limit")
+                raise AnswerOverLimit(f"the body of the answer is over {limit_bytes} bytes")
         return bytes(body)
 
     async def _receive(self) -> bool:
@@ -125,6 +135,7 @@
             raise TargetLost(
                 f"connection broken: {type(error.__cause__ or error).__name__}"
             ) from error
+        self._overhead_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade as error:
@@ -133,26 +144,33 @@
             self.must_close = True
             if not self.is_complete or not self._heads:
                 raise TargetLost(f"the answer is not valid HTTP: {error}") from error
+        if self._overhead_bytes > MAX_OVERHEAD_BYTES:
+            self.must_close = True
+            raise AnswerOverLimit(f"over {MAX_OVERHEAD_BYTES} bytes without content")
         return True
 
     def on_message_begin(self) -> None:
         """Begin an answer; one that begins before the previous head was read is surplus."""
         if self._heads:
             self.must_close = True
+        self._is_in_head = True
         self._headers: list[Header] = []
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Collect a header of the answer."""
-        self._headers.append((name, value))
+        """Collect a header of the answer; discard a trailer."""
+        if self._is_in_head:
+            self._headers.append((name, value))
 
     def on_headers_complete(self) -> None:
         """Queue the head for `read_head`; skip interim answers (1xx) and surplus ones."""
+        self._is_in_head = False
         status = self._parser.get_status_code()
         if status < 200:
             return
         if self.must_close:
             return
         self._framing = _find_framing(status, self._headers)
+        self._overhead_bytes = 0
         self.is_complete = False
         keep_alive = self._parser.should_keep_alive()
         self._heads.append(ResponseHead(status, self._headers, self._framing, keep_alive))
@@ -160,6 +178,7 @@
     def on_body(self, part: bytes) -> None:
         """Collect a part of the body; drop that of a surplus answer."""
         if not self.must_close:
+            self._overhead_bytes = 0
             self._parts.append(part)
 
     def on_message_complete(self) -> None:
--- a/guavawalk/connection/tasks/attempt_call.py
+++ b/guavawalk/connection/tasks/attempt_call.py
@@ -13,7 +13,7 @@
 from guavawalk.connection.response_reader import ResponseHead
 from guavawalk.connection.streams import STREAM_ERRORS
 from guavawalk.connection.tasks.call_progress import FailedAnswer, Progress
-from guavawalk.exception import TargetConnectError, TargetLost
+from guavawalk.exception import AnswerOverLimit, TargetConnectError, TargetLost
 from guavawalk.platform.requests import decode_answer, encode_target_headers, is_misdirected
 from guavawalk.process.gateway.connections import TargetConnection
 from guavawalk.process.gateway.dispatch import Reservation
@@ -45,11 +45,12 @@
 MIN_STREAM_SILENCE_S = 0.9
 # Number of events of a stream over which its pace is averaged for the target's slowness.
 EVENTS_PER_PACE_SAMPLE = 8
-# Largest non-streamed answer, in bytes; it is buffered completely before it is forwarded.
-MAX_BUFFERED_BYTES = 4 * 1024 * 1024
 # Number of answers to other requests on a connection after which the attempt fails; fewer are
 # skipped.
 MAX_SURPLUS_ANSWERS = 3
+# Largest body of an answer to another request that is skipped, in bytes; a larger one isn't worth
+# reading to reach the answer behind it.
+MAX_SURPLUS_BYTES = 65_536
 
 
 async def attempt_call(
@@ -165,6 +166,9 @@
                     AttemptResult.SILENT, "no answer from the target within the silence limit"
                 )
             return await self._forward_answer(head)
+        except AnswerOverLimit as error:
+            self._gateway.metrics.count("answers_over_limit_total")
+            return AttemptEnd(AttemptResult.LOST, str(error))
         except TargetLost as error:
             return AttemptEnd(AttemptResult.LOST, str(error))
 
@@ -216,8 +220,7 @@
                 return head
             self._gateway.metrics.count("surplus_answers_total")
             reader.must_close = True
-            while await reader.read_part():
-                pass
+            await reader.read_body(MAX_SURPLUS_BYTES)
         raise TargetLost("received only answers to other requests")
 
     async def _forward_answer(self, head: ResponseHead) -> AttemptEnd:
@@ -237,7 +240,12 @@
         return await self._forward_buffered(fields)
 
     async def _forward_buffered(self, fields: AnswerFields) -> AttemptEnd:
-        body = await self._connection.reader.read_body(MAX_BUFFERED_BYTES)
+        with self._gateway.buffers.answer() as buffered:
+            while part := await self._connection.reader.read_part():
+                buffered.append(part)
+            return await self._finish_buffered(fields, bytes(buffered))
+
+    async def _finish_buffered(self, fields: AnswerFields, body: bytes) -> AttemptEnd:
         if fields.status < 300:
             if not fields.is_stamped or (fields.request_id != self._call.fields.request_id):
                 return AttemptEnd(
--- a/guavawalk/exception.py
+++ b/guavawalk/exception.py
@@ -4,6 +4,8 @@
 
 __all__ = [
     "AdminError",
+    "AnswerOverLimit",
+    "AnswerOverLimit",
     "CallerGone",
     "ConfigurationError",
     "DamagedValue",
@@ -190,3 +192,7 @@
 
 class TargetLost(TargetError):
     """No complete answer arrived on the connection to the target; the request may have run."""
+
+
+class AnswerOverLimit(TargetLost):
+    """An answer exceeds a limit of its head, framing, events or body; the request may have run."""
--- a/guavawalk/process/gateway/state.py
+++ b/guavawalk/process/gateway/state.py
@@ -5,6 +5,7 @@
 
 from guavawalk.process.clock import Clock
 from guavawalk.process.gateway.active_routes import ActiveRoutes, create_active_routes
+from guavawalk.process.gateway.buffers import BufferBudget, create_buffer_budget
 from guavawalk.process.gateway.callers import CallerTracker, create_caller_tracker
 from guavawalk.process.gateway.connections import ConnectionPool, create_connection_pool
 from guavawalk.process.gateway.dispatch import Dispatcher, create_dispatcher
@@ -43,6 +44,7 @@
     routes: ActiveRoutes
     targets: TargetTable
     connections: ConnectionPool
+    buffers: BufferBudget
     retries: RetryWindows
     quotas: QuotaWindows
     suspects: SuspectTable
@@ -82,6 +84,7 @@
         routes=create_active_routes(),
         targets=targets,
         connections=create_connection_pool(),
+        buffers=create_buffer_budget(),
         retries=create_retry_windows(bounds),
         quotas=quotas,
         suspects=create_suspect_table(clock),
--- a/guavawalk/process/observe/names.py
+++ b/guavawalk/process/observe/names.py
@@ -73,6 +73,12 @@
         "gateway",
         "answers of targets that belong to another request and were discarded",
     ),
+    MetricName(
+        "answers_over_limit_total",
+        "count",
+        "gateway",
+        "answers of targets cut off since their head, framing, event or body exceeds a limit",
+    ),
     MetricName(
         "sends_broken_total",
         "count",
--- a/guavawalk/request/event_stream.py
+++ b/guavawalk/request/event_stream.py
@@ -1,10 +1,15 @@
 """Splits a relayed server-sent event stream at event boundaries and tracks the last event id."""
 
+from guavawalk.exception import AnswerOverLimit
+
 __all__ = ["EventStream"]
 
 # End of an event. Streams with CR or CRLF line ends are not split.
 EVENT_END = b"\n\n"
 ID_FIELD = b"id:"
+# Largest event, in bytes. An event is kept until it is complete, so that a run that breaks off in
+# the middle of one can be resumed at another target.
+MAX_EVENT_BYTES = 256 * 1024
 
 
 class EventStream:
@@ -21,28 +26,39 @@
     def __init__(self) -> None:
         self.last_id = ""
         self.count = 0
-        self._partial = b""
+        self._partial = bytearray()
 
     def feed(self, part: bytes) -> bytes:
-        """Add bytes of a run; return the complete events, and buffer an incomplete last one."""
-        data = self._partial + part if self._partial else part
-        end = data.rfind(EVENT_END)
+        """Add bytes of a run; return the complete events, and buffer an incomplete last one.
+
+        Raises
+        ------
+        AnswerOverLimit
+            If an event is over `MAX_EVENT_BYTES`.
+        """
+        partial = self._partial
+        # The end of an event may have been split between two parts.
+        search_from = max(len(partial) - len(EVENT_END) + 1, 0)
+        partial += part
+        end = partial.rfind(EVENT_END, search_from)
         if end < 0:
-            self._partial = data
+            if len(partial) > MAX_EVENT_BYTES:
+                raise AnswerOverLimit(f"an event is over {MAX_EVENT_BYTES} bytes")
             return b""
         end += len(EVENT_END)
-        complete, self._partial = data[:end], data[end:]
+        complete = bytes(partial[:end])
+        del partial[:end]
         self.count += complete.count(EVENT_END)
         self._record_last_id(complete)
         return complete
 
     def discard_partial(self) -> None:
         """Discard the buffered start of an event, since the run that sent it ended early."""
-        self._partial = b""
+        self._partial.clear()
 
     def pop_partial(self) -> bytes:
         """Return and clear the buffered bytes after the last complete event of an ended run."""
-        partial, self._partial = self._partial, b""
+        partial, self._partial = bytes(self._partial), bytearray()
         return partial
 
     def _record_last_id(self, complete: bytes) -> None:
