Second answers, stops under load, comment streams, errors of accepting

Cause: an answer to an earlier request that came first on a reused connection made the reader drop the call's own answer, which ended as 504; with an answer without an id it could be taken for it. Requests that were arriving when a stop began to refuse were cut off. Bytes that complete no event, such as comments, counted as life of a stream, and the limit of silence was the same for slow targets. An error of accept, such as a lack of descriptors, or an unexpected error of a page, ended the process. Change: the reader keeps answers apart and in order; an answer on a reused connection needs the call's id; a stop answers what is arriving, waits for connections, then ends; silence is counted from the last complete event and grows with the target's slowness; serve_guarded accepts again after errors and logs them.

--- a/guavawalk/connection/http_client.py
+++ b/guavawalk/connection/http_client.py
@@ -34,6 +34,8 @@
         self._address = address
         self._stream: ByteStream | None = None
         self._reader: ResponseReader | None = None
+        # Whether the last answer is complete and the server keeps the connection open.
+        self._is_reusable = False
 
     async def get(self, path: str, timeout_s: float, headers: Sequence[Header] = ()) -> HttpAnswer:
         """Send a GET request and return its answer, of whatever status.
@@ -51,7 +53,7 @@
         except TimeoutError as error:
             raise TargetLost(f"no answer within {timeout_s:g} s") from error
         finally:
-            if self._reader is not None and not self._is_reusable():
+            if not self._is_reusable:
                 await self.aclose()
 
     async def aclose(self) -> None:
@@ -67,21 +69,16 @@
             self._stream = await open_stream(self._address)
             self._reader = ResponseReader(self._stream)
         reader = self._reader
-        reader.is_complete = False
+        self._is_reusable = False
         host = (b"Host", self._address.encode("ascii"))
         try:
             await self._stream.send(encode_request("GET", path.encode("ascii"), (host, *headers)))
         except (anyio.BrokenResourceError, anyio.ClosedResourceError) as error:
             raise TargetLost("connection broken while sending the request") from error
         head = await reader.read_head()
-        self._keep_alive = head.keep_alive
-        return HttpAnswer(head.status, await reader.read_body(MAX_ANSWER_BYTES))
-
-    def _is_reusable(self) -> bool:
-        reader = self._reader
-        return (
-            reader is not None and reader.is_complete and not reader.must_close and self._keep_alive
-        )
+        body = await reader.read_body(MAX_ANSWER_BYTES)
+        self._is_reusable = head.keep_alive and not reader.must_close
+        return HttpAnswer(head.status, body)
 
 
 def create_http_client(address: str) -> HttpClient:
--- a/guavawalk/connection/request_reader.py
+++ b/guavawalk/connection/request_reader.py
@@ -135,6 +135,10 @@
         self._parser = _RequestParser(limits)
         self._failure: HttpInvalid | None = None
 
+    def is_receiving(self) -> bool:
+        """Return whether a part of the next request has arrived."""
+        return self._parser.is_in_message or bool(self._parser.received)
+
     async def next(self, limits: CallerLimits) -> ReceivedRequest | None:
         """Return the next request; None if the caller closes or sends none in the idle timeout.
 
--- a/guavawalk/connection/response_reader.py
+++ b/guavawalk/connection/response_reader.py
@@ -50,28 +50,50 @@
     keep_alive: bool
 
 
-class ResponseReader:
-    """Reader of the answers on one connection to a target.
+class _Answer:
+    """One answer of which the head has arrived."""
+
+    def __init__(self, head: ResponseHead) -> None:
+        self.head = head
+        # Content that has arrived and was not returned yet.
+        self.parts: list[bytes] = []
+        self.is_complete = False
 
-    Attributes
-    ----------
-    is_complete : bool
-        Whether the answer that began last has arrived completely; true before the first.
-    must_close : bool
-        Whether bytes arrived that belong to no requested answer; the connection must not be used
-        for another request.
-    """
+
+class ResponseReader:
+    """Reader of the answers on one connection to a target, in the order of their arrival."""
 
     def __init__(self, stream: ByteStream) -> None:
         self._stream = stream
         self._parser = httptools.HttpResponseParser(self)
-        self._heads: deque[ResponseHead] = deque()
-        self._parts: list[bytes] = []
-        self._framing = BodyFraming.NONE
+        # Answers whose head was not returned yet.
+        self._unread: deque[_Answer] = deque()
+        # The answer whose head was returned last, and the one that is arriving.
+        self._current: _Answer | None = None
+        self._arriving: _Answer | None = None
+        self._headers: list[Header] = []
+        self._is_in_head = False
+        self._is_in_message = False
+        self._is_invalid = False
         # Bytes received since the last head or content of a body.
         self._overhead_bytes = 0
-        self.is_complete = True
-        self.must_close = False
+
+    @property
+    def is_complete(self) -> bool:
+        """Whether the answer whose head was returned last has arrived completely.
+
+        True before the first.
+        """
+        return self._current is None or self._current.is_complete
+
+    @property
+    def must_close(self) -> bool:
+        """Whether bytes arrived that belong to no requested answer.
+
+        The connection must not be used for another request then. What it says is valid after a
+        complete answer.
+        """
+        return self._is_invalid or self._is_in_message or bool(self._unread)
 
     async def read_head(self) -> ResponseHead:
         """Return the head of the next answer.
@@ -82,11 +104,12 @@
             If the connection ends, or carries bytes that are no HTTP answer; `AnswerOverLimit` if
             no head is complete within `MAX_OVERHEAD_BYTES`.
         """
-        self._parts.clear()
-        while not self._heads:
+        self._current = None
+        while not self._unread:
             if not await self._receive():
                 raise TargetLost("connection closed before the answer began")
-        return self._heads.popleft()
+        self._current = self._unread.popleft()
+        return self._current.head
 
     async def read_part(self) -> bytes:
         """Return the next bytes of the body, waiting for some; empty at its end.
@@ -97,17 +120,20 @@
             If the connection ends before the body does; `AnswerOverLimit` if over
             `MAX_OVERHEAD_BYTES` arrive without content.
         """
-        while not self._parts:
-            if self.is_complete:
+        answer = self._current
+        if answer is None:
+            return b""
+        while not answer.parts:
+            if answer.is_complete:
                 return b""
             if not await self._receive():
-                if self._framing is not BodyFraming.UNTIL_CLOSE:
+                if answer.head.framing is not BodyFraming.UNTIL_CLOSE:
                     raise TargetLost("connection closed before the end of the answer")
-                self.is_complete = True
-        if len(self._parts) == 1:
-            return self._parts.pop()
-        joined = b"".join(self._parts)
-        self._parts.clear()
+                answer.is_complete = True
+        if len(answer.parts) == 1:
+            return answer.parts.pop()
+        joined = b"".join(answer.parts)
+        answer.parts.clear()
         return joined
 
     async def read_body(self, limit_bytes: int) -> bytes:
@@ -127,6 +153,7 @@
         return bytes(body)
 
     async def _receive(self) -> bool:
+        """Receive and parse some bytes; return False at the end of the connection."""
         try:
             data = await self._stream.receive(READ_BYTES)
         except anyio.EndOfStream:
@@ -141,20 +168,25 @@
         except httptools.HttpParserUpgrade as error:
             raise TargetLost("the answer announces an upgrade that was not requested") from error
         except httptools.HttpParserError as error:
-            self.must_close = True
-            if not self.is_complete or not self._heads:
+            self._is_invalid = True
+            if not self._has_arrived():
                 raise TargetLost(f"the answer is not valid HTTP: {error}") from error
         if self._overhead_bytes > MAX_OVERHEAD_BYTES:
-            self.must_close = True
+            self._is_invalid = True
             raise AnswerOverLimit(f"over {MAX_OVERHEAD_BYTES} bytes without content")
         return True
 
+    def _has_arrived(self) -> bool:
+        """Return whether what the caller waits for has arrived: a head, or a part of the body."""
+        if self._current is None:
+            return bool(self._unread)
+        return bool(self._current.parts) or self._current.is_complete
+
     def on_message_begin(self) -> None:
-        """Begin an answer; one that begins before the previous head was read is surplus."""
-        if self._heads:
-            self.must_close = True
+        """Begin an answer."""
+        self._is_in_message = True
         self._is_in_head = True
-        self._headers: list[Header] = []
+        self._headers = []
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Collect a header of the answer; discard a trailer."""
@@ -162,29 +194,29 @@
             self._headers.append((name, value))
 
     def on_headers_complete(self) -> None:
-        """Queue the head for `read_head`; skip interim answers (1xx) and surplus ones."""
+        """Queue the answer for `read_head`; skip interim answers (1xx)."""
         self._is_in_head = False
         status = self._parser.get_status_code()
         if status < 200:
             return
-        if self.must_close:
-            return
-        self._framing = _find_framing(status, self._headers)
-        self._overhead_bytes = 0
-        self.is_complete = False
+        framing = _find_framing(status, self._headers)
         keep_alive = self._parser.should_keep_alive()
-        self._heads.append(ResponseHead(status, self._headers, self._framing, keep_alive))
+        self._overhead_bytes = 0
+        self._arriving = _Answer(ResponseHead(status, self._headers, framing, keep_alive))
+        self._unread.append(self._arriving)
 
     def on_body(self, part: bytes) -> None:
-        """Collect a part of the body; drop that of a surplus answer."""
-        if not self.must_close:
-            self._overhead_bytes = 0
-            self._parts.append(part)
+        """Collect a part of the body."""
+        self._overhead_bytes = 0
+        if self._arriving is not None:
+            self._arriving.parts.append(part)
 
     def on_message_complete(self) -> None:
         """Mark the answer as complete, unless it is an interim one."""
-        if self._parser.get_status_code() >= 200:
-            self.is_complete = True
+        self._is_in_message = False
+        if self._arriving is not None:
+            self._arriving.is_complete = True
+            self._arriving = None
 
 
 def _find_framing(status: int, headers: Sequence[Header]) -> BodyFraming:
--- a/guavawalk/connection/tasks/attempt_call.py
+++ b/guavawalk/connection/tasks/attempt_call.py
@@ -43,6 +43,8 @@
 SILENCE_FACTOR = 4.0
 MIN_SILENCE_S = 0.35
 MIN_STREAM_SILENCE_S = 0.9
+# Shortest wait for bytes of a stream, in seconds: after a pause of this process some may have come.
+MIN_READ_S = 0.05
 # Number of events of a stream over which its pace is averaged for the target's slowness.
 EVENTS_PER_PACE_SAMPLE = 8
 # Number of answers to other requests on a connection after which the attempt fails; fewer are
@@ -139,6 +141,8 @@
         self._running_call = reservation.running
         self._connection = connection
         self._fields: AnswerFields | None = None
+        # Whether an answer to another request arrived on the connection.
+        self._has_surplus = False
         self._had_run_before = progress.has_run
 
     async def run(self) -> AttemptEnd:
@@ -214,15 +218,23 @@
         for _ in range(MAX_SURPLUS_ANSWERS):
             head = await reader.read_head()
             fields = decode_answer(head)
-            if fields.request_id in ("", self._call.fields.request_id):
+            if self._is_own(fields):
                 self._fields = fields
                 self._target.record_answer_start(self._gateway.clock.now_s())
                 return head
             self._gateway.metrics.count("surplus_answers_total")
-            reader.must_close = True
+            self._has_surplus = True
             await reader.read_body(MAX_SURPLUS_BYTES)
         raise TargetLost("received only answers to other requests")
 
+    def _is_own(self, fields: AnswerFields) -> bool:
+        # On a connection that an earlier request was sent on, an answer without an id may be a
+        # second answer to that one. Only idempotent calls are sent on such a connection, so that a
+        # rejection may be taken as their own: it delivers nothing.
+        if not fields.request_id:
+            return not self._connection.is_reused or fields.is_not_run
+        return fields.request_id == self._call.fields.request_id
+
     async def _forward_answer(self, head: ResponseHead) -> AttemptEnd:
         fields = self._fields
         if fields.is_not_run:
@@ -266,12 +278,18 @@
 
     async def _forward_stream(self, head: ResponseHead) -> AttemptEnd:
         answer, stream = self._answer, self._progress.stream
-        silence_limit_s = MIN_STREAM_SILENCE_S if self._may_repeat() else None
+        silence_limit_s = self._stream_silence_limit_s()
+        now_s = self._gateway.clock.now_s
+        # Bytes that complete no event, such as comments, don't end a silence.
+        last_event_s = now_s()
         # An event that broke off in the previous attempt is sent again as a whole in this one.
         stream.discard_partial()
         while True:
+            left_s = None
+            if silence_limit_s is not None:
+                left_s = max(last_event_s + silence_limit_s - now_s(), MIN_READ_S)
             part = await self._receive_unless_silent(
-                self._connection.reader.read_part, silence_limit_s
+                self._connection.reader.read_part, left_s, silence_limit_s
             )
             if part is None:
                 return AttemptEnd(
@@ -283,6 +301,7 @@
             complete_events = stream.feed(part)
             if not complete_events:
                 continue
+            last_event_s = now_s()
             if not answer.has_begun:
                 await answer.begin(head.status, self._fields.forwarded_headers, complete_events)
             else:
@@ -320,7 +339,10 @@
             self._progress.first_event_s = now_s - self._call.arrived_s
 
     async def _receive_unless_silent(
-        self, receive: Callable[[], Awaitable[T]], silence_limit_s: float | None
+        self,
+        receive: Callable[[], Awaitable[T]],
+        silence_limit_s: float | None,
+        next_limit_s: float | None = None,
     ) -> T | None:
         """Return the result of `receive`; None if the call should go to another target instead.
 
@@ -329,6 +351,8 @@
         silence_limit_s : float or None
             Time without an answer after which a slot at another target is requested, in seconds;
             None to wait without a limit.
+        next_limit_s : float, optional
+            Time after which it is requested again, in seconds; None for the same.
 
         Notes
         -----
@@ -340,6 +364,7 @@
                 return await receive()
             if self._reserve_next():
                 return None
+            silence_limit_s = next_limit_s or silence_limit_s
         return await receive()
 
     def _reserve_next(self) -> bool:
@@ -359,6 +384,15 @@
         route = self._call.route
         return route.is_idempotent and self._progress.sent_count < route.max_targets
 
+    def _stream_silence_limit_s(self) -> float | None:
+        """Return the silence limit within a stream: a slow target's events are further apart."""
+        if not self._may_repeat():
+            return None
+        service = self._call.table.services.get(self._call.service)
+        per_event = service.engine.tokens_per_event if service and service.engine else 1
+        gap_s = nominal_event_gap_s(per_event, self._target.total_running)
+        return max(SILENCE_FACTOR * self._target.slowness.value * gap_s, MIN_STREAM_SILENCE_S)
+
     def _silence_limit_s(self) -> float | None:
         route = self._call.route
         if not self._may_repeat():
@@ -389,6 +423,7 @@
             fields is not None
             and reader.is_complete
             and not reader.must_close
+            and not self._has_surplus
             and fields.keep_alive
         ):
             now_s = self._gateway.clock.now_s()
--- a/guavawalk/process/gateway/callers.py
+++ b/guavawalk/process/gateway/callers.py
@@ -1,6 +1,6 @@
 """Tracks the callers' connections of a gateway, and closes them when it shuts down."""
 
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 
 import anyio
@@ -28,7 +28,7 @@
         self.is_refusing = False
         self.calls = 0
         self.connections = 0
-        self._idle: set[anyio.CancelScope] = set()
+        self._idle: dict[anyio.CancelScope, Callable[[], bool]] = {}
         self._changed = anyio.Event()
 
     @contextmanager
@@ -52,26 +52,38 @@
             self._notify()
 
     @contextmanager
-    def idle(self) -> Iterator[None]:
-        """Mark a connection as waiting for its next request, so that `close_idle` ends the wait."""
+    def idle(self, is_receiving: Callable[[], bool]) -> Iterator[None]:
+        """Mark a connection as waiting for its next request, so that `close_idle` ends the wait.
+
+        Parameters
+        ----------
+        is_receiving : callable
+            Returns whether a part of a request has arrived.
+        """
         scope = anyio.CancelScope()
-        self._idle.add(scope)
+        self._idle[scope] = is_receiving
         try:
             with scope:
                 yield
         finally:
-            self._idle.discard(scope)
+            del self._idle[scope]
 
     def close_idle(self) -> None:
-        """End the connections that wait for a request."""
-        for scope in self._idle:
-            scope.cancel()
+        """End the connections that wait for a request of which nothing has arrived."""
+        for scope, is_receiving in self._idle.items():
+            if not is_receiving():
+                scope.cancel()
 
     async def wait_for_calls(self) -> None:
         """Wait until no call is running."""
         while self.calls:
             await self._changed.wait()
 
+    async def wait_for_connections(self) -> None:
+        """Wait until no connection is open."""
+        while self.connections:
+            await self._changed.wait()
+
     def _notify(self) -> None:
         self._changed.set()
         self._changed = anyio.Event()
--- a/guavawalk/process/gateway/connections.py
+++ b/guavawalk/process/gateway/connections.py
@@ -28,6 +28,8 @@
         When it became idle, on the process's monotonic clock; 0 before its first answer.
     idle_limit_s : float
         Idle time after which it is not reused, in seconds.
+    is_reused : bool
+        Whether an earlier request was sent on it.
     """
 
     def __init__(self, target_id: str, stream: ByteStream) -> None:
@@ -36,6 +38,7 @@
         self.reader = ResponseReader(stream)
         self.idle_since_s = 0.0
         self.idle_limit_s = DEFAULT_IDLE_S
+        self.is_reused = False
 
     async def aclose(self) -> None:
         """Reset the connection, which cancels a request that runs at the target."""
@@ -83,6 +86,7 @@
             if idle_s < min(max_idle_s, connection.idle_limit_s) and not has_input(
                 connection.stream
             ):
+                connection.is_reused = True
                 return connection
             await connection.aclose()
         self.opened += 1
--- a/guavawalk/process/gateway_daemon.py
+++ b/guavawalk/process/gateway_daemon.py
@@ -23,11 +23,11 @@
 from guavawalk.platform.store import create_store
 from guavawalk.process.clock import create_clock
 from guavawalk.process.event_loop import run_tasks
-from guavawalk.process.gateway.pages import metric_pages, peer_pages, readiness_pages
+from guavawalk.process.gateway.pages import Pages, metric_pages, peer_pages, readiness_pages
 from guavawalk.process.gateway.settings import read_gateway_settings
 from guavawalk.process.gateway.state import Gateway, create_gateway
 from guavawalk.process.observe.bounded_log import create_bounded_log
-from guavawalk.process.supervise import run_guarded, run_restarting
+from guavawalk.process.supervise import run_restarting, serve_guarded
 
 __all__ = ["main", "run_gateway"]
 
@@ -36,6 +36,8 @@
 # Time between "not ready" and the closing of idle connections, in seconds. The load balancer polls
 # once a second and acts on two failures, and a new connection may be in transit by then.
 NOTICE_S = 2.6
+# Time for which requests that are arriving when all calls have ended are awaited, in seconds.
+LAST_REQUESTS_S = 1.0
 # Time before the platform kills the process at which calls still running are aborted, in seconds.
 EXIT_BEFORE_KILL_S = 0.3
 # Interval at which the settings file is checked for changes without a signal, in seconds.
@@ -87,7 +89,7 @@
         for name, task in permanent_tasks.items():
             tasks.start_soon(run_restarting, log, name, task)
         for address, pages in pages_by_address.items():
-            tasks.start_soon(_serve_pages, address, pages)
+            tasks.start_soon(_serve_pages, gateway, address, pages)
         tasks.start_soon(_serve_callers, gateway, listener)
         await _drain_on_signal(gateway)
         log.emit(events.SHUTDOWN_DONE, left=gateway.callers.calls)
@@ -110,15 +112,15 @@
             gateway.log.emit(events.CALLER_TURNED_AWAY, connections=max_callers)
             await anyio.aclose_forcefully(stream)
             return
-        await run_guarded(gateway.log, "caller", partial(serve_caller, gateway, stream))
+        await serve_caller(gateway, stream)
 
-    await listener.serve(serve)
+    await serve_guarded(gateway.log, "caller", listener, serve)
 
 
-async def _serve_pages(address: str, pages: dict) -> None:
+async def _serve_pages(gateway: Gateway, address: str, pages: Pages) -> None:
     host, port = split_address(address)
     listener = await anyio.create_tcp_listener(local_host=host, local_port=port, backlog=BACKLOG)
-    await listener.serve(partial(serve_pages, pages))
+    await serve_guarded(gateway.log, "page", listener, partial(serve_pages, pages))
 
 
 async def _sweep(gateway: Gateway) -> None:
@@ -190,6 +192,11 @@
         gateway.callers.is_refusing = True
         gateway.callers.close_idle()
         await gateway.callers.wait_for_calls()
+        # Requests that have begun to arrive, and connections that the kernel has accepted, are
+        # still read, and answered as not run.
+        with anyio.move_on_after(LAST_REQUESTS_S):
+            await gateway.callers.wait_for_connections()
+        await gateway.callers.wait_for_calls()
 
 
 def main() -> None:
--- a/guavawalk/process/supervise.py
+++ b/guavawalk/process/supervise.py
@@ -4,14 +4,18 @@
 from collections.abc import Awaitable, Callable
 
 import anyio
+from anyio.abc import ByteStream, Listener
 
 from guavawalk import events
 from guavawalk.process.observe.log import EventLog
 
-__all__ = ["run_guarded", "run_restarting"]
+__all__ = ["run_guarded", "run_restarting", "serve_guarded"]
 
 # Delay before a failed task is restarted, in seconds.
 RESTART_DELAY_S = 0.2
+# Delay before connections are accepted again after an error, in seconds: while descriptors are
+# short, some become free in that time.
+ACCEPT_DELAY_S = 0.05
 
 
 async def run_guarded(log: EventLog, name: str, task: Callable[[], Awaitable[None]]) -> None:
@@ -35,3 +39,26 @@
     while True:
         await run_guarded(log, name, task)
         await anyio.sleep(RESTART_DELAY_S)
+
+
+async def serve_guarded(
+    log: EventLog,
+    name: str,
+    listener: Listener,
+    serve: Callable[[ByteStream], Awaitable[None]],
+) -> None:
+    """Accept connections and serve each in a task of its own, until cancelled.
+
+    An error while a connection is accepted, such as a lack of descriptors, or while one is served,
+    is logged under `name`, and ends neither the other connections nor the listener.
+    """
+
+    async def serve_one(stream: ByteStream) -> None:
+        await run_guarded(log, name, lambda: serve(stream))
+
+    async with anyio.create_task_group() as connections:
+        while True:
+            await run_guarded(
+                log, f"{name} listener", lambda: listener.serve(serve_one, connections)
+            )
+            await anyio.sleep(ACCEPT_DELAY_S)
--- a/tests/connection/tasks/test_serve_caller.py
+++ b/tests/connection/tasks/test_serve_caller.py
@@ -55,6 +55,125 @@
     await stay_silent(target, stream, request)
 
 
+async def stall_with_comments(target, stream, request):
+    """Send some events, then only comments, which complete no event."""
+    await stream.send(encode_response_head(200, signed_headers(request), CHUNKED))
+    for number in range(1, 3):
+        await stream.send(encode_chunk(event(number)))
+    while True:
+        await stream.send(encode_chunk(b": alive\n"))
+        await anyio.sleep(0.2)
+
+
+class TestLateAnswers:
+    """Second answers to an earlier request, on a connection that is in use again."""
+
+    @pytest.mark.parametrize("pieces", [1, 2])
+    @pytest.mark.parametrize("has_id", [True, False])
+    def test_second_answer_is_not_taken_for_that_of_the_next_request(self, pieces, has_id):
+        async def script(target, stream, request):
+            if len(target.received) > 1:
+                headers = (*signed_headers(target.received[0])[not has_id :],)
+                late = encode_response(200, headers, b"late")
+                size = -(-len(late) // pieces)
+                for start in range(0, len(late), size):
+                    await stream.send(late[start : start + size])
+                    await anyio.sleep(0.02)
+            await answer_plain(target, stream, request)
+
+        async def run():
+            harness = GatewayHarness(SAFE)
+            target = StandInTarget(script)
+            async with harness.running(target):
+                caller = await harness.caller()
+                answers = [
+                    await caller.ask(body=body, request_id=b"r" + body) for body in (b"1", b"2")
+                ]
+            assert harness.gateway.connections.opened == 1
+            return answers
+
+        assert [answer[::2] for answer in run_with_timeout(run)] == [
+            (200, b"served 1"),
+            (200, b"served 2"),
+        ]
+
+    def test_connection_with_the_beginning_of_a_second_answer_is_not_used_again(self):
+        async def script(target, stream, request):
+            await answer_plain(target, stream, request)
+            await stream.send(b"HTTP/1.1 200 OK\r\nRequest-")
+
+        async def run():
+            harness = GatewayHarness(SAFE)
+            async with harness.running(StandInTarget(script)):
+                caller = await harness.caller()
+                for number in range(3):
+                    answer = await caller.ask(body=b"%d" % number, request_id=b"r%d" % number)
+                    assert answer[::2] == (200, b"served %d" % number)
+                    await anyio.sleep(0.05)
+            return harness.gateway.connections.opened
+
+        assert run_with_timeout(run) == 3
+
+    def test_answer_to_a_cancelled_request_reaches_no_other_call(self):
+        async def script(target, stream, request):
+            if len(target.received) == 1:
+                await anyio.sleep(0.3)
+            await answer_plain(target, stream, request)
+
+        async def run():
+            harness = GatewayHarness(SAFE)
+            target = StandInTarget(script)
+            async with harness.running(target):
+                leaving = await harness.caller()
+                await leaving.send(body=b"1", request_id=b"r1")
+                while not target.received:
+                    await anyio.sleep(0.01)
+                await leaving.stream.aclose()
+                await anyio.sleep(0.1)
+                caller = await harness.caller()
+                return await caller.ask(body=b"2", request_id=b"r2")
+
+        assert run_with_timeout(run)[::2] == (200, b"served 2")
+
+
+class TestStalledStreams:
+    def test_stream_of_comments_is_resumed_at_another_target(self):
+        async def script(target, stream, request):
+            is_resumed = b"Last-Event-Id" in dict(request.headers)
+            await (answer_stream if is_resumed else stall_with_comments)(target, stream, request)
+
+        _, targets, answer = ask_once(RESUMABLE, script, script)
+        assert answer[::2] == (200, b"".join(map(event, range(1, 6))))
+        assert sum(len(target.received) for target in targets) == 2
+
+    def test_stream_of_comments_ends_at_the_deadline(self):
+        harness, _, answer = ask_once(PLAN, stall_with_comments)
+        assert answer is None and harness.code() == "TARGET_LOST"
+
+    def test_slow_events_are_no_silence_at_a_slow_target(self):
+        async def script(target, stream, request):
+            await stream.send(encode_response_head(200, signed_headers(request), CHUNKED))
+            for number in range(1, 4):
+                await stream.send(encode_chunk(event(number)))
+                await anyio.sleep(1.2)
+            await stream.send(LAST_CHUNK)
+
+        async def run():
+            route = RESUMABLE._replace(timeout_s=8.0)
+            harness = GatewayHarness(route)
+            targets = [StandInTarget(script) for _ in range(2)]
+            async with harness.running(*targets, service="model"):
+                for target in harness.gateway.targets:
+                    target.slowness.value = 100.0
+                    target.slowness.count = 1
+                answer = await (await harness.caller()).ask()
+            return targets, answer
+
+        targets, answer = run_with_timeout(run)
+        assert answer[::2] == (200, b"".join(map(event, range(1, 4))))
+        assert sum(len(target.received) for target in targets) == 1
+
+
 class TestForwarding:
     def test_request_and_answer_pass_unchanged(self):
         _, (target,), (status, headers, body) = ask_once(
--- a/tests/process/test_gateway_daemon.py
+++ b/tests/process/test_gateway_daemon.py
@@ -1,5 +1,6 @@
 import json
 import os
+import resource
 import signal
 import subprocess
 import sys
@@ -31,6 +32,16 @@
 }
 
 
+class PartsCollector:
+    """A stream that keeps what is sent."""
+
+    def __init__(self, parts):
+        self.parts = parts
+
+    async def send(self, data):
+        self.parts.append(data)
+
+
 class Daemon:
     """A gateway in a process of its own; its settings file is named by an environment variable."""
 
@@ -200,6 +211,59 @@
 
         run_with_daemon(tmp_path, scenario, slow)
 
+    def test_requests_at_any_moment_of_a_stop_are_answered(self, tmp_path):
+        async def ask_all(caller, statuses):
+            """Send requests on one connection until the gateway announces that it closes."""
+            while True:
+                status, headers, _ = await caller.ask(body=b"a")
+                statuses.append(status)
+                if headers.get(b"Connection") == b"close":
+                    return
+                await anyio.sleep(0.01)
+
+        async def ask_slowly(daemon, delay_s, statuses):
+            """Send a request in two parts, of which the second comes late in the stop."""
+            caller = await daemon.caller()
+            stream, parts = caller.stream, []
+            caller.stream = PartsCollector(parts)
+            await caller.send(body=b"abcdef")
+            request = b"".join(parts)
+            await stream.send(request[:40])
+            await anyio.sleep(delay_s)
+            await stream.send(request[40:])
+            statuses.append((await caller.answer())[0])
+
+        async def scenario(daemon, store, target):
+            store.put("op/config", DOCUMENT)
+            await wait_until(daemon.ready)
+            statuses = []
+            async with anyio.create_task_group() as tasks:
+                for _ in range(4):
+                    tasks.start_soon(ask_all, await daemon.caller(), statuses)
+                for number in range(8):
+                    tasks.start_soon(ask_slowly, daemon, 2.2 + 0.1 * number, statuses)
+                await anyio.sleep(0.2)
+                daemon.process.send_signal(signal.SIGTERM)
+            assert await daemon.wait_exit() == 0
+            assert set(statuses) <= {200, 503} and statuses.count(503) >= 1
+
+        run_with_daemon(tmp_path, scenario)
+
+    def test_lack_of_descriptors_ends_no_process(self, tmp_path):
+        async def scenario(daemon, store, target):
+            store.put("op/config", DOCUMENT)
+            await wait_until(daemon.ready)
+            limits = resource.prlimit(daemon.process.pid, resource.RLIMIT_NOFILE)
+            in_use = len(os.listdir(f"/proc/{daemon.process.pid}/fd"))
+            resource.prlimit(daemon.process.pid, resource.RLIMIT_NOFILE, (in_use, limits[1]))
+            callers = [await daemon.caller() for _ in range(3)]
+            await anyio.sleep(0.3)
+            resource.prlimit(daemon.process.pid, resource.RLIMIT_NOFILE, limits)
+            for caller in callers:
+                assert (await caller.ask())[0] == 200
+
+        run_with_daemon(tmp_path, scenario)
+
     def test_connections_beyond_the_descriptor_limit_are_closed(self, tmp_path):
         async def scenario(daemon, store, target):
             store.put("op/config", DOCUMENT)
