Summaries between data centres, two watchers of the registry in each

Change: gateways report within their data centre; its relay sends a summary of all to two gateways of every other data centre. Two gateways of each watch, others fetch newer versions from those that report them; a change is reported at once. Lists fetched say which registrations may only have lapsed. The slots left free at targets elsewhere follow from the number of gateways elsewhere. Gateways without routes wait for them instead of reading ten times a second.

--- a/guavawalk/connection/tasks/follow_registry.py
+++ b/guavawalk/connection/tasks/follow_registry.py
@@ -27,6 +27,9 @@
 # period begins with the first successful call after a failure; its length is in seconds.
 RECOVERY_WATCH_TIMEOUT_S = 2.5
 RECOVERY_PERIOD_S = 12.0
+# Time after the start of the process in which it does not watch yet, in seconds: by then it has
+# heard the other gateways, and knows whether others watch for it.
+SETTLE_S = 1.0
 # Bounds of the pause after a failed call, in seconds. The pause doubles with each failure, so that
 # retries don't overload a registry that refuses calls.
 MIN_PAUSE_S = 0.1
@@ -55,6 +58,7 @@
     def record_success(self) -> None:
         now_s = self._gateway.clock.now_s()
         self._gateway.registry_answered_s[self._what] = now_s
+        self._gateway.duty.record_success(self._what)
         if self._failures:
             self._recovered_at_s = now_s
             self._gateway.log.emit(
@@ -70,6 +74,7 @@
             self._failing_since_s = self._gateway.clock.now_s()
             self._gateway.log.emit(events.REGISTRY_LOST, what=self._what, reason=str(error))
         self._failures += 1
+        self._gateway.duty.record_failure(self._what)
         self._gateway.metrics.count("registry_failures_total", what=self._what)
         bound_s = min(MIN_PAUSE_S * 2**self._failures, MAX_PAUSE_S)
         await anyio.sleep(random.uniform(bound_s / 2, bound_s))
@@ -79,14 +84,39 @@
         return WATCH_TIMEOUT_S if recovered_for_s >= RECOVERY_PERIOD_S else RECOVERY_WATCH_TIMEOUT_S
 
     def has_just_recovered(self) -> bool:
-        return self._gateway.clock.now_s() - self._recovered_at_s < LAPSE_WINDOW_S
+        # Another gateway may have had the failures, before this one began to watch.
+        since_s = self._gateway.clock.now_s() - LAPSE_WINDOW_S
+        return self._recovered_at_s > since_s or self._gateway.duty.has_failed_since(since_s)
+
+
+async def _wait_for_duty(gateway: Gateway) -> bool:
+    """Return once this gateway has to watch the registry.
+
+    Returns
+    -------
+    bool
+        Whether there was a pause, in which changes may have been missed that other gateways did not
+        report.
+    """
+    is_settling = gateway.clock.now_s() - gateway.started_s < SETTLE_S
+    if is_settling:
+        await anyio.sleep(SETTLE_S)
+    if gateway.duty.is_watcher():
+        return False
+    await gateway.duty.wait()
+    return True
 
 
 async def follow_routes(gateway: Gateway, registry: Registry) -> None:
-    """Read and watch the published routes, and activate each newer version, until cancelled."""
+    """Read the published routes, and watch them while this gateway has to, until cancelled.
+
+    Each newer version is activated.
+    """
     health = _RegistryHealth(gateway, "routes")
     as_of: int | None = None
     while True:
+        if gateway.routes.table.version and await _wait_for_duty(gateway):
+            as_of = None
         try:
             if as_of is None:
                 update = await registry.read_routes()
@@ -98,12 +128,9 @@
                 gateway.log.emit(events.ROUTES_INVALID, reason=problem, revision=update.as_of)
             if update.table is not None:
                 apply_routes(gateway, update.table, "registry")
-            elif not gateway.routes.table.version:
-                # No valid routes have been read yet: read them again instead of watching.
-                as_of = None
-                await anyio.sleep(MIN_PAUSE_S)
         except HistoryGone:
             as_of = None
+            await anyio.sleep(MIN_PAUSE_S)
         except PlatformUnavailable as error:
             as_of = None
             await health.record_failure(error)
@@ -119,6 +146,7 @@
     """
     before = gateway.routes.table.version
     if gateway.routes.replace(table, gateway.clock.now_s()):
+        gateway.peers.report_news()
         gateway.log.emit(
             events.ROUTES_IN_FORCE,
             version=table.version,
@@ -129,15 +157,19 @@
 
 
 async def follow_targets(gateway: Gateway, registry: Registry) -> None:
-    """Read and watch the registrations, and update the target table, until cancelled."""
+    """Read the registrations, and watch them while this gateway has to, until cancelled."""
     health = _RegistryHealth(gateway, "targets")
     as_of: int | None = None
     while True:
+        if gateway.targets.is_loaded and await _wait_for_duty(gateway):
+            as_of = None
         try:
             if as_of is None:
                 update = await registry.read_targets()
                 health.record_success()
-                update = update._replace(removed=_absent_ids(gateway, update.registered))
+                if removed := _absent_ids(gateway, update.registered):
+                    # No entry tells the revision of a removal; that of the list is later.
+                    update = update._replace(removed=removed, last_change=update.as_of)
             else:
                 update = await registry.watch_targets(as_of, health.watch_timeout_s())
                 health.record_success()
@@ -146,6 +178,7 @@
             await _apply_targets(gateway, update, health.has_just_recovered())
         except HistoryGone:
             as_of = None
+            await anyio.sleep(MIN_PAUSE_S)
         except PlatformUnavailable as error:
             as_of = None
             await health.record_failure(error)
@@ -161,8 +194,9 @@
 
     Notes
     -----
-    Targets that are not on the list are removed as lapsed, so they are still used for some time:
-    this gateway can't tell whether their registrations were removed or have only lapsed.
+    Targets that are not on the list are removed at once, unless the registry has just been
+    unavailable. Those whose registrations may only have lapsed are on it, with the time for which
+    they are still used.
     """
     if listed.revision <= gateway.targets.revision:
         return
@@ -170,7 +204,14 @@
     update = TargetUpdate(listed.registrations, removed, listed.revision, listed.revision)
     gateway.targets.is_loaded = True
     gateway.log.emit(events.TARGETS_FETCHED, peer=source, revision=listed.revision)
-    await _apply_targets(gateway, update, has_just_recovered=True)
+    now_s = gateway.clock.now_s()
+    # The other gateway may have read the registry before the entries that lapsed were back.
+    has_just_recovered = gateway.duty.has_failed_since(now_s - LAPSE_WINDOW_S)
+    await _apply_targets(gateway, update, has_just_recovered)
+    for target_id, left_s in listed.lapsing:
+        target = gateway.targets.get(target_id)
+        if target is not None:
+            target.usable_until_s = min(target.usable_until_s, now_s + left_s)
 
 
 def _absent_ids(gateway: Gateway, registered: Iterable[Registration]) -> tuple[str, ...]:
@@ -196,7 +237,9 @@
             )
             await gateway.connections.discard_target(target_id)
     gateway.dispatcher.dispatch_all()
-    targets.revision = max(targets.revision, update.last_change)
+    if update.last_change > targets.revision:
+        targets.revision = update.last_change
+        gateway.peers.report_news()
 
 
 def _log_registered(gateway: Gateway, registration: Registration, revision: int) -> None:
--- a/guavawalk/connection/tasks/gossip.py
+++ b/guavawalk/connection/tasks/gossip.py
@@ -1,6 +1,6 @@
-"""Gossip between gateways: sends this gateway's reports and applies those of the others.
+"""Gossip between gateways: sends and applies the reports of gateways and summaries of data centres.
 
-Reports are UDP datagrams; a lost one is made up for by the next. Routes and registrations that are
+Both are UDP datagrams; a lost one is made up for by the next. Routes and registrations that are
 newer at another gateway than here, and that the registry has not delivered, are fetched from that
 gateway over HTTP.
 """
@@ -9,7 +9,6 @@
 
 import random
 from collections.abc import Iterable
-from contextlib import suppress
 from typing import TYPE_CHECKING
 
 import anyio
@@ -22,10 +21,17 @@
 from guavawalk.connection.http_client import create_http_client
 from guavawalk.connection.tasks.follow_registry import apply_routes, apply_target_list
 from guavawalk.exception import TargetError
+from guavawalk.process.gateway.centres import (
+    SUMMARY_TAG,
+    CentreSummary,
+    decode_summary,
+    encode_summary,
+)
+from guavawalk.process.gateway.loads import measure_load, sum_loads
 from guavawalk.process.gateway.pages import ROUTES_PATH, TARGETS_PATH
 from guavawalk.process.gateway.peers import (
+    SUMMARY_INTERVAL_S,
     PeerReport,
-    TargetLoad,
     decode_report,
     encode_report,
 )
@@ -34,21 +40,31 @@
 
 if TYPE_CHECKING:
     from guavawalk.process.gateway.state import Gateway
-    from guavawalk.process.gateway.targets import TrackedTarget
 
-__all__ = ["make_report", "receive_reports", "send_reports"]
+__all__ = ["make_report", "make_summary", "receive_reports", "send_reports"]
 
-# Delay before a newer version that another gateway reports is fetched from it, in seconds; by then
-# the registry has usually delivered it.
+# Delay before a newer version that another gateway reports is fetched from it, in seconds, if this
+# gateway watches the registry, or the other one is in another data centre: by then the registry, or
+# a watching gateway of this data centre, has usually delivered it.
 FETCH_DELAY_S = 0.25
 FETCH_TIMEOUT_S = 1.0
-# One in this many rounds of reports to all gateways is full, in case earlier reports were lost.
+# Pause after a fetch, in seconds: changes in quick succession are fetched together.
+FETCH_PAUSE_S = 0.05
+# Shortest time between two reports, in seconds, while there is news.
+MIN_REPORT_INTERVAL_S = 0.02
+# One in this many reports goes to silent and unknown gateways too, and holds all totals in case
+# earlier reports were lost.
 FULL_REPORT_EVERY = 8
-# Number of first rounds of a process in which all reports are full, so that all gateways soon know
-# each other.
+# Number of first reports of a process that are full, so that all gateways soon know each other.
 INITIAL_FULL_REPORTS = 8
-# Largest number of recently sent prompt parts that one report carries.
+# Each summary holds the totals that changed since this many summaries before, in case some were
+# lost.
+SUMMARIES_REPEATED = 4
+# One in this many summaries goes to the seeds that are no known gateways too.
+SEED_SUMMARY_EVERY = 16
+# Largest numbers of recently sent prompt parts that one report and one summary carry.
 MAX_REPORTED_PARTS = 32
+MAX_SUMMARY_PARTS = 64
 
 
 def make_report(
@@ -72,7 +88,7 @@
     The recently sent prompt parts are removed from the target table, so that each is reported once.
     """
     now_s = gateway.clock.now_s()
-    loads = tuple(_target_load(target, now_s) for target in gateway.targets)
+    loads = tuple(measure_load(target, now_s) for target in gateway.targets)
     return PeerReport(
         address=gateway.settings.peer_listen,
         incarnation=incarnation,
@@ -82,63 +98,121 @@
         targets_revision=gateway.targets.revision,
         is_leaving=gateway.callers.is_refusing,
         target_loads=tuple(load for load in loads if load.running or load.failed),
-        admitted=gateway.quotas.admitted_since(since_change),
+        admitted=gateway.quotas.admitted.changed_since(since_change),
         sent_parts=gateway.targets.pop_sent_parts(MAX_REPORTED_PARTS),
         suspects=gateway.suspects.newest_pairs(),
-        addresses=() if since_change else _live_addresses(gateway),
+        addresses=() if since_change else gateway.peers.named_addresses(),
         data_centre=gateway.settings.data_centre,
+        is_registry_failing=gateway.duty.is_failing(),
     )
 
 
-def _target_load(target: TrackedTarget, now_s: float) -> TargetLoad:
-    failed, ended = target.failures.weighted_counts(now_s)
-    return TargetLoad(
-        target.registration.target_id,
-        target.running,
-        target.prefill_tokens,
-        round(target.slowness.value, 2) if target.slowness.count else 0.0,
-        round(10 * failed),
-        round(10 * ended),
+def make_summary(
+    gateway: Gateway, own: PeerReport, sequence: int, since_change: int
+) -> CentreSummary:
+    """Return the summary of the data centre's gateways.
+
+    Parameters
+    ----------
+    own : PeerReport
+        The last report of this gateway, which is the relay.
+    sequence : int
+        Number of the summary within the incarnation.
+    since_change : int
+        Change number of the data centre's totals: only those that have changed since are in it.
+    """
+    reports = (own, *gateway.peers.live_reports())
+    return CentreSummary(
+        data_centre=own.data_centre,
+        relay=own.address,
+        incarnation=own.incarnation,
+        sequence=sequence,
+        routes_version=gateway.routes.table.version,
+        targets_revision=gateway.targets.revision,
+        live=tuple(report.address for report in reports),
+        silent=gateway.peers.silent_count(),
+        target_loads=sum_loads(load for report in reports for load in report.target_loads),
+        admitted=gateway.quotas.admitted_in_centre.changed_since(since_change),
+        sent_parts=gateway.peers.pop_summary_parts(MAX_SUMMARY_PARTS),
+        suspects=gateway.suspects.newest_pairs(),
+        contacts=gateway.peers.uncovered_contacts(),
     )
 
 
-def _live_addresses(gateway: Gateway) -> tuple[str, ...]:
-    return tuple(report.address for report in gateway.peers.live_reports())
+class _Sender:
+    """Sends this gateway's reports, and its data centre's summaries while it is the relay."""
+
+    def __init__(self, gateway: Gateway, socket: UDPSocket, incarnation: int) -> None:
+        self._gateway = gateway
+        self._socket = socket
+        self._incarnation = incarnation
+        self._sequence = 0
+        self._summary_sequence = 0
+        self._reported_change = 0
+        # Change numbers of the data centre's totals at the last summaries, the oldest first.
+        self._summary_changes = [0] * SUMMARIES_REPEATED
+        self._report = PeerReport("", incarnation, 0)
+
+    async def send_report(self) -> None:
+        peers, quotas = self._gateway.peers, self._gateway.quotas
+        self._sequence += 1
+        is_full = self._sequence <= INITIAL_FULL_REPORTS or self._sequence % FULL_REPORT_EVERY == 1
+        since_change = 0 if is_full else self._reported_change
+        self._reported_change = quotas.admitted.change_number
+        report = make_report(self._gateway, self._incarnation, self._sequence, since_change)
+        self._report = report
+        peers.add_summary_parts(report.sent_parts)
+        addresses = peers.addresses() if is_full else peers.local_addresses()
+        await self._send(encode_report(report), addresses)
+
+    async def send_summary(self) -> None:
+        peers, totals = self._gateway.peers, self._gateway.quotas.admitted_in_centre
+        if not peers.is_relay():
+            return
+        self._summary_sequence += 1
+        addresses = peers.summary_addresses()
+        if self._summary_sequence % SEED_SUMMARY_EVERY == 1:
+            addresses |= peers.unknown_seeds()
+        if not addresses:
+            return
+        since_change = self._summary_changes.pop(0)
+        self._summary_changes.append(totals.change_number)
+        summary = make_summary(self._gateway, self._report, self._summary_sequence, since_change)
+        await self._send(encode_summary(summary), addresses)
+
+    async def _send(self, data: bytes, addresses: Iterable[str]) -> None:
+        await _send_to(self._gateway, self._socket, data, addresses)
 
 
 async def send_reports(gateway: Gateway, socket: UDPSocket, incarnation: int) -> None:
-    """Send reports to all known gateways, more often within the data centre, until cancelled.
+    """Send reports and summaries until cancelled.
 
-    The load of gateways whose reports no longer arrive is no longer counted, and each of them is
-    logged.
+    Gateways and data centres from which none arrive any more are logged, and their load is no
+    longer counted.
 
     Parameters
     ----------
     incarnation : int
         Number of this run of the process.
     """
-    peers, quotas, now_s = gateway.peers, gateway.quotas, gateway.clock.now_s
-    # `all_change`, `local_change`: change number of the quotas at the last report to all gateways,
-    # and at the last report of either kind; gateways of the data centre get both kinds.
-    sequence = rounds = all_change = local_change = 0
-    next_for_all_s = now_s()
+    peers, now_s = gateway.peers, gateway.clock.now_s
+    sender = _Sender(gateway, socket, incarnation)
+    next_report_s = next_summary_s = now_s()
     while True:
-        sequence += 1
-        if now_s() >= next_for_all_s:
-            next_for_all_s = now_s() + _jittered_s(peers.report_interval_s())
-            rounds += 1
-            is_full = rounds <= INITIAL_FULL_REPORTS or rounds % FULL_REPORT_EVERY == 1
-            since_change, all_change = (0 if is_full else all_change), quotas.change_number
-            addresses = peers.addresses()
-        else:
-            since_change, addresses = local_change, peers.local_addresses()
-        local_change = quotas.change_number
-        data = encode_report(make_report(gateway, incarnation, sequence, since_change))
-        await _send_to(gateway, socket, data, addresses)
-        wait_s = min(_jittered_s(peers.local_report_interval_s()), next_for_all_s - now_s())
-        await anyio.sleep(max(wait_s, 0.0))
+        if now_s() >= next_report_s or peers.news.is_set():
+            peers.news = anyio.Event()
+            next_report_s = now_s() + _jittered_s(peers.report_interval_s())
+            await sender.send_report()
+        if now_s() >= next_summary_s:
+            next_summary_s = now_s() + _jittered_s(SUMMARY_INTERVAL_S)
+            await sender.send_summary()
         for address in peers.expire(now_s()):
             gateway.log.emit(events.GATEWAY_SILENT, peer=address)
+        for data_centre in peers.centres.expire(now_s()):
+            gateway.log.emit(events.GATEWAY_SILENT, peer=data_centre)
+        with anyio.move_on_after(max(min(next_report_s, next_summary_s) - now_s(), 0.0)):
+            await peers.news.wait()
+            await anyio.sleep(MIN_REPORT_INTERVAL_S)
 
 
 def _jittered_s(every_s: float) -> float:
@@ -148,42 +222,53 @@
 async def _send_to(
     gateway: Gateway, socket: UDPSocket, data: bytes, addresses: Iterable[str]
 ) -> None:
-    for address in addresses:
-        try:
-            await socket.sendto(data, *split_address(address))
-        except OSError as error:
-            gateway.log.emit(events.PEER_UNREACHABLE, peer=address, reason=str(error))
+    # Reports and forwarded summaries are sent by two tasks; the socket serves one at a time.
+    async with gateway.peers.send_lock:
+        for address in addresses:
+            try:
+                await socket.sendto(data, *split_address(address))
+            except OSError as error:
+                gateway.log.emit(events.PEER_UNREACHABLE, peer=address, reason=str(error))
 
 
 async def receive_reports(gateway: Gateway, socket: UDPSocket) -> None:
-    """Apply the reports of other gateways until cancelled.
+    """Apply the reports and summaries of other gateways until cancelled.
 
     Routes and registrations that are newer there than here are fetched. Datagrams that can't be
     decoded are logged and dropped.
     """
-    newer_sender, newer_reports = anyio.create_memory_object_stream[PeerReport](1)
+    is_ahead = anyio.Event()
 
     async def fetch_newer() -> None:
-        async for report in newer_reports:
-            await anyio.sleep(FETCH_DELAY_S)
-            await _fetch_newer(gateway, report)
+        nonlocal is_ahead
+        while True:
+            await is_ahead.wait()
+            is_ahead = anyio.Event()
+            try:
+                await _fetch_newer(gateway)
+            except msgspec.DecodeError as error:
+                gateway.log.emit(events.LINK_REJECTED, peer="", reason=f"{error}"[:200])
+            await anyio.sleep(FETCH_PAUSE_S)
 
-    async with newer_reports, newer_sender, anyio.create_task_group() as tasks:
+    async with anyio.create_task_group() as tasks:
         tasks.start_soon(fetch_newer)
         async for data, (host, port) in socket:
             try:
-                report = decode_report(data)
+                if data.startswith(SUMMARY_TAG):
+                    news = decode_summary(data)
+                    is_new = _apply_summary(gateway, news)
+                    if is_new and news.relay == f"{host}:{port}":
+                        await _send_to(gateway, socket, data, gateway.peers.local_addresses())
+                else:
+                    news = decode_report(data)
+                    _apply_report(gateway, news)
             except msgspec.DecodeError as error:
                 gateway.log.emit(
                     events.LINK_REJECTED, peer=f"{host}:{port}", reason=f"{error}"[:200]
                 )
                 continue
-            _apply_report(gateway, report)
-            if _is_ahead(gateway, report):
-                # While a fetch is running and another one waits, the report is skipped; a later one
-                # triggers the next fetch.
-                with suppress(anyio.WouldBlock):
-                    newer_sender.send_nowait(report)
+            if _is_ahead(gateway, news):
+                is_ahead.set()
 
 
 def _apply_report(gateway: Gateway, report: PeerReport) -> None:
@@ -196,29 +281,70 @@
         )
     gateway.dispatcher.dispatch_all()
     gateway.suspects.merge(report.suspects)
-    gateway.peers.add_addresses(report.addresses)
+    if report.data_centre == gateway.settings.data_centre:
+        gateway.peers.add_addresses(report.addresses)
+
+
+def _apply_summary(gateway: Gateway, summary: CentreSummary) -> bool:
+    if summary.data_centre == gateway.settings.data_centre:
+        return False
+    was_live = gateway.peers.centres.is_live(summary.data_centre)
+    if not gateway.peers.centres.apply(summary, gateway.clock.now_s()):
+        # Another relay of that data centre is followed: the two may not know each other yet.
+        gateway.peers.add_contact(summary.relay, gateway.clock.now_s())
+        return False
+    if not was_live:
+        gateway.log.emit(
+            events.GATEWAY_HEARD,
+            peer=summary.relay,
+            incarnation=summary.incarnation,
+            routes_version=summary.routes_version,
+        )
+    gateway.dispatcher.dispatch_all()
+    gateway.suspects.merge(summary.suspects)
+    gateway.peers.add_addresses(summary.contacts)
+    return True
 
 
-def _is_ahead(gateway: Gateway, report: PeerReport) -> bool:
+def _is_ahead(gateway: Gateway, news: PeerReport | CentreSummary) -> bool:
     return (
-        report.routes_version > gateway.routes.table.version
-        or report.targets_revision > gateway.targets.revision
+        news.routes_version > gateway.routes.table.version
+        or news.targets_revision > gateway.targets.revision
     )
 
 
-async def _fetch_newer(gateway: Gateway, report: PeerReport) -> None:
-    """Fetch routes and registrations from a gateway if they are still newer there than here."""
-    client = create_http_client(report.address)
+async def _fetch_newer(gateway: Gateway) -> None:
+    """Fetch routes and registrations from the gateways where they are newest, if still newer."""
+    peers, routes, targets = gateway.peers, gateway.routes, gateway.targets
+    is_near = (
+        peers.newest_routes().is_local
+        if peers.newest_routes().number > routes.table.version
+        else peers.newest_targets().is_local
+    )
+    if not is_near or gateway.duty.is_watcher():
+        await anyio.sleep(FETCH_DELAY_S)
+    source = peers.newest_routes()
+    if source.number > routes.table.version:
+        body = await _fetch(gateway, source.address, ROUTES_PATH)
+        if body is not None:
+            apply_routes(gateway, msgspec.msgpack.decode(body, type=RouteTable), source.address)
+    source = peers.newest_targets()
+    if source.number > targets.revision:
+        body = await _fetch(gateway, source.address, TARGETS_PATH)
+        if body is not None:
+            listed = msgspec.msgpack.decode(body, type=ListedTargets)
+            await apply_target_list(gateway, listed, source.address)
+
+
+async def _fetch(gateway: Gateway, address: str, path: str) -> bytes | None:
+    """Return a page of another gateway; None if it can't be had, so that this gateway watches."""
+    client = create_http_client(address)
     try:
-        if report.routes_version > gateway.routes.table.version:
-            answer = await client.get(ROUTES_PATH, FETCH_TIMEOUT_S)
-            table = msgspec.msgpack.decode(answer.body, type=RouteTable)
-            apply_routes(gateway, table, report.address)
-        if report.targets_revision > gateway.targets.revision:
-            answer = await client.get(TARGETS_PATH, FETCH_TIMEOUT_S)
-            listed = msgspec.msgpack.decode(answer.body, type=ListedTargets)
-            await apply_target_list(gateway, listed, report.address)
-    except (TargetError, msgspec.DecodeError) as error:
-        gateway.log.emit(events.PEER_UNREACHABLE, peer=report.address, reason=str(error))
+        answer = await client.get(path, FETCH_TIMEOUT_S)
+    except TargetError as error:
+        gateway.log.emit(events.PEER_UNREACHABLE, peer=address, reason=str(error))
+        gateway.duty.take_over()
+        return None
     finally:
         await client.aclose()
+    return answer.body
--- a/guavawalk/process/gateway/dispatch.py
+++ b/guavawalk/process/gateway/dispatch.py
@@ -31,9 +31,11 @@
 # Share of a target's slots that late calls may fill; the others are kept for calls that can be on
 # time.
 LATE_SLOTS_SHARE = 0.7
-# Share of a target's slots that is kept free in another data centre, per second by which reports
-# from there arrive later than local ones: calls that were sent in that time are not known here yet.
-DISTANT_RESERVE_PER_S = 0.6
+# Share of the slots of targets in other data centres that is kept free, for each gateway of other
+# data centres beyond `FEW_GATEWAYS` in all: what they send at the same time is not known here yet,
+# and the more there are, the more of them see the same free slot.
+DISTANT_RESERVE_PER_GATEWAY = 0.02
+FEW_GATEWAYS = 6
 # Largest share of slots that is kept free for that reason.
 MAX_DISTANT_RESERVE = 0.6
 # Risk of missing the deadline, from 0 to 1, above which a target gets a call only if no other has a
@@ -64,8 +66,8 @@
         """Return the number of gateways, this one included."""
         ...
 
-    def distant_report_lag_s(self) -> float:
-        """Return by how many seconds reports from other data centres are later than local ones."""
+    def local_count(self) -> int:
+        """Return the number of gateways of the data centre, this one included."""
         ...
 
 
@@ -277,9 +279,7 @@
         the target.
         """
         fair_share = slots_share / (self._gateways.count() + 1)
-        reserved_slots_share = min(
-            DISTANT_RESERVE_PER_S * self._gateways.distant_report_lag_s(), MAX_DISTANT_RESERVE
-        )
+        reserved_slots_share = _distant_reserve(self._gateways)
         for snapshot in snapshots:
             target = self._targets.get(snapshot.target_id)
             if not target.accepts_calls(now_s):
@@ -328,6 +328,12 @@
         )
 
 
+def _distant_reserve(gateways: SharingGateways) -> float:
+    """Return the share of slots that is kept free at targets in other data centres."""
+    others = gateways.count() - max(gateways.local_count(), FEW_GATEWAYS)
+    return min(DISTANT_RESERVE_PER_GATEWAY * max(others, 0), MAX_DISTANT_RESERVE)
+
+
 def _likely_to_finish(
     call: Call, snapshots: Sequence[TargetSnapshot], now_s: float
 ) -> Iterator[TargetSnapshot]:
--- a/guavawalk/process/gateway/gauges.py
+++ b/guavawalk/process/gateway/gauges.py
@@ -24,7 +24,7 @@
     metrics.gauge("registry_silent_seconds", lambda: _registry_silence_s(gateway))
     metrics.gauge("targets_revision", lambda: {(): gateway.targets.revision})
     metrics.gauge("ready", lambda: {(): gateway.is_ready()})
-    metrics.gauge("gateways_heard", lambda: {(): len(gateway.peers.live_reports())})
+    metrics.gauge("gateways_heard", lambda: {(): gateway.peers.live_count() - 1})
     metrics.gauge("gateways_heard_share", lambda: {(): gateway.peers.live_share()})
     metrics.gauge("target_running", lambda: _running_calls(gateway))
     metrics.gauge("target_failure_share", lambda: _failure_shares(gateway))
@@ -81,7 +81,7 @@
 
 
 def _admitted(gateway: Gateway) -> Mapping[Labels, float]:
-    return _labelled("workspace", dict(islice(gateway.quotas.admitted.items(), MAX_SERIES)))
+    return _labelled("workspace", dict(islice(gateway.quotas.admitted.totals.items(), MAX_SERIES)))
 
 
 def _remaining_repeats(gateway: Gateway) -> Mapping[Labels, float]:
--- a/guavawalk/process/gateway/pages.py
+++ b/guavawalk/process/gateway/pages.py
@@ -8,7 +8,6 @@
 from guavawalk.platform.settings import READINESS_PATH
 from guavawalk.process.gateway.gauges import register_gauges
 from guavawalk.process.gateway.state import Gateway
-from guavawalk.version.registrations import ListedTargets
 
 __all__ = [
     "METRICS_PATH",
@@ -52,8 +51,8 @@
         return PageAnswer(OK_STATUS, msgspec.msgpack.encode(gateway.routes.table))
 
     def targets() -> PageAnswer:
-        registrations = tuple(target.registration for target in gateway.targets)
-        listed = ListedTargets(gateway.targets.revision, registrations)
-        return PageAnswer(OK_STATUS, msgspec.msgpack.encode(listed))
+        return PageAnswer(
+            OK_STATUS, msgspec.msgpack.encode(gateway.targets.listed(gateway.clock.now_s()))
+        )
 
     return {ROUTES_PATH.encode(): routes, TARGETS_PATH.encode(): targets}
--- a/guavawalk/process/gateway/peers.py
+++ b/guavawalk/process/gateway/peers.py
@@ -1,30 +1,45 @@
-"""Keeps the reports of the other gateways, and adds them to the state of targets and quotas."""
+"""Keeps the reports of the gateways of the same data centre, and adds them to targets and quotas.
 
-from collections.abc import Iterable
+Gateways of other data centres count by the summaries of `centres`. Reports from there arrive only
+before a summary has: they name a gateway to which a summary can be sent.
+"""
+
+import math
+from collections import deque
+from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
+import anyio
 import msgspec
 import msgspec.msgpack
 
+from guavawalk.process.gateway.centres import CentreSummary, CentreTable
+from guavawalk.process.gateway.loads import (
+    TargetLoad,
+    add_loads,
+    add_sent_parts,
+    subtract_loads,
+)
 from guavawalk.process.gateway.quota import QuotaWindows
 from guavawalk.process.gateway.targets import TargetTable
-from guavawalk.request.call import PromptPart
+from guavawalk.process.spread.ranking import rank_nodes
 
 __all__ = [
     "PeerReport",
     "PeerTable",
-    "TargetLoad",
+    "VersionSource",
     "create_peer_table",
     "decode_report",
     "encode_report",
 ]
 
-# Time between two reports, in seconds, among up to `REPORT_GATEWAYS` gateways. Among more it grows
-# in proportion to their number, so that a gateway sends the same bytes per second. For reports
-# within a data centre only the gateways there count; reports between data centres, where traffic is
-# expensive, are therefore rarer.
+# Time between two reports, in seconds, among up to `REPORT_GATEWAYS` gateways of a data centre.
+# Among more it grows in proportion to their number, so that a gateway sends the same bytes per
+# second.
 REPORT_INTERVAL_S = 0.2
 REPORT_GATEWAYS = 6
+# Time between two summaries of a data centre for the others, in seconds.
+SUMMARY_INTERVAL_S = 0.3
 # A gateway is silent, and its load no longer counts at the targets, once its last report is older
 # than this many report intervals and than `MIN_SILENT_S` seconds.
 SILENT_INTERVALS = 3.5
@@ -34,34 +49,12 @@
 FORGET_AFTER_S = 20.0
 # Most addresses named by other gateways that are kept until the next report to all gateways.
 MAX_NAMED_ADDRESSES = 64
-
-
-class TargetLoad(NamedTuple):
-    """What one gateway runs at one target, and has observed of it.
-
-    Attributes
-    ----------
-    running : int
-        Calls of the gateway at the target.
-    prefill_tokens : int
-        Prompt tokens to be processed for those calls that have had no event yet.
-    slowness : float
-        Ratio of the time between two events at the target to the nominal one; 0 if the gateway has
-        not observed it.
-    failed, ended : int
-        Number of failed and of all ended attempts, weighted by age, in tenths of an attempt.
-    """
-
-    target_id: str
-    running: int
-    prefill_tokens: int
-    slowness: float = 0.0
-    failed: int = 0
-    ended: int = 0
+# Most sent prompt parts that are kept for the next summary; the oldest are dropped first.
+MAX_SUMMARY_PARTS = 256
 
 
 class PeerReport(NamedTuple):
-    """State that a gateway sends to the others.
+    """State that a gateway sends to the others of its data centre.
 
     Attributes
     ----------
@@ -91,6 +84,8 @@
         Gateways whose reports it receives; empty in reports that hold only changes of `admitted`.
     data_centre : str
         Data centre of the gateway.
+    is_registry_failing : bool
+        Whether the registry does not answer it.
     """
 
     address: str
@@ -106,6 +101,25 @@
     suspects: tuple[int, ...] = ()
     addresses: tuple[str, ...] = ()
     data_centre: str = ""
+    is_registry_failing: bool = False
+
+
+class VersionSource(NamedTuple):
+    """A gateway that has a version or revision.
+
+    Attributes
+    ----------
+    address : str
+        `IP:port` of its pages; empty if no other gateway is known.
+    number : int
+        The version or revision; 0 if no other gateway is known.
+    is_local : bool
+        Whether it is in the same data centre.
+    """
+
+    address: str = ""
+    number: int = 0
+    is_local: bool = False
 
 
 _encoder = msgspec.msgpack.Encoder()
@@ -141,7 +155,7 @@
 
 
 class PeerTable:
-    """The other gateways by address; keeps their load added to the targets.
+    """The other gateways; keeps the load of those in the data centre added to the targets.
 
     Parameters
     ----------
@@ -151,11 +165,23 @@
         Data centre of this gateway.
     seeds : iterable of str
         Addresses of some gateways, which may be gone.
+    centres : CentreTable
+        The other data centres.
 
     Attributes
     ----------
-    own_address, seeds
+    own_address, seeds, centres
         As given.
+    changed : anyio.Event
+        Set, and replaced, when a gateway of the data centre becomes live or silent, or its registry
+        begins or ceases to answer it.
+    registry_failed_s : float
+        When another gateway of the data centre last reported that the registry does not answer it;
+        minus infinity before any.
+    news : anyio.Event
+        Set when the next report is due at once; the sender replaces it.
+    send_lock : anyio.Lock
+        Held while datagrams are sent.
     """
 
     def __init__(
@@ -165,16 +191,29 @@
         seeds: Iterable[str],
         targets: TargetTable,
         quotas: QuotaWindows,
+        centres: CentreTable,
     ) -> None:
         self.own_address = own_address
         self._data_centre = data_centre
-        # Live gateways in the same data centre, without this one.
-        self._local_live = 0
         self.seeds = tuple(seeds)
+        self.centres = centres
         self._targets = targets
         self._quotas = quotas
         self._peers: dict[str, _Peer] = {}
+        # Live gateways of the data centre by rank, this one included.
+        self._ranked: tuple[str, ...] = (own_address,)
+        # When gateways of other data centres last reported here, by address.
+        self._contacts: dict[str, float] = {}
         self._named_addresses: set[str] = set()
+        self._summary_parts: deque[tuple[str, str]] = deque(maxlen=MAX_SUMMARY_PARTS)
+        self.registry_failed_s = -math.inf
+        self.changed = anyio.Event()
+        self.news = anyio.Event()
+        self.send_lock = anyio.Lock()
+
+    def report_news(self) -> None:
+        """Have the next report sent at once, since a newer version is known here."""
+        self.news.set()
 
     def apply_report(self, report: PeerReport, now_s: float) -> bool:
         """Apply a report; return whether it makes its gateway live.
@@ -186,27 +225,47 @@
         """
         if report.address == self.own_address:
             return False
+        if report.data_centre != self._data_centre:
+            self.add_contact(report.address, now_s)
+            return False
         peer = self._peers.get(report.address)
         is_new = peer is None or not peer.is_live
         if peer is None:
             peer = self._peers[report.address] = _Peer(report, now_s)
         elif not _is_later(report, peer.report):
             return False
-        self._subtract(peer)
+        was_failing = peer.report.is_registry_failing
+        if peer.is_live:
+            subtract_loads(self._targets, peer.report.target_loads)
         if report.is_leaving:
             del self._peers[report.address]
+            self._record_change()
             return False
         peer.report, peer.last_report_s = report, now_s
-        self._add(peer)
-        self._quotas.merge(
+        peer.is_live = True
+        if report.is_registry_failing:
+            self.registry_failed_s = now_s
+        add_loads(self._targets, report.target_loads)
+        self._quotas.merge_local(
             f"{report.address}/{report.incarnation}", report.admitted, now_s, report.age_s
         )
-        for target_id, part_id in report.sent_parts:
-            target = self._targets.get(target_id)
-            if target is not None:
-                target.record_cached_parts((PromptPart(part_id, 0),), now_s)
+        add_sent_parts(self._targets, report.sent_parts, now_s)
+        self.add_summary_parts(report.sent_parts)
+        if is_new or was_failing != report.is_registry_failing:
+            self._record_change()
         return is_new
 
+    def add_contact(self, address: str, now_s: float) -> None:
+        """Record that a gateway of another data centre was heard, and may be in no summary."""
+        if len(self._contacts) < MAX_NAMED_ADDRESSES or address in self._contacts:
+            self._contacts[address] = now_s
+
+    def _record_change(self) -> None:
+        live = (address for address, peer in self._peers.items() if peer.is_live)
+        self._ranked = rank_nodes((self.own_address, *live))
+        self.changed.set()
+        self.changed = anyio.Event()
+
     def expire(self, now_s: float) -> list[str]:
         """Subtract the load of silent gateways; return the addresses of those live until now.
 
@@ -218,100 +277,148 @@
         silent_s = max(SILENT_INTERVALS * self.report_interval_s(), MIN_SILENT_S)
         for address, peer in list(self._peers.items()):
             if peer.is_live and now_s - peer.last_report_s > silent_s:
-                self._subtract(peer)
+                peer.is_live = False
+                subtract_loads(self._targets, peer.report.target_loads)
                 silent.append(address)
             if now_s - peer.last_report_s > FORGET_AFTER_S:
                 self._quotas.forget_gateway(f"{address}/{peer.report.incarnation}")
                 del self._peers[address]
+        for address, reported_s in list(self._contacts.items()):
+            if now_s - reported_s > FORGET_AFTER_S:
+                del self._contacts[address]
+        if silent:
+            self._record_change()
         return silent
 
     def add_addresses(self, addresses: Iterable[str]) -> None:
-        """Add addresses that another gateway named, so that the next report goes to them too."""
+        """Add addresses that another gateway named, so that the next full report goes to them too.
+
+        Of those named by gateways of other data centres only contacts may be added: to report to
+        all gateways of another data centre would have all of them report here.
+        """
         for address in addresses:
             is_new = address != self.own_address and address not in self._peers
             if is_new and len(self._named_addresses) < MAX_NAMED_ADDRESSES:
                 self._named_addresses.add(address)
 
     def live_reports(self) -> list[PeerReport]:
-        """Return the last reports of the gateways whose reports still arrive."""
+        """Return the last reports of the data centre's gateways whose reports still arrive."""
         return [peer.report for peer in self._peers.values() if peer.is_live]
 
     def addresses(self) -> set[str]:
-        """Return the addresses to report to.
+        """Return the addresses to report to, those of silent and unknown gateways included.
 
         Notes
         -----
-        These are all known gateways, silent ones included; the addresses that others have named
-        since the last call; and the seeds while fewer gateways are live than there are seeds.
+        These are all known gateways of the data centre, silent ones included; the addresses that
+        others have named since the last call; and the seeds while fewer gateways are live than
+        there are seeds.
         """
         named, self._named_addresses = self._named_addresses, set()
-        seeds = self.seeds if len(self.live_reports()) < len(self.seeds) else ()
+        seeds = self.seeds if self.live_count() <= len(self.seeds) else ()
         return {*self._peers, *named, *seeds} - {self.own_address}
 
     def local_addresses(self) -> set[str]:
         """Return the addresses of the live gateways in the same data centre."""
-        return {report.address for report in self.live_reports() if self._is_local(report)}
+        return set(self._ranked) - {self.own_address}
 
-    def distant_report_lag_s(self) -> float:
-        """Return by how many seconds reports from other data centres are later than local ones."""
-        return self.report_interval_s() - self.local_report_interval_s()
+    def named_addresses(self) -> tuple[str, ...]:
+        """Return the addresses to name to others of the data centre.
 
-    def report_interval_s(self) -> float:
-        """Return the time between two reports to all gateways, in seconds."""
-        return _report_interval_s(self.count())
+        Notes
+        -----
+        These are its live gateways, and the uncovered contacts.
+        """
+        return (*self._ranked, *self.uncovered_contacts())
+
+    def summary_addresses(self) -> set[str]:
+        """Return the addresses to which a relay sends its summary."""
+        return {*self.centres.receivers(), *self.uncovered_contacts()}
+
+    def unknown_seeds(self) -> set[str]:
+        """Return the seeds at which no known gateway is, such as those of a data centre cut off."""
+        known = {self.own_address, *self._peers, *self.centres.live_addresses()}
+        return set(self.seeds) - known
+
+    def uncovered_contacts(self) -> tuple[str, ...]:
+        """Return the gateways of other data centres that reported here and are in no summary."""
+        if not self._contacts:
+            return ()
+        covered = self.centres.live_addresses()
+        return tuple(address for address in self._contacts if address not in covered)
+
+    def is_relay(self) -> bool:
+        """Return whether this gateway sends the data centre's summaries: the first live by rank."""
+        return self._ranked[0] == self.own_address
+
+    def ranked_by_registry(self, is_own_failing: bool) -> tuple[str, ...]:
+        """Return the live gateways of the data centre by rank, those with a failing registry last.
+
+        Parameters
+        ----------
+        is_own_failing : bool
+            Whether the registry does not answer this gateway.
+        """
 
-    def local_report_interval_s(self) -> float:
+        def is_failing(address: str) -> bool:
+            if address == self.own_address:
+                return is_own_failing
+            return self._peers[address].report.is_registry_failing
+
+        return tuple(sorted(self._ranked, key=is_failing))
+
+    def add_summary_parts(self, sent_parts: Iterable[tuple[str, str]]) -> None:
+        """Keep prompt parts that were sent from the data centre for its next summary."""
+        self._summary_parts.extend(sent_parts)
+
+    def pop_summary_parts(self, max_parts: int) -> tuple[tuple[str, str], ...]:
+        """Remove and return the oldest of the kept prompt parts."""
+        parts = self._summary_parts
+        return tuple(parts.popleft() for _ in range(min(max_parts, len(parts))))
+
+    def newest_routes(self) -> VersionSource:
+        """Return the gateway with the newest routes, one of the same data centre if there is."""
+        return self._newest(lambda known: known.routes_version)
+
+    def newest_targets(self) -> VersionSource:
+        """Return the gateway with the newest registrations, of the same data centre if possible."""
+        return self._newest(lambda known: known.targets_revision)
+
+    def _newest(self, number_of: Callable[[PeerReport | CentreSummary], int]) -> VersionSource:
+        sources = [
+            VersionSource(report.address, number_of(report), True) for report in self.live_reports()
+        ]
+        sources += [
+            VersionSource(summary.relay, number_of(summary))
+            for summary in self.centres.live_summaries()
+        ]
+        return max(
+            sources, key=lambda source: (source.number, source.is_local), default=VersionSource()
+        )
+
+    def report_interval_s(self) -> float:
         """Return the time between two reports within the data centre, in seconds."""
-        return _report_interval_s(self._local_live + 1)
+        return REPORT_INTERVAL_S * max(len(self._ranked) / REPORT_GATEWAYS, 1.0)
 
     def count(self) -> int:
         """Return the number of known gateways, this one and silent ones included."""
-        return len(self._peers) + 1
+        return self.local_count() + self.centres.count()
 
-    def live_share(self) -> float:
-        """Return the share of known gateways that are live, from 0 to 1, this one included."""
-        return (sum(peer.is_live for peer in self._peers.values()) + 1) / self.count()
-
-    def _is_local(self, report: PeerReport) -> bool:
-        return report.data_centre == self._data_centre
-
-    def _add(self, peer: _Peer) -> None:
-        """Add a gateway's load to the targets."""
-        peer.is_live = True
-        self._local_live += self._is_local(peer.report)
-        for load in peer.report.target_loads:
-            target = self._targets.get(load.target_id)
-            if target is not None:
-                target.peer_running += load.running
-                target.peer_prefill_tokens += load.prefill_tokens
-                target.add_peer_attempts(load.failed, load.ended)
-                # Until this gateway has observed the target itself, another's observation counts.
-                if load.slowness and not target.slowness.count:
-                    target.slowness.value = load.slowness
-
-    def _subtract(self, peer: _Peer) -> None:
-        """Subtract the load that `_add` added.
+    def local_count(self) -> int:
+        """Return the number of known gateways of the data centre, this one included."""
+        return len(self._peers) + 1
 
-        Notes
-        -----
-        Numbers stay at 0 or above: a target that has started again since then begins at 0.
-        """
-        if not peer.is_live:
-            return
-        peer.is_live = False
-        self._local_live -= self._is_local(peer.report)
-        for load in peer.report.target_loads:
-            target = self._targets.get(load.target_id)
-            if target is not None:
-                target.add_peer_attempts(-load.failed, -load.ended)
-                target.peer_running = max(target.peer_running - load.running, 0)
-                target.peer_prefill_tokens = max(
-                    target.peer_prefill_tokens - load.prefill_tokens, 0
-                )
+    def silent_count(self) -> int:
+        """Return the number of known gateways of the data centre that are silent."""
+        return self.local_count() - len(self._ranked)
 
+    def live_count(self) -> int:
+        """Return the number of live gateways, this one included."""
+        return len(self._ranked) + self.centres.live_count()
 
-def _report_interval_s(gateways: int) -> float:
-    return REPORT_INTERVAL_S * max(gateways / REPORT_GATEWAYS, 1.0)
+    def live_share(self) -> float:
+        """Return the share of known gateways that are live, from 0 to 1, this one included."""
+        return min(self.live_count() / self.count(), 1.0)
 
 
 def create_peer_table(
@@ -320,6 +427,7 @@
     seeds: Iterable[str],
     targets: TargetTable,
     quotas: QuotaWindows,
+    centres: CentreTable,
 ) -> PeerTable:
     """Create a table without peers for the gateway at an address."""
-    return PeerTable(own_address, data_centre, seeds, targets, quotas)
+    return PeerTable(own_address, data_centre, seeds, targets, quotas, centres)
--- a/guavawalk/process/gateway/quota.py
+++ b/guavawalk/process/gateway/quota.py
@@ -11,7 +11,7 @@
 
 from guavawalk.version.routes import Quota
 
-__all__ = ["QuotaWindows", "create_quota_windows"]
+__all__ = ["QuotaWindows", "RunningTotals", "create_quota_windows"]
 
 # In half a window a workspace is admitted at most this multiple of what its rate gives in that
 # time, plus its burst. Otherwise a whole window's amount could be admitted at once just before the
@@ -78,22 +78,57 @@
         return now_s + window_s
 
 
+class RunningTotals:
+    """Running totals of admitted amounts by workspace, and which have changed since when.
+
+    Attributes
+    ----------
+    totals : dict of str to float
+        Running total by workspace.
+    change_number : int
+        Grows with each change of a total; 0 before any.
+    """
+
+    def __init__(self) -> None:
+        self.totals: dict[str, float] = {}
+        self.change_number = 0
+        self._changes: OrderedDict[str, int] = OrderedDict()
+
+    def add(self, workspace: str, amount: float) -> None:
+        """Add an amount, which may be negative, to a total; it stays at 0 or above."""
+        self.totals[workspace] = max(self.totals.get(workspace, 0.0) + amount, 0.0)
+        self.change_number += 1
+        self._changes[workspace] = self.change_number
+        self._changes.move_to_end(workspace)
+
+    def changed_since(self, change_number: int) -> dict[str, float]:
+        """Return the totals that changed after a change number, rounded to integers.
+
+        After 0 all of them are returned.
+        """
+        changed_totals = {}
+        for workspace, changed in reversed(self._changes.items()):
+            if changed <= change_number:
+                break
+            changed_totals[workspace] = float(round(self.totals[workspace]))
+        return changed_totals
+
+
 class QuotaWindows:
     """Sliding windows of all workspaces. Amounts are calls or tokens, as the quota counts.
 
     Attributes
     ----------
-    admitted : dict of str to float
-        Running total of what this gateway admitted and did not refund, by workspace.
-    change_number : int
-        Grows with each change of a running total; 0 before any.
+    admitted : RunningTotals
+        What this gateway admitted and did not refund.
+    admitted_in_centre : RunningTotals
+        The same of all gateways of the data centre whose reports arrive, this one included.
     """
 
     def __init__(self, window_s: float, unknown_before_s: float) -> None:
         self._unknown_before_s = unknown_before_s
-        self.admitted: dict[str, float] = {}
-        self._changes: OrderedDict[str, int] = OrderedDict()
-        self.change_number = 0
+        self.admitted = RunningTotals()
+        self.admitted_in_centre = RunningTotals()
         self._window_s = window_s
         self._windows: dict[str, _Window] = {}
         self._peer_totals: dict[str, dict[str, float]] = {}
@@ -144,56 +179,62 @@
             window.remove(amount, admitted_at_s)
         self._record_admitted(workspace, -amount)
 
-    def admitted_since(self, change_number: int) -> dict[str, float]:
-        """Return the running totals that changed after a change number, rounded to integers.
-
-        After 0 all of them are returned.
-        """
-        totals = {}
-        for workspace, changed in reversed(self._changes.items()):
-            if changed <= change_number:
-                break
-            totals[workspace] = float(round(self.admitted[workspace]))
-        return totals
-
     def _record_admitted(self, workspace: str, amount: float) -> None:
-        self.admitted[workspace] = max(self.admitted.get(workspace, 0.0) + amount, 0.0)
-        self.change_number += 1
-        self._changes[workspace] = self.change_number
-        self._changes.move_to_end(workspace)
+        self.admitted.add(workspace, amount)
+        self.admitted_in_centre.add(workspace, amount)
 
     def _counted_s(self, now_s: float) -> float:
         """Return the length of the part of the window in which admissions are known, in seconds."""
         known_s = now_s - self._unknown_before_s
         return min(known_s, self._window_s)
 
-    def merge(
+    def merge_local(
         self, gateway: str, totals: Mapping[str, float], now_s: float, age_s: float = math.inf
     ) -> None:
-        """Add the growth of another gateway's running totals to the windows.
+        """Add the growth of the running totals of a gateway of the same data centre.
+
+        The parameters are those of `merge`; the growth counts for the data centre's totals too.
+        """
+        for workspace, growth in self.merge(gateway, totals, now_s, age_s).items():
+            self.admitted_in_centre.add(workspace, growth)
+
+    def merge(
+        self, gateway: str, totals: Mapping[str, float], now_s: float, age_s: float = math.inf
+    ) -> dict[str, float]:
+        """Add the growth of others' running totals to the windows.
 
         Parameters
         ----------
         gateway : str
-            Identifies one incarnation of the gateway.
+            Identifies one incarnation of the gateway, or of the relay of a data centre.
         totals : mapping of str to float
             Running totals by workspace; those that have not changed may be absent.
         age_s : float, optional
             Time since the gateway started, in seconds; infinity if it is not known. The first
             totals are added only if it is shorter than a window: otherwise their amounts may have
             left the window.
+
+        Returns
+        -------
+        dict of str to float
+            The growth of each total that has changed.
         """
+        growths = {}
         is_first = gateway not in self._peer_totals
         known_totals = self._peer_totals.setdefault(gateway, {})
         for workspace, total in totals.items():
             is_old = is_first and age_s >= self._window_s
             growth = total - known_totals.get(workspace, total if is_old else 0.0)
             known_totals[workspace] = total
+            if not growth:
+                continue
+            growths[workspace] = growth
             window = self._windows.setdefault(workspace, _Window())
             if growth > 0.0:
                 window.add(growth, now_s)
-            elif growth < 0.0:
+            else:
                 window.remove(-growth, now_s)
+        return growths
 
     def forget_gateway(self, gateway: str) -> None:
         """Forget the totals of a gateway incarnation that is gone."""
--- a/guavawalk/process/gateway/state.py
+++ b/guavawalk/process/gateway/state.py
@@ -7,6 +7,7 @@
 from guavawalk.process.gateway.active_routes import ActiveRoutes, create_active_routes
 from guavawalk.process.gateway.buffers import BufferBudget, create_buffer_budget
 from guavawalk.process.gateway.callers import CallerTracker, create_caller_tracker
+from guavawalk.process.gateway.centres import create_centre_table
 from guavawalk.process.gateway.connections import ConnectionPool, create_connection_pool
 from guavawalk.process.gateway.dispatch import Dispatcher, create_dispatcher
 from guavawalk.process.gateway.peers import PeerTable, create_peer_table
@@ -18,6 +19,7 @@
 )
 from guavawalk.process.gateway.settings import GatewaySettings
 from guavawalk.process.gateway.targets import TargetTable, create_target_table
+from guavawalk.process.gateway.watch_duty import WatchDuty, create_watch_duty
 from guavawalk.process.observe.exposition import MetricSet, create_metric_set
 from guavawalk.process.observe.log import EventLog
 from guavawalk.process.suspects import SuspectTable, create_suspect_table
@@ -49,6 +51,7 @@
     quotas: QuotaWindows
     suspects: SuspectTable
     peers: PeerTable
+    duty: WatchDuty
     callers: CallerTracker
     dispatcher: Dispatcher
     registry_answered_s: dict[str, float]
@@ -73,8 +76,9 @@
     started_s = clock.now_s()
     unknown_before_s = -math.inf if settings.is_first_start else started_s
     quotas = create_quota_windows(settings.quota_window_s, unknown_before_s)
+    centres = create_centre_table(targets, quotas)
     peers = create_peer_table(
-        settings.peer_listen, settings.data_centre, settings.peers, targets, quotas
+        settings.peer_listen, settings.data_centre, settings.peers, targets, quotas, centres
     )
     return Gateway(
         settings=settings,
@@ -89,6 +93,7 @@
         quotas=quotas,
         suspects=create_suspect_table(clock),
         peers=peers,
+        duty=create_watch_duty(peers, clock),
         callers=create_caller_tracker(),
         dispatcher=create_dispatcher(targets, peers, settings.data_centre, clock),
         registry_answered_s={},
--- a/guavawalk/process/gateway/targets.py
+++ b/guavawalk/process/gateway/targets.py
@@ -7,7 +7,7 @@
 from guavawalk.process.gateway.decay import DecayingShare, MovingAverage
 from guavawalk.request.call import Call, PromptPart
 from guavawalk.request.target_choice import TargetSnapshot
-from guavawalk.version.registrations import Registration
+from guavawalk.version.registrations import ListedTargets, Registration
 
 __all__ = ["RunningCall", "TargetTable", "TrackedTarget", "create_target_table"]
 
@@ -309,6 +309,16 @@
             del self._targets[target_id]
         return True
 
+    def listed(self, now_s: float) -> ListedTargets:
+        """Return all registrations, for other gateways."""
+        lapsing = tuple(
+            (target_id, target.usable_until_s - now_s)
+            for target_id, target in self._targets.items()
+            if target.usable_until_s != math.inf
+        )
+        registrations = tuple(target.registration for target in self._targets.values())
+        return ListedTargets(self.revision, registrations, lapsing)
+
     def expire(self, now_s: float) -> list[str]:
         """Remove the targets that are no longer usable; return their ids."""
         expired = [key for key, known in self._targets.items() if known.usable_until_s <= now_s]
--- a/guavawalk/version/registrations.py
+++ b/guavawalk/version/registrations.py
@@ -43,7 +43,11 @@
     ----------
     revision : int
         The registry's revision at the last change of a registration.
+    lapsing : tuple of (str, float)
+        Ids of those whose registration may only have lapsed, and the time in seconds for which
+        each is still used.
     """
 
     revision: int
     registrations: tuple[Registration, ...]
+    lapsing: tuple[tuple[str, float], ...] = ()
