Tests: data centres in the random scenarios, removals found by a new read

Change: one of the three gateways is in another data centre; tests of the revision and of waiting for first routes.

--- a/tests/connection/tasks/test_follow_registry.py
+++ b/tests/connection/tasks/test_follow_registry.py
@@ -49,6 +49,16 @@
 
         follow(use)
 
+    def test_waits_for_the_first_version_without_reading_again_and_again(self):
+        async def use(story, stand_in):
+            await anyio.sleep(0.5)
+            calls = [call for call in stand_in.calls if b"op/config" in call]
+            assert len(calls) <= 2
+            stand_in.put("op/config", DOCUMENT)
+            await until(lambda: story.gateway.routes.table.version == 7)
+
+        follow(use)
+
     def test_older_version_is_not_activated(self):
         async def use(story, stand_in):
             stand_in.put("op/config", {**DOCUMENT, "version": 30})
@@ -149,6 +159,26 @@
         follow(use)
 
 
+class TestRemovals:
+    def test_removal_found_by_a_new_read_has_a_later_revision(self):
+        async def use(story, stand_in):
+            row = {**ROW, "service": "desk"}
+            for target_id in ("i-1", "i-2"):
+                stand_in.put(f"servers/{target_id}", row)
+            await until(lambda: len(story.gateway.targets) == 2)
+            stand_in.failure_status = 503
+            stand_in.remove("servers/i-2")
+            await until(lambda: story.log.named("registry_lost"))
+            stand_in.forget_history()
+            before = story.gateway.targets.revision
+            stand_in.failure_status = 0
+            # Gateways that fetch from this one apply only lists of a later revision.
+            await until(lambda: story.gateway.targets.revision > before)
+            assert story.gateway.targets.revision >= stand_in.revision
+
+        follow(use)
+
+
 class TestApplyFromPeers:
     def test_only_newer_routes_are_applied(self):
         async def run():
--- a/tests/gateway_fuzz.py
+++ b/tests/gateway_fuzz.py
@@ -50,6 +50,8 @@
 
 STORE_ADDRESS = "10.0.9.1:1"
 GATEWAY_COUNT = 3
+# Two gateways report to each other; the third hears of them by summaries.
+DATA_CENTRES = ("a", "a", "b")
 CALLER_COUNT = 8
 EVENT_INTERVAL_S = 0.03
 RUN_TIME_S = 0.02
@@ -189,6 +191,7 @@
             retry_ratio=RETRY_RATIO,
             retry_slack=RETRY_SLACK,
             instance=f"g-{number}",
+            data_centre=DATA_CENTRES[number],
         )
         gateway = self.gateways[number] = harness.gateway
         # Undoes what the harness has loaded: this gateway loads routes and targets from the store.
