--- a/guavawalk/connection/tasks/gossip.py
+++ b/guavawalk/connection/tasks/gossip.py
@@ -30,7 +30,6 @@
 from guavawalk.process.gateway.loads import measure_load, sum_loads
 from guavawalk.process.gateway.pages import ROUTES_PATH, TARGETS_PATH
 from guavawalk.process.gateway.peers import (
-    SUMMARY_INTERVAL_S,
     PeerReport,
     decode_report,
     encode_report,
@@ -204,7 +203,7 @@
             next_report_s = now_s() + _jittered_s(peers.report_interval_s())
             await sender.send_report()
         if now_s() >= next_summary_s:
-            next_summary_s = now_s() + _jittered_s(SUMMARY_INTERVAL_S)
+            next_summary_s = now_s() + _jittered_s(peers.summary_interval_s())
             await sender.send_summary()
         for address in peers.expire(now_s()):
             gateway.log.emit(events.GATEWAY_SILENT, peer=address)
--- a/guavawalk/process/gateway/peers.py
+++ b/guavawalk/process/gateway/peers.py
@@ -38,8 +38,11 @@
 # second.
 REPORT_INTERVAL_S = 0.2
 REPORT_GATEWAYS = 6
-# Time between two summaries of a data centre for the others, in seconds.
-SUMMARY_INTERVAL_S = 0.3
+# Time between two summaries of a data centre for the others, in seconds, among up to
+# `REPORT_GATEWAYS` gateways in all. Among more it grows in proportion to their number, to at most
+# `MAX_SUMMARY_INTERVAL_S` seconds: the summaries of few gateways are small.
+SUMMARY_INTERVAL_S = 0.1
+MAX_SUMMARY_INTERVAL_S = 0.3
 # A gateway is silent, and its load no longer counts at the targets, once its last report is older
 # than this many report intervals and than `MIN_SILENT_S` seconds.
 SILENT_INTERVALS = 3.5
@@ -400,6 +403,11 @@
         """Return the time between two reports within the data centre, in seconds."""
         return REPORT_INTERVAL_S * max(len(self._ranked) / REPORT_GATEWAYS, 1.0)
 
+    def summary_interval_s(self) -> float:
+        """Return the time between two summaries of the data centre, in seconds."""
+        interval_s = SUMMARY_INTERVAL_S * max(self.count() / REPORT_GATEWAYS, 1.0)
+        return min(interval_s, MAX_SUMMARY_INTERVAL_S)
+
     def count(self) -> int:
         """Return the number of known gateways, this one and silent ones included."""
         return self.local_count() + self.centres.count()
--- a/tests/process/gateway/test_peers.py
+++ b/tests/process/gateway/test_peers.py
@@ -159,6 +159,16 @@
             fixture.report(1, address=f"10.0.2.{number}:1")
         assert fixture.peers.report_interval_s() == pytest.approx(0.2 * 18 / 6)
 
+    def test_summaries_are_rarer_among_many_gateways(self):
+        fixture = PeerFixture()
+        assert fixture.peers.summary_interval_s() == pytest.approx(0.1)
+        for number in range(11):
+            fixture.report(1, address=f"10.0.2.{number}:1")
+        assert fixture.peers.summary_interval_s() == pytest.approx(0.2)
+        live = tuple(f"10.0.9.{number}:1" for number in range(50))
+        fixture.peers.centres.apply(CentreSummary("b", live[0], 1, 1, live=live), 0.0)
+        assert fixture.peers.summary_interval_s() == pytest.approx(0.3)
+
     def test_reports_of_other_data_centres_count_for_no_load(self):
         fixture = PeerFixture()
         assert not fixture.report(1, 5, data_centre="b")
