A data centre of one gateway is silent after 1.5 s

Cause: its summary ends with its gateway, and no successor comes; its load counted 1 s longer than before. Change: 1.5 s where a summary names one live gateway, 2.5 s else. Result: a test.

--- a/guavawalk/process/gateway/centres.py
+++ b/guavawalk/process/gateway/centres.py
@@ -35,8 +35,9 @@
 # is lost while the first one's end has not been noticed.
 RECEIVERS_PER_CENTRE = 2
 # Time without a summary after which a data centre's gateways count as silent, and their load at
-# targets no longer counts, in seconds.
+# targets no longer counts, in seconds; less if it has one gateway, since no other can take over.
 SILENT_AFTER_S = 2.5
+ALONE_SILENT_AFTER_S = 1.5
 # Time without a summary after which that of another relay of the same data centre is followed, in
 # seconds. A relay that ranks before the present one is followed at once.
 SWITCH_AFTER_S = 1.0
@@ -161,7 +162,8 @@
         silent = []
         for data_centre, centre in self._centres.items():
             silent_s = now_s - centre.received_s
-            if centre.is_live and silent_s > SILENT_AFTER_S:
+            is_alone = len(centre.summary.live) <= 1
+            if centre.is_live and silent_s > (ALONE_SILENT_AFTER_S if is_alone else SILENT_AFTER_S):
                 centre.is_live = False
                 subtract_loads(self._targets, centre.summary.target_loads)
                 silent.append(data_centre)
--- a/tests/process/gateway/test_centres.py
+++ b/tests/process/gateway/test_centres.py
@@ -78,6 +78,12 @@
         fixture.centres.expire(30.0)
         assert fixture.centres.count() == 0
 
+    def test_centre_of_one_gateway_is_silent_sooner(self):
+        fixture = CentreFixture()
+        fixture.apply(1, 5, live=(FIRST,))
+        fixture.apply(1, 5, data_centre="c")
+        assert fixture.centres.expire(2.0) == ["b"]
+
     def test_two_gateways_of_a_centre_receive_summaries_even_after_long_silence(self):
         fixture = CentreFixture()
         fixture.apply(1)
