--- a/guavawalk/connection/tasks/attempt_call.py
+++ b/guavawalk/connection/tasks/attempt_call.py
@@ -15,17 +15,18 @@
 from guavawalk.connection.tasks.call_progress import FailedAnswer, Progress
 from guavawalk.exception import AnswerOverLimit, TargetConnectError, TargetLost
 from guavawalk.platform.requests import decode_answer, encode_target_headers, is_misdirected
+from guavawalk.process.gateway.connect_failure import record_connect_failure
 from guavawalk.process.gateway.connections import TargetConnection
 from guavawalk.process.gateway.dispatch import Reservation
 from guavawalk.request.call import Call
 from guavawalk.request.engine_time import nominal_event_gap_s
 from guavawalk.request.repeat import AttemptEnd, AttemptResult
+from guavawalk.request.silence import answer_silence_limit_s, stream_silence_limit_s
 from guavawalk.request.target_answer import AnswerFields
 from guavawalk.version.routes import RouteKind
 
 if TYPE_CHECKING:
     from guavawalk.process.gateway.state import Gateway
-    from guavawalk.process.gateway.targets import TrackedTarget
 
 __all__ = ["attempt_call"]
 
@@ -36,13 +37,6 @@
 # repeated would then fail, so its limit is 0: it always gets a new connection.
 MAX_IDLE_UNSAFE_S = 0.0
 MAX_IDLE_IDEMPOTENT_S = 3600.0
-# Silence limit: an idempotent call is sent to another target when nothing has been received for
-# this time, in seconds. Before the head of the answer it is the factor times the expected time to
-# the first event, and at least the minimum for the kind of the route. Within a stream it is the
-# minimum for streams.
-SILENCE_FACTOR = 4.0
-MIN_SILENCE_S = 0.35
-MIN_STREAM_SILENCE_S = 0.9
 # Shortest wait for bytes of a stream, in seconds: after a pause of this process some may have come.
 MIN_READ_S = 0.05
 # Number of events of a stream over which its pace is averaged for the target's slowness.
@@ -92,34 +86,12 @@
         attempt = _Attempt(gateway, call, reservation, progress, answer, connection)
         return await attempt.run()
     except TargetConnectError as error:
-        _record_connect_failure(gateway, target)
+        record_connect_failure(gateway, target)
         return AttemptEnd(AttemptResult.UNREACHED, str(error))
     finally:
         gateway.dispatcher.release(reservation)
 
 
-def _record_connect_failure(gateway: Gateway, target: TrackedTarget) -> None:
-    now_s = gateway.clock.now_s()
-    pause_s = target.record_connect_failure(now_s)
-    target_id = target.registration.target_id
-    if pause_s:
-        gateway.log.emit(
-            events.TARGET_PAUSED,
-            target=target_id,
-            pause_ms=int(pause_s * 1000),
-            failure_share=round(target.failure_share(now_s), 2),
-            silent_ms=int((now_s - target.last_answer_s) * 1000) if target.last_answer_s else None,
-        )
-    for fingerprint in target.pop_crash_suspects(now_s):
-        gateway.suspects.record_target_death(fingerprint, target_id)
-        gateway.log.emit(
-            events.CALL_SUSPECTED,
-            target=target_id,
-            fingerprint=fingerprint,
-            blocked=gateway.suspects.is_blocked(fingerprint),
-        )
-
-
 class _Attempt:
     """The state of one attempt; it lasts as long as `attempt_call` runs."""
 
@@ -164,7 +136,10 @@
         )
         try:
             await self._send()
-            head = await self._receive_unless_silent(self._read_own_head, self._silence_limit_s())
+            silence_limit_s = answer_silence_limit_s(
+                self._call.route, self._progress.sent_count, self._choice.first_event_s
+            )
+            head = await self._receive_unless_silent(self._read_own_head, silence_limit_s)
             if head is None:
                 return AttemptEnd(
                     AttemptResult.SILENT, "no answer from the target within the silence limit"
@@ -278,7 +253,11 @@
 
     async def _forward_stream(self, head: ResponseHead) -> AttemptEnd:
         answer, stream = self._answer, self._progress.stream
-        silence_limit_s = self._stream_silence_limit_s()
+        silence_limit_s = stream_silence_limit_s(
+            self._call.route,
+            self._progress.sent_count,
+            self._target.slowness.value * self._event_gap_s(),
+        )
         now_s = self._gateway.clock.now_s
         # Bytes that complete no event, such as comments, don't end a silence.
         last_event_s = now_s()
@@ -325,11 +304,8 @@
             return
         running_call.events += count
         if running_call.events >= EVENTS_PER_PACE_SAMPLE:
-            service = self._call.table.services.get(self._call.service)
-            per_event = service.engine.tokens_per_event if service and service.engine else 1
-            nominal_s = nominal_event_gap_s(per_event, self._target.total_running)
             pace_s = (now_s - running_call.pace_since_s) / running_call.events
-            self._target.slowness.update(pace_s / nominal_s)
+            self._target.slowness.update(pace_s / self._event_gap_s())
             running_call.events = 0
             running_call.pace_since_s = now_s
 
@@ -384,21 +360,11 @@
         route = self._call.route
         return route.is_idempotent and self._progress.sent_count < route.max_targets
 
-    def _stream_silence_limit_s(self) -> float | None:
-        """Return the silence limit within a stream: a slow target's events are further apart."""
-        if not self._may_repeat():
-            return None
+    def _event_gap_s(self) -> float:
+        """Return the nominal time between two events at the target at its load, in seconds."""
         service = self._call.table.services.get(self._call.service)
         per_event = service.engine.tokens_per_event if service and service.engine else 1
-        gap_s = nominal_event_gap_s(per_event, self._target.total_running)
-        return max(SILENCE_FACTOR * self._target.slowness.value * gap_s, MIN_STREAM_SILENCE_S)
-
-    def _silence_limit_s(self) -> float | None:
-        route = self._call.route
-        if not self._may_repeat():
-            return None
-        min_silence_s = MIN_STREAM_SILENCE_S if route.kind is RouteKind.STREAM else MIN_SILENCE_S
-        return max(SILENCE_FACTOR * self._choice.first_event_s, min_silence_s)
+        return nominal_event_gap_s(per_event, self._target.total_running)
 
     def _record_end(self, end: AttemptEnd) -> None:
         now_s = self._gateway.clock.now_s()
--- a/guavawalk/connection/tasks/gossip.py
+++ b/guavawalk/connection/tasks/gossip.py
@@ -29,11 +29,7 @@
 )
 from guavawalk.process.gateway.loads import measure_load, sum_loads
 from guavawalk.process.gateway.pages import ROUTES_PATH, TARGETS_PATH
-from guavawalk.process.gateway.peers import (
-    PeerReport,
-    decode_report,
-    encode_report,
-)
+from guavawalk.process.gateway.reports import PeerReport, decode_report, encode_report
 from guavawalk.version.registrations import ListedTargets
 from guavawalk.version.routes import RouteTable
 
--- /dev/null
+++ b/guavawalk/process/gateway/reports.py
@@ -0,0 +1,86 @@
+"""Reports that the gateways of a data centre send each other, and their encoding."""
+
+from typing import NamedTuple
+
+import msgspec
+import msgspec.msgpack
+
+from guavawalk.process.gateway.loads import TargetLoad
+
+__all__ = ["PeerReport", "decode_report", "encode_report", "is_later"]
+
+
+class PeerReport(NamedTuple):
+    """State that a gateway sends to the others of its data centre.
+
+    Attributes
+    ----------
+    address : str
+        `IP:port` at which the gateway receives reports.
+    incarnation : int
+        Differs between starts of the process.
+    sequence : int
+        Grows with each report of an incarnation.
+    age_s : float
+        Time since the process started, in seconds.
+    routes_version : int
+        Version of the routes in force; 0 before any.
+    targets_revision : int
+        Revision of the last change of registrations that it has applied; 0 before any.
+    is_leaving : bool
+        Whether the process shuts down and refuses calls.
+    target_loads : tuple of TargetLoad
+        Targets at which it runs calls or has seen failures.
+    admitted : dict of str to float
+        Running totals of admitted amounts by workspace; those that have not changed may be absent.
+    sent_parts : tuple of (str, str)
+        Pairs of a target's id and the id of a prompt part sent there since the previous report.
+    suspects : tuple of int
+        Suspected crashes of targets by requests, as `SuspectTable.newest_pairs` returns them.
+    addresses : tuple of str
+        Gateways whose reports it receives; empty in reports that hold only changes of `admitted`.
+    data_centre : str
+        Data centre of the gateway.
+    is_registry_failing : bool
+        Whether the registry does not answer it.
+    """
+
+    address: str
+    incarnation: int
+    sequence: int
+    age_s: float = 0.0
+    routes_version: int = 0
+    targets_revision: int = 0
+    is_leaving: bool = False
+    target_loads: tuple[TargetLoad, ...] = ()
+    admitted: dict[str, float] = {}
+    sent_parts: tuple[tuple[str, str], ...] = ()
+    suspects: tuple[int, ...] = ()
+    addresses: tuple[str, ...] = ()
+    data_centre: str = ""
+    is_registry_failing: bool = False
+
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(PeerReport)
+
+
+def encode_report(report: PeerReport) -> bytes:
+    """Return a report as one datagram."""
+    return _encoder.encode(report)
+
+
+def decode_report(data: bytes) -> PeerReport:
+    """Return the report of a datagram.
+
+    Raises
+    ------
+    msgspec.DecodeError
+        If the datagram holds no report.
+    """
+    return _decoder.decode(data)
+
+
+def is_later(report: PeerReport, known: PeerReport) -> bool:
+    """Return whether a report was sent after a known one of the same address."""
+    return report.incarnation != known.incarnation or report.sequence > known.sequence
--- a/guavawalk/request/__init__.py
+++ b/guavawalk/request/__init__.py
@@ -33,6 +33,7 @@
     "prompt": ["BLOCK_CHARS", "CHARS_PER_TOKEN", "estimate_tokens", "fingerprint", "prefix_hashes"],
     "repeat": ["AttemptEnd", "AttemptResult", "NextStep", "StepKind", "decide_next"],
     "rules": ["find_model", "find_service", "find_tier"],
+    "silence": ["answer_silence_limit_s", "stream_silence_limit_s"],
     "target_answer": ["AnswerFields"],
     "target_choice": [
         "TargetChoice",
--- a/tests/process/gateway/test_watch_duty.py
+++ b/tests/process/gateway/test_watch_duty.py
@@ -1,8 +1,9 @@
 import anyio
 
 from guavawalk.process.gateway.centres import create_centre_table
-from guavawalk.process.gateway.peers import PeerReport, create_peer_table
+from guavawalk.process.gateway.peers import create_peer_table
 from guavawalk.process.gateway.quota import create_quota_windows
+from guavawalk.process.gateway.reports import PeerReport
 from guavawalk.process.gateway.targets import create_target_table
 from guavawalk.process.gateway.watch_duty import WATCHERS, create_watch_duty
 from tests.virtual import run_virtually
