A settings file that is being written doesn't end a gateway that starts

Its kept log: '$: not JSON with comments: Empty strings are not legal JSON5'. A reload rewrote the file while a killed gateway started again. Change: an invalid file is read again for a second before the process gives up.

--- a/guavawalk/process/gateway_daemon.py
+++ b/guavawalk/process/gateway_daemon.py
@@ -24,7 +24,7 @@
 from guavawalk.process.clock import create_clock
 from guavawalk.process.event_loop import run_tasks
 from guavawalk.process.gateway.pages import Pages, metric_pages, peer_pages, readiness_pages
-from guavawalk.process.gateway.settings import read_gateway_settings
+from guavawalk.process.gateway.settings import GatewaySettings, read_gateway_settings
 from guavawalk.process.gateway.state import Gateway, create_gateway
 from guavawalk.process.observe.bounded_log import create_bounded_log
 from guavawalk.process.supervise import run_restarting, serve_guarded
@@ -42,6 +42,9 @@
 EXIT_BEFORE_KILL_S = 0.3
 # Interval at which the settings file is checked for changes without a signal, in seconds.
 CHECK_SETTINGS_EVERY_S = 2.0
+# Time for which an invalid settings file is read again at the start, and the interval, in seconds.
+SETTINGS_RETRY_S = 1.0
+SETTINGS_RETRY_EVERY_S = 0.05
 # Connections that the kernel queues until the listener accepts them.
 BACKLOG = 1024
 # File descriptors reserved for the registry, peers, HTTP pages and files.
@@ -58,7 +61,7 @@
     SettingsError
         If the settings file can't be read or is invalid.
     """
-    settings = read_gateway_settings(path)
+    settings = await _read_first_settings(path)
     log = create_bounded_log("gateway", settings.instance, settings.log_level)
     gateway = create_gateway(settings, create_clock(), log)
     incarnation = int.from_bytes(os.urandom(6), "big")
@@ -98,6 +101,17 @@
     return 0
 
 
+async def _read_first_settings(path: Path) -> GatewaySettings:
+    """Read the settings; read an invalid file again, since it may be being written."""
+    with anyio.move_on_after(SETTINGS_RETRY_S):
+        while True:
+            try:
+                return read_gateway_settings(path)
+            except SettingsError:
+                await anyio.sleep(SETTINGS_RETRY_EVERY_S)
+    return read_gateway_settings(path)
+
+
 async def _serve_callers(gateway: Gateway, listener: Listener[SocketStream]) -> None:
     host, _ = split_address(gateway.settings.listen)
     gateway.log.emit(
--- a/tests/process/test_gateway_daemon.py
+++ b/tests/process/test_gateway_daemon.py
@@ -4,6 +4,7 @@
 import signal
 import subprocess
 import sys
+import threading
 
 import anyio
 import pytest
@@ -296,6 +297,19 @@
 
         run_with_daemon(tmp_path, scenario)
 
+    def test_starts_while_the_settings_are_being_written(self, tmp_path, monkeypatch):
+        write = Daemon.write
+
+        def write_late(daemon, text):
+            write(daemon, "")
+            threading.Timer(0.4, write, (daemon, text)).start()
+
+        async def scenario(daemon, store, target):
+            await wait_until(lambda: answers(daemon))
+
+        monkeypatch.setattr(Daemon, "write", write_late)
+        run_with_daemon(tmp_path, scenario)
+
     @pytest.mark.parametrize(
         "change",
         [
