--- a/tests/connection/tasks/test_serve_caller.py
+++ b/tests/connection/tasks/test_serve_caller.py
@@ -150,6 +150,14 @@
         harness, _, answer = ask_once(PLAN, stall_with_comments)
         assert answer is None and harness.code() == "TARGET_LOST"
 
+    def test_paused_stream_is_not_lost_where_the_other_target_rejects_it(self):
+        async def script(target, stream, request):
+            is_resumed = b"Last-Event-Id" in dict(request.headers)
+            await (answer_not_run if is_resumed else pause_stream)(target, stream, request)
+
+        _, _, answer = ask_once(RESUMABLE, script, script)
+        assert answer is not None and answer[2] == b"".join(map(event, range(1, 6)))
+
     def test_slow_events_are_no_silence_at_a_slow_target(self):
         async def script(target, stream, request):
             await stream.send(encode_response_head(200, signed_headers(request), CHUNKED))
