--- a/guavawalk/process/gateway_daemon.py
+++ b/guavawalk/process/gateway_daemon.py
@@ -23,7 +23,7 @@
 from guavawalk.platform.store import create_store
 from guavawalk.process.clock import create_clock
 from guavawalk.process.event_loop import run_tasks
-from guavawalk.process.gateway.pages import Pages, metric_pages, peer_pages, readiness_pages
+from guavawalk.process.gateway.pages import metric_pages, peer_pages, readiness_pages
 from guavawalk.process.gateway.settings import GatewaySettings, read_gateway_settings
 from guavawalk.process.gateway.state import Gateway, create_gateway
 from guavawalk.process.observe.bounded_log import create_bounded_log
@@ -69,11 +69,7 @@
     registry = create_store(settings.registry)
     host, port = split_address(settings.peer_listen)
     socket = await anyio.create_udp_socket(local_host=host, local_port=port)
-    # Opened before the readiness page, so that a gateway that reports ready accepts connections.
-    callers_host, callers_port = split_address(settings.listen)
-    listener = await anyio.create_tcp_listener(
-        local_host=callers_host, local_port=callers_port, backlog=BACKLOG, reuse_port=False
-    )
+    callers_listener = await _listen(settings.listen)
     permanent_tasks = {
         "log": partial(log.write, STDOUT),
         "routes": partial(follow_routes, gateway, registry),
@@ -83,17 +79,21 @@
         "sweep": partial(_sweep, gateway),
         "reload": partial(_reload_settings, gateway, path),
     }
+    # The readiness page comes last: a gateway that reports ready accepts all other connections.
     pages_by_address = {
-        settings.readiness_listen: readiness_pages(gateway),
         f"{host}:{settings.metrics_port}": metric_pages(gateway),
         settings.peer_listen: peer_pages(gateway),
+        settings.readiness_listen: readiness_pages(gateway),
     }
+    page_listeners = [
+        (await _listen(address), pages) for address, pages in pages_by_address.items()
+    ]
     async with anyio.create_task_group() as tasks:
         for name, task in permanent_tasks.items():
             tasks.start_soon(run_restarting, log, name, task)
-        for address, pages in pages_by_address.items():
-            tasks.start_soon(_serve_pages, gateway, address, pages)
-        tasks.start_soon(_serve_callers, gateway, listener)
+        for listener, pages in page_listeners:
+            tasks.start_soon(serve_guarded, log, "page", listener, partial(serve_pages, pages))
+        tasks.start_soon(_serve_callers, gateway, callers_listener)
         await _drain_on_signal(gateway)
         log.emit(events.SHUTDOWN_DONE, left=gateway.callers.calls)
         log.flush(STDOUT)
@@ -112,6 +112,13 @@
     return read_gateway_settings(path)
 
 
+async def _listen(address: str) -> Listener[SocketStream]:
+    host, port = split_address(address)
+    return await anyio.create_tcp_listener(
+        local_host=host, local_port=port, backlog=BACKLOG, reuse_port=False
+    )
+
+
 async def _serve_callers(gateway: Gateway, listener: Listener[SocketStream]) -> None:
     host, _ = split_address(gateway.settings.listen)
     gateway.log.emit(
@@ -131,12 +138,6 @@
     await serve_guarded(gateway.log, "caller", listener, serve)
 
 
-async def _serve_pages(gateway: Gateway, address: str, pages: Pages) -> None:
-    host, port = split_address(address)
-    listener = await anyio.create_tcp_listener(local_host=host, local_port=port, backlog=BACKLOG)
-    await serve_guarded(gateway.log, "page", listener, partial(serve_pages, pages))
-
-
 async def _sweep(gateway: Gateway) -> None:
     while True:
         due_s = gateway.clock.now_s() + SWEEP_EVERY_S
--- a/tests/process/test_gateway_daemon.py
+++ b/tests/process/test_gateway_daemon.py
@@ -142,12 +142,16 @@
         )
         assert found.stdout == "SIG_IGN\n"
 
-    def test_callers_are_accepted_once_the_readiness_page_answers(self, tmp_path, monkeypatch):
+    @pytest.mark.parametrize("slow", [0, 1, 2])
+    def test_all_connections_are_accepted_once_the_readiness_page_answers(
+        self, tmp_path, monkeypatch, slow
+    ):
         callers, readiness, peers, metrics = free_ports(4)
+        slow_port = (callers, peers, metrics)[slow]
         open_listener = anyio.create_tcp_listener
 
         async def open_slowly(*, local_port, **options):
-            if local_port == callers:
+            if local_port == slow_port:
                 await anyio.sleep(0.3)
             return await open_listener(local_port=local_port, **options)
 
@@ -163,7 +167,8 @@
                 tasks.start_soon(run_gateway, path)
                 while not await is_answered(client):
                     await anyio.sleep(0.01)
-                await (await anyio.connect_tcp("127.0.0.1", callers)).aclose()
+                for port in (callers, peers, metrics):
+                    await (await anyio.connect_tcp("127.0.0.1", port)).aclose()
                 tasks.cancel_scope.cancel()
 
         monkeypatch.setattr(anyio, "create_tcp_listener", open_slowly)
