--- a/tests/connection/tasks/test_serve_caller.py
+++ b/tests/connection/tasks/test_serve_caller.py
@@ -47,6 +47,24 @@
     await stream.send(LAST_CHUNK)
 
 
+async def pause_answer(target, stream, request):
+    """Begin to answer after longer than the silence limit of any route."""
+    await anyio.sleep(1.2)
+    is_stream = request.body == b"stream"
+    await (answer_stream if is_stream else answer_plain)(target, stream, request)
+
+
+def in_turn(first, other):
+    """Return a script that runs `first` for the first request at any target, then `other`."""
+    requests = []
+
+    async def script(target, stream, request):
+        requests.append(request)
+        await (first if len(requests) == 1 else other)(target, stream, request)
+
+    return script
+
+
 async def stall_stream(target, stream, request):
     """Send some events, then keep the connection open without sending more."""
     await stream.send(encode_response_head(200, signed_headers(request), CHUNKED))
@@ -182,6 +200,71 @@
         assert sum(len(target.received) for target in targets) == 1
 
 
+class TestSilentTargets:
+    @pytest.mark.parametrize("other", [answer_not_run, answer_misdirected, close_without_answer])
+    def test_paused_stream_is_not_lost_where_it_can_not_go_on(self, other):
+        script = in_turn(pause_stream, other)
+        _, _, answer = ask_once(RESUMABLE, script, script)
+        assert answer is not None and answer[2] == b"".join(map(event, range(1, 6)))
+
+    @pytest.mark.parametrize("other", [answer_not_run, close_without_answer])
+    @pytest.mark.parametrize(
+        ("route", "body", "expected"),
+        [
+            (SAFE, b"plain", b"served plain"),
+            (RESUMABLE, b"stream", b"".join(map(event, range(1, 6)))),
+        ],
+    )
+    def test_late_answer_is_not_lost_where_another_target_gives_none(
+        self, other, route, body, expected
+    ):
+        script = in_turn(pause_answer, other)
+        _, _, answer = ask_once(route, script, script, body=body)
+        assert answer[::2] == (200, expected)
+
+    def test_paused_stream_is_not_lost_where_the_other_target_accepts_no_connection(self):
+        async def run():
+            harness = GatewayHarness(RESUMABLE)
+            async with harness.running(StandInTarget(pause_stream), service="model"):
+                caller = await harness.caller()
+                await caller.send()
+                head = await caller.reader.read_head()
+                listener, address = await listen(None)
+                await listener.aclose()
+                harness.gateway.targets.put(make_registration("i-9", "model", address))
+                return head.status, await caller.reader.read_body(1_000)
+
+        assert run_with_timeout(run) == (200, b"".join(map(event, range(1, 6))))
+
+    def test_target_that_goes_on_is_kept_and_the_other_cancelled(self):
+        script = in_turn(pause_stream, stay_silent)
+        _, targets, answer = ask_once(RESUMABLE, script, script)
+        assert answer is not None and answer[2] == b"".join(map(event, range(1, 6)))
+        assert sum(len(target.disconnected) for target in targets) == 1
+
+    def test_stream_goes_on_elsewhere_if_its_target_ends_while_the_other_begins(self):
+        async def pause_and_break(target, stream, request):
+            await break_stream_after(stream, request, 1.2)
+
+        async def resume_late(target, stream, request):
+            await anyio.sleep(0.6)
+            await answer_stream(target, stream, request)
+
+        script = in_turn(pause_and_break, resume_late)
+        _, targets, answer = ask_once(RESUMABLE, script, script)
+        assert answer is not None and answer[2] == b"".join(map(event, range(1, 6)))
+        assert sum(len(target.received) for target in targets) == 2
+
+
+async def break_stream_after(stream, request, pause_s):
+    """Send two events, pause, and close the connection."""
+    await stream.send(encode_response_head(200, signed_headers(request), CHUNKED))
+    for number in range(1, 3):
+        await stream.send(encode_chunk(event(number)))
+    await anyio.sleep(pause_s)
+    raise EndConnection
+
+
 class TestForwarding:
     def test_request_and_answer_pass_unchanged(self):
         _, (target,), (status, headers, body) = ask_once(
