A silent target keeps its call until another one has begun to answer

What callers saw: a stream broken off in the middle of its answer, or a plain call answered with 502, under planned work only as well.

Cause: after the limit of silence (0.9 s within a stream, or a multiple of the usual times) the gateway closed the connection to the silent target and then sent the call to another one, by its own count of free slots. Where that one was full, gone, replaced or broke off, no further target was allowed, and the call was lost though the first target was sound and only paused. The class: a working way is given up before its replacement has taken over.

Change: the call is sent to the other target while the first one is still awaited, one task for each connection. Whichever answers first keeps the call; the other request is cancelled. A rejection, an error or a second silence of the other target leaves the first one in charge. A first target that breaks off meanwhile leaves the call to the other. The exchange with one target has a module of its own, and whether a call may have run is counted by target, since two may have it at a time.

--- a/guavawalk/connection/tasks/call_progress.py
+++ b/guavawalk/connection/tasks/call_progress.py
@@ -1,12 +1,16 @@
 """State of one call that outlives its single attempts."""
 
+from __future__ import annotations
+
 from collections.abc import Sequence
-from typing import NamedTuple
+from typing import TYPE_CHECKING, NamedTuple
 
 from guavawalk.connection.http_encoding import Header
-from guavawalk.process.gateway.dispatch import Reservation
 from guavawalk.request.event_stream import EventStream
 
+if TYPE_CHECKING:
+    from guavawalk.connection.tasks.target_exchange import TargetExchange
+
 __all__ = ["FailedAnswer", "Progress"]
 
 
@@ -26,9 +30,6 @@
     sent_count : int
         Number of targets that the call was sent to. An attempt at an address where another target
         answered doesn't count.
-    has_run : bool
-        Whether the call may have run at one of them; False while each of them has stated that it
-        did not run the call.
     tried_ids : list of str
         Ids of the targets that were attempted; the call is not sent to them again.
     stream : EventStream
@@ -42,26 +43,52 @@
         When events were last received, on the process's clock in seconds; 0 before the first.
     longest_pause_s : float
         Longest time between two receipts of events, in seconds; 0 before the second.
-    next_reservation : Reservation, optional
-        Slot for the next attempt, reserved before the present attempt was ended; None if there is
-        none.
+    successor : TargetExchange, optional
+        Exchange with another target whose answer has begun, so that the call goes on there; None if
+        there is none.
     """
 
     def __init__(self) -> None:
         self.sent_count = 0
-        self.has_run = False
         self.tried_ids: list[str] = []
         self.stream = EventStream()
         self.failure: FailedAnswer | None = None
         self.first_event_s = 0.0
         self.last_event_at_s = 0.0
         self.longest_pause_s = 0.0
-        self.next_reservation: Reservation | None = None
+        self.successor: TargetExchange | None = None
+        # Number of targets that have got the call and did not state that they did not run it.
+        self._possible_runs = 0
+
+    @property
+    def has_run(self) -> bool:
+        """Whether the call may have run at a target.
+
+        False while each target that it was sent to has stated that it did not run the call.
+        """
+        return self._possible_runs > 0
+
+    def record_sent(self) -> None:
+        """Record that the call is sent to another target."""
+        self.sent_count += 1
+        self._possible_runs += 1
+
+    def record_not_run(self, is_counted: bool) -> None:
+        """Record that a target stated that it did not run the call.
+
+        Parameters
+        ----------
+        is_counted : bool
+            Whether the target counts as one that the call was sent to.
+        """
+        self._possible_runs -= 1
+        if not is_counted:
+            self.sent_count -= 1
 
-    def pop_next_reservation(self) -> Reservation | None:
-        """Remove and return the reservation for the next attempt; None if there is none."""
-        reservation, self.next_reservation = self.next_reservation, None
-        return reservation
+    def pop_successor(self) -> TargetExchange | None:
+        """Remove and return the exchange with which the call goes on; None if there is none."""
+        successor, self.successor = self.successor, None
+        return successor
 
     def record_events(self, now_s: float) -> None:
         """Record that events were received at `now_s`."""
--- a/guavawalk/connection/tasks/forward_call.py
+++ b/guavawalk/connection/tasks/forward_call.py
@@ -11,6 +11,7 @@
 from guavawalk.connection.caller_answer import CallerAnswer
 from guavawalk.connection.tasks.attempt_call import attempt_call
 from guavawalk.connection.tasks.call_progress import Progress
+from guavawalk.connection.tasks.target_exchange import TargetExchange
 from guavawalk.exception import RequestError
 from guavawalk.platform.requests import encode_retry_after, encode_status
 from guavawalk.request.call import Call
@@ -78,8 +79,8 @@
         try:
             code = await _run_attempts(gateway, call, progress, answer)
         finally:
-            if (unused := progress.pop_next_reservation()) is not None:
-                gateway.dispatcher.release(unused)
+            if (unused := progress.pop_successor()) is not None:
+                await unused.close()
     if scope.cancelled_caught:
         code = await _end_at_deadline(gateway, call, progress, answer)
     _record_end(gateway, call, progress, answer, code)
@@ -88,28 +89,28 @@
 async def _run_attempts(
     gateway: Gateway, call: Call, progress: Progress, answer: CallerAnswer
 ) -> ResultCode:
+    exchange: TargetExchange | None = None
     while True:
-        try:
-            reservation = progress.pop_next_reservation() or await gateway.dispatcher.reserve(
-                call, progress.tried_ids, answer.has_begun
-            )
-        except RequestError as error:
-            return await _answer_failure(gateway, call, progress, answer, error)
-        end = await attempt_call(gateway, call, reservation, progress, answer)
+        if exchange is None:
+            try:
+                reservation = await gateway.dispatcher.reserve(
+                    call, progress.tried_ids, answer.has_begun
+                )
+            except RequestError as error:
+                return await _answer_failure(gateway, call, progress, answer, error)
+            exchange = TargetExchange(gateway, call, reservation, progress)
+        end = await attempt_call(gateway, call, exchange, progress, answer)
+        if (successor := progress.pop_successor()) is not None:
+            exchange.log_end(end, "switch", may_retry=True)
+            gateway.metrics.count("repeats_total", result=end.result.name)
+            exchange = successor
+            continue
         may_retry = _may_retry(gateway, call, progress, end.result)
         step = decide_next(
             call, end, progress.sent_count, progress.has_run, answer.has_begun, may_retry
         )
-        gateway.log.emit(
-            events.CALL_ATTEMPT_ENDED,
-            trace_id=call.fields.request_id,
-            target=reservation.choice.target_id,
-            result=end.result.value,
-            detail=end.detail,
-            sent=progress.sent_count,
-            may_retry=may_retry,
-            next=step.kind.value,
-        )
+        exchange.log_end(end, step.kind.value, may_retry)
+        exchange = None
         if step.kind is StepKind.REPEAT:
             gateway.metrics.count("repeats_total", result=end.result.name)
             continue
@@ -124,13 +125,12 @@
 def _may_retry(gateway: Gateway, call: Call, progress: Progress, result: AttemptResult) -> bool:
     """Return whether time and the retry budget allow another attempt; spend from the budget.
 
-    Nothing is spent if no target has got the call yet, or if the retry was paid when the slot for
-    it was reserved.
+    Nothing is spent if no target has got the call yet.
     """
     now_s = gateway.clock.now_s()
     if result is AttemptResult.DELIVERED or call.deadline_s - now_s < MIN_ATTEMPT_S:
         return False
-    if not progress.sent_count or progress.next_reservation is not None:
+    if not progress.sent_count:
         return True
     return gateway.retries.try_spend(call.service, gateway.peers.count(), now_s)
 
--- /dev/null
+++ b/guavawalk/connection/tasks/target_exchange.py
@@ -0,0 +1,252 @@
+"""One request at one target: its connection, from the sending to the head of the answer."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import anyio
+
+from guavawalk import events
+from guavawalk.connection.http_encoding import encode_request
+from guavawalk.connection.response_reader import ResponseHead, ResponseReader
+from guavawalk.connection.streams import STREAM_ERRORS
+from guavawalk.exception import AnswerOverLimit, TargetConnectError, TargetLost
+from guavawalk.platform.requests import decode_answer, encode_target_headers, is_misdirected
+from guavawalk.process.gateway.connect_failure import record_connect_failure
+from guavawalk.process.gateway.connections import TargetConnection
+from guavawalk.process.gateway.dispatch import Reservation
+from guavawalk.request.call import Call
+from guavawalk.request.repeat import AttemptEnd, AttemptResult
+from guavawalk.request.target_answer import AnswerFields
+from guavawalk.version.routes import RouteKind
+
+if TYPE_CHECKING:
+    from guavawalk.connection.tasks.call_progress import Progress
+    from guavawalk.process.gateway.state import Gateway
+
+__all__ = ["TargetExchange"]
+
+# A pooled connection is used for a call only if it has been idle for less than this, in seconds.
+# The target may close an idle connection just as a request is sent on it. A call that can't be
+# repeated would then fail, so its limit is 0: it always gets a new connection.
+MAX_IDLE_UNSAFE_S = 0.0
+MAX_IDLE_IDEMPOTENT_S = 3600.0
+# Number of answers to other requests on a connection after which the exchange fails; fewer are
+# skipped.
+MAX_SURPLUS_ANSWERS = 3
+# Largest body of an answer to another request that is skipped, in bytes; a larger one isn't worth
+# reading to reach the answer behind it.
+MAX_SURPLUS_BYTES = 65_536
+
+
+class TargetExchange:
+    """One request at the target where a slot is reserved for it.
+
+    Parameters
+    ----------
+    progress : Progress
+        State of the call over all its attempts; it is updated.
+
+    Attributes
+    ----------
+    head : ResponseHead, optional
+        Head of the answer; None before it has arrived.
+    fields : AnswerFields, optional
+        The decoded head; None before it has arrived.
+    """
+
+    def __init__(
+        self, gateway: Gateway, call: Call, reservation: Reservation, progress: Progress
+    ) -> None:
+        self.choice = reservation.choice
+        self.target = reservation.target
+        self.running_call = reservation.running
+        self.head: ResponseHead | None = None
+        self.fields: AnswerFields | None = None
+        self._gateway = gateway
+        self._call = call
+        self._reservation = reservation
+        self._progress = progress
+        self._connection: TargetConnection | None = None
+        # Whether an answer to another request arrived on the connection.
+        self._has_surplus = False
+
+    @property
+    def reader(self) -> ResponseReader:
+        """Reader of the answer; the request must have been sent."""
+        return self._connection.reader
+
+    async def send(self) -> None:
+        """Connect to the target and send the request.
+
+        Raises
+        ------
+        TargetConnectError
+            If the target accepts no connection; nothing has been sent then.
+        """
+        gateway, call, progress = self._gateway, self._call, self._progress
+        target_id = self.choice.target_id
+        progress.tried_ids.append(target_id)
+        max_idle_s = MAX_IDLE_IDEMPOTENT_S if call.route.is_idempotent else MAX_IDLE_UNSAFE_S
+        self._connection = await gateway.connections.acquire(
+            target_id, self.target.registration.address, max_idle_s, gateway.clock.now_s()
+        )
+        progress.record_sent()
+        gateway.targets.record_sent_parts(target_id, call.fields.prompt_parts)
+        now_s = gateway.clock.now_s()
+        left_s = call.deadline_s - now_s
+        last_id = progress.stream.last_id or call.fields.last_event_id
+        headers = encode_target_headers(
+            call.fields, target_id, call.workspace.name, left_s, last_id
+        )
+        if progress.sent_count == 1:
+            gateway.metrics.observe("queue_seconds", now_s - call.arrived_s, service=call.service)
+        gateway.log.emit(
+            events.CALL_SENT,
+            trace_id=call.fields.request_id,
+            target=target_id,
+            cost=round(self.choice.cost, 3),
+            expected_first_ms=int(self.choice.first_event_s * 1000),
+            running=self.target.total_running,
+            waited_ms=int((now_s - call.arrived_s) * 1000),
+            left_ms=int(left_s * 1000),
+            rank=call.rank,
+            prompt_tokens=call.fields.prompt_tokens,
+            output_tokens=call.expected_output_tokens,
+            most_output_tokens=call.fields.max_output_tokens,
+            routes_version=call.table.version,
+            resumed_after=last_id,
+        )
+        request = encode_request(call.method, call.path, headers, call.body)
+        try:
+            await self._connection.stream.send(request)
+        except STREAM_ERRORS:
+            # The target may have answered before it closed the connection, so the answer is read
+            # all the same. If there is none, reading it fails.
+            gateway.metrics.count("sends_broken_total")
+
+    async def read_head(self) -> ResponseHead:
+        """Return the head of the answer to this request, skipping answers to other requests.
+
+        Raises
+        ------
+        TargetLost
+            If the connection ends first, or carries only answers to other requests.
+        """
+        for _ in range(MAX_SURPLUS_ANSWERS):
+            head = await self.reader.read_head()
+            fields = decode_answer(head)
+            if self._is_own(fields):
+                self.head, self.fields = head, fields
+                self.target.record_answer_start(self._gateway.clock.now_s())
+                return head
+            self._gateway.metrics.count("surplus_answers_total")
+            self._has_surplus = True
+            await self.reader.read_body(MAX_SURPLUS_BYTES)
+        raise TargetLost("received only answers to other requests")
+
+    def _is_own(self, fields: AnswerFields) -> bool:
+        # On a connection that an earlier request was sent on, an answer without an id may be a
+        # second answer to that one. Only idempotent calls are sent on such a connection, so that a
+        # rejection may be taken as their own: it delivers nothing.
+        if not fields.request_id:
+            return not self._connection.is_reused or fields.is_not_run
+        return fields.request_id == self._call.fields.request_id
+
+    async def begin(self) -> AttemptEnd | None:
+        """Send the request and wait for the head of a successful answer.
+
+        Returns
+        -------
+        AttemptEnd or None
+            How the attempt ended without such a head, to be recorded by `record_end`; None if the
+            answer has begun.
+        """
+        try:
+            await self.send()
+            await self.read_head()
+        except (TargetConnectError, TargetLost) as error:
+            return self.end_by(error)
+        if self.fields.is_not_run:
+            return self.end_as_not_run()
+        if self.fields.status >= 300:
+            return AttemptEnd(AttemptResult.FAILED, f"HTTP {self.fields.status}")
+        if not self.fields.is_stamped:
+            return AttemptEnd(AttemptResult.LOST, "the answer has no signature of the target")
+        return None
+
+    def end_by(self, error: TargetConnectError | TargetLost) -> AttemptEnd:
+        """Return the end of an attempt that an error of the connection or the answer ended."""
+        if isinstance(error, TargetConnectError):
+            return AttemptEnd(AttemptResult.UNREACHED, str(error))
+        if isinstance(error, AnswerOverLimit):
+            self._gateway.metrics.count("answers_over_limit_total")
+        return AttemptEnd(AttemptResult.LOST, str(error))
+
+    def end_as_not_run(self) -> AttemptEnd:
+        """Return the end of an attempt after the target stated that it did not run the call."""
+        is_other_target = is_misdirected(self.fields.status)
+        self._progress.record_not_run(is_counted=not is_other_target)
+        if is_other_target:
+            return AttemptEnd(AttemptResult.MISDIRECTED, "another target answers at the address")
+        return AttemptEnd(AttemptResult.NOT_RUN, f"HTTP {self.fields.status}")
+
+    def record_end(self, end: AttemptEnd) -> None:
+        """Record what the end of an attempt shows about the target."""
+        gateway, target, result = self._gateway, self.target, end.result
+        now_s = gateway.clock.now_s()
+        if result is AttemptResult.UNNEEDED:
+            return
+        if result is AttemptResult.UNREACHED:
+            record_connect_failure(gateway, target)
+            return
+        if result is AttemptResult.DELIVERED:
+            target.failures.record(False, now_s)
+            if self._call.route.kind is not RouteKind.STREAM:
+                target.answer_s.update(now_s - self.running_call.started_at_s)
+        elif result is AttemptResult.MISDIRECTED:
+            target.usable_until_s = now_s
+        else:
+            target.failures.record(True, now_s)
+        if result is AttemptResult.LOST:
+            target.record_truncated_answer(self._call.fingerprint, now_s)
+        elif result is AttemptResult.DELIVERED:
+            gateway.suspects.record_completed(self._call.fingerprint)
+
+    def log_end(self, end: AttemptEnd, next_step: str, may_retry: bool) -> None:
+        """Log how the attempt ended, and what the gateway does next with the call."""
+        self._gateway.log.emit(
+            events.CALL_ATTEMPT_ENDED,
+            trace_id=self._call.fields.request_id,
+            target=self.choice.target_id,
+            result=end.result.value,
+            detail=end.detail,
+            sent=self._progress.sent_count,
+            may_retry=may_retry,
+            next=next_step,
+        )
+
+    async def close(self) -> None:
+        """Pool or close the connection and release the slot, even if the task is cancelled."""
+        try:
+            with anyio.CancelScope(shield=True):
+                await self._release_connection()
+        finally:
+            self._gateway.dispatcher.release(self._reservation)
+
+    async def _release_connection(self) -> None:
+        connection, fields = self._connection, self.fields
+        if connection is None:
+            return
+        reader = connection.reader
+        if (
+            fields is not None
+            and reader.is_complete
+            and not reader.must_close
+            and not self._has_surplus
+            and fields.keep_alive
+        ):
+            now_s = self._gateway.clock.now_s()
+            await self._gateway.connections.release(connection, fields.idle_s, now_s)
+        else:
+            await connection.aclose()
--- a/guavawalk/events.py
+++ b/guavawalk/events.py
@@ -82,6 +82,8 @@
     2016, "call_suspected", logging.WARNING, "a target died while a call was in flight there"
 )
 
+CALL_SILENT = _event(2017, "call_silent", logging.INFO, "a target has sent nothing for too long")
+
 OFFER_NOT_RUN = _event(2070, "offer_not_run", logging.INFO, "a target did not run an offer")
 
 LINK_REJECTED = _event(3001, "link_rejected", logging.WARNING, "a link was rejected")
--- a/guavawalk/request/__init__.py
+++ b/guavawalk/request/__init__.py
@@ -31,7 +31,7 @@
     ],
     "policies": ["DEFAULT_PLACEMENT", "PLACEMENTS", "create_placement"],
     "prompt": ["BLOCK_CHARS", "CHARS_PER_TOKEN", "estimate_tokens", "fingerprint", "prefix_hashes"],
-    "repeat": ["AttemptEnd", "AttemptResult", "NextStep", "StepKind", "decide_next"],
+    "repeat": ["AttemptEnd", "AttemptResult", "NextStep", "StepKind", "decide_next", "may_repeat"],
     "rules": ["find_model", "find_service", "find_tier"],
     "silence": ["answer_silence_limit_s", "stream_silence_limit_s"],
     "target_answer": ["AnswerFields"],
--- a/guavawalk/request/repeat.py
+++ b/guavawalk/request/repeat.py
@@ -8,8 +8,9 @@
 
 from guavawalk.codes import ResultCode
 from guavawalk.request.call import Call
+from guavawalk.version.routes import Route
 
-__all__ = ["AttemptEnd", "AttemptResult", "NextStep", "StepKind", "decide_next"]
+__all__ = ["AttemptEnd", "AttemptResult", "NextStep", "StepKind", "decide_next", "may_repeat"]
 
 
 class AttemptResult(Enum):
@@ -22,6 +23,7 @@
     FAILED = "failed"
     LOST = "lost"
     SILENT = "silent"
+    UNNEEDED = "unneeded"
 
 
 class AttemptEnd(NamedTuple):
@@ -34,7 +36,9 @@
         target stated that it didn't run the request. `MISDIRECTED`: another target has the address
         now, and stated that it didn't run the request. `FAILED`: the target ran it and answered
         with an error. `LOST`: the connection ended before the answer did, or the answer doesn't
-        prove whether the request has run. `SILENT`: no data arrived in time.
+        prove whether the request has run. `SILENT`: no data arrived in time, and another target has
+        begun to answer. `UNNEEDED`: it was made while another target was silent, which then
+        answered.
     detail : str
         Cause for the log; empty if there is nothing to add.
     """
@@ -75,6 +79,11 @@
 _NOTHING_RAN = (AttemptResult.UNREACHED, AttemptResult.NOT_RUN, AttemptResult.MISDIRECTED)
 
 
+def may_repeat(route: Route, sent: int) -> bool:
+    """Return whether a request that may have run at `sent` targets may be sent to another one."""
+    return route.is_idempotent and sent < route.max_targets
+
+
 def decide_next(
     call: Call, end: AttemptEnd, sent: int, has_run: bool, has_begun: bool, may_retry: bool
 ) -> NextStep:
--- a/soak/mutants.py
+++ b/soak/mutants.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable
 from types import MappingProxyType
 
-from guavawalk.connection.tasks import attempt_call, forward_call
+from guavawalk.connection.tasks import attempt_call, forward_call, target_exchange
 from guavawalk.exception import TargetLost
 from guavawalk.process import gateway_daemon
 from guavawalk.process.gateway.active_routes import ActiveRoutes
@@ -62,9 +62,9 @@
 
 def pass_keys_on(patch: Patch) -> None:
     """Forward the key `k1`, which all callers of the soak send, to the targets."""
-    encode = attempt_call.encode_target_headers
+    encode = target_exchange.encode_target_headers
     key = (b"Authorization", b"Bearer k1")
-    patch(attempt_call, "encode_target_headers", lambda *args: (*encode(*args), key))
+    patch(target_exchange, "encode_target_headers", lambda *args: (*encode(*args), key))
 
 
 def lose_routes(patch: Patch) -> None:
--- a/tests/connection/tasks/test_serve_caller.py
+++ b/tests/connection/tasks/test_serve_caller.py
@@ -255,6 +255,48 @@
         assert answer is not None and answer[2] == b"".join(map(event, range(1, 6)))
         assert sum(len(target.received) for target in targets) == 2
 
+    def test_third_target_is_asked_where_two_are_silent(self):
+        route = RESUMABLE._replace(max_targets=3, timeout_s=8.0)
+        served = []
+
+        async def script(target, stream, request):
+            served.append(target)
+            await (stay_silent if len(served) < 3 else answer_stream)(target, stream, request)
+
+        _, _, answer = ask_once(route, script, script, script)
+        assert answer[::2] == (200, b"".join(map(event, range(1, 6))))
+        assert len(set(served)) == 3
+
+    def test_unsigned_answer_of_the_other_target_does_not_replace_a_late_one(self):
+        async def unsigned(target, stream, request):
+            await stream.send(encode_response(200, (), b"forged"))
+
+        script = in_turn(pause_answer, unsigned)
+        _, _, answer = ask_once(SAFE, script, script, body=b"plain")
+        assert answer[::2] == (200, b"served plain")
+
+    @pytest.mark.parametrize("leaves", [True, False])
+    def test_both_requests_end_with_the_caller_and_at_the_deadline(self, leaves):
+        async def run():
+            harness = GatewayHarness(RESUMABLE)
+            targets = [StandInTarget(stay_silent) for _ in range(2)]
+            async with harness.running(*targets, service="model"):
+                caller = await harness.caller()
+                await caller.send()
+                while not all(target.received for target in targets):
+                    await anyio.sleep(0.01)
+                if leaves:
+                    await caller.stream.aclose()
+                while not all(target.disconnected for target in targets):
+                    await anyio.sleep(0.01)
+                while harness.gateway.callers.calls:
+                    await anyio.sleep(0.01)
+            return harness
+
+        harness = run_with_timeout(run)
+        assert [target.running for target in harness.gateway.targets] == [0, 0]
+        assert harness.code() == ("CALLER_LEFT" if leaves else "LINK_LOST")
+
 
 async def break_stream_after(stream, request, pause_s):
     """Send two events, pause, and close the connection."""
