A resumed stream waits for a slot however old its call is

What callers saw: a stream whose target left or broke off ends in the middle of its answer where all slots happen to be taken at that moment.

Cause: the longest wait in the queue counts from the call's arrival. A stream that is older than 2 s had used it up, so it was refused at once, although resumed streams go before all other calls and the next slot would have been theirs.

Change: a resumed stream may wait 2 s from the end of its last attempt, or until its deadline if that is earlier: callers leave a stream after a pause of 2 s or more.

--- a/guavawalk/process/gateway/dispatch.py
+++ b/guavawalk/process/gateway/dispatch.py
@@ -43,9 +43,11 @@
 MAX_UNFINISHED_RISK = 0.5
 # Factor on the expected time to a first event: while targets are busy, it takes longer.
 FIRST_EVENT_MARGIN = 1.3
-# Longest wait in the queue, in seconds: few callers still wait for answers that begin later.
+# Longest wait in the queue, in seconds: few callers still wait for answers that begin later, or for
+# streams that pause for longer.
 MAX_WAIT_S = 2.0
-# Share of the time from its arrival to its deadline for which a call may wait in the queue.
+# Share of the time from its arrival to its deadline for which a call may wait in the queue, unless
+# it resumes a stream.
 MAX_WAIT_SHARE = 0.5
 # Span over which the calls that leave a queue for a target are counted to estimate the wait, in
 # seconds.
@@ -176,7 +178,7 @@
             reservation = self._try_reserve(queue, waiter, snapshots, now_s)
             if reservation is not None:
                 return reservation
-        max_wait_s = _max_wait_s(call, now_s)
+        max_wait_s = _max_wait_s(call, is_resumed, now_s)
         rate = queue.departure_rate(now_s)
         if max_wait_s <= 0.0 or (ahead and ahead > rate * max_wait_s):
             raise self._refusal(queue, now_s)
@@ -345,8 +347,11 @@
             yield snapshot
 
 
-def _max_wait_s(call: Call, now_s: float) -> float:
+def _max_wait_s(call: Call, is_resumed: bool, now_s: float) -> float:
     """Return how much longer a call may wait in the queue, in seconds; 0 or less if no longer."""
+    if is_resumed:
+        # Its caller has waited since the last event, not since the call arrived.
+        return min(MAX_WAIT_S, call.deadline_s - now_s)
     total_s = call.deadline_s - call.arrived_s
     return call.arrived_s + min(MAX_WAIT_S, MAX_WAIT_SHARE * total_s) - now_s
 
--- a/tests/process/gateway/test_dispatch.py
+++ b/tests/process/gateway/test_dispatch.py
@@ -114,6 +114,33 @@
 
         assert run_virtually(scenario) == ["new", "late"]
 
+    def test_resumed_stream_is_not_refused_for_the_age_of_its_call(self):
+        async def scenario():
+            fixture = DispatchFixture()
+            call = fixture.call()
+            await anyio.sleep(8.0)
+            taken = await fixture.fill()
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(fixture.run_call, "resumed", call, True)
+                await anyio.sleep(0.5)
+                fixture.dispatcher.release(taken[0])
+            return fixture.order
+
+        assert run_virtually(scenario) == ["resumed"]
+
+    def test_resumed_stream_is_refused_at_its_deadline(self):
+        async def scenario():
+            fixture = DispatchFixture()
+            call = fixture.call()
+            await anyio.sleep(14.5)
+            await fixture.fill()
+            await fixture.run_call("resumed", call, True)
+            return fixture.order, anyio.current_time()
+
+        order, now_s = run_virtually(scenario)
+        assert order == [("resumed", ResultCode.QUEUE_FULL)]
+        assert now_s == pytest.approx(15.0)
+
     def test_resumed_stream_goes_first(self):
         async def scenario():
             fixture = DispatchFixture()
