Soak: targets are busy at times, also under planned work only

Targets now reject some requests as full and pause 1.1 s in some runs, from a generator of their own, so that the faults of recorded seeds stay the same. The gateways get 8 s to stop, as on all known deployments: with 4 s, a call accepted at the end of the notice had 1.1 s to end in.

--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -17,7 +17,8 @@
 __all__ = ["GatewayProcess", "create_fleet", "free_ports"]
 
 DAEMON = "guavawalk.process.start_gateway"
-GRACE_MS = 4_000
+# The time that all known deployments give a process to stop, in milliseconds.
+GRACE_MS = 8_000
 # The ports lie below the range from which the kernel takes ports for outgoing connections. Each
 # soak or test process takes its ports from one of PORT_RANGES ranges, selected by its pid, so that
 # concurrent runs collide only if their pids are equal modulo PORT_RANGES.
--- a/soak/mutants.py
+++ b/soak/mutants.py
@@ -19,6 +19,7 @@
 __all__ = [
     "MUTANTS",
     "end_broken_streams_as_whole",
+    "give_up_silent_targets",
     "lose_routes",
     "pass_keys_on",
     "promise_what_is_unknown",
@@ -60,6 +61,16 @@
     patch(attempt_call._Attempt, "_forward_stream", finish_truncated)
 
 
+def give_up_silent_targets(patch: Patch) -> None:
+    """Close the connection to a silent target before another target has taken the call."""
+
+    async def give_up(attempt, receive, reservation):
+        attempt._gateway.dispatcher.release(reservation)
+        raise TargetLost("silent")
+
+    patch(attempt_call._Attempt, "_receive_from_first", give_up)
+
+
 def pass_keys_on(patch: Patch) -> None:
     """Forward the key `k1`, which all callers of the soak send, to the targets."""
     encode = target_exchange.encode_target_headers
@@ -99,6 +110,7 @@
             resume_every_stream,
             promise_what_is_unknown,
             end_broken_streams_as_whole,
+            give_up_silent_targets,
             pass_keys_on,
             lose_routes,
             leak_places,
--- a/soak/scenario.py
+++ b/soak/scenario.py
@@ -149,6 +149,23 @@
                 self.faults.append(f"{at_s:.1f} s {fault.__name__.strip('_')}")
                 tasks.start_soon(fault)
 
+    async def vary_load(self) -> None:
+        """Make targets busy for random times, until cancelled."""
+        # A generator of its own: the load must not change the scenario's faults.
+        rng = random.Random(f"{self.seed}/load")
+        targets = [target for target, _, _ in self.targets.values()]
+        try:
+            while True:
+                await anyio.sleep(rng.uniform(0.05, 0.5) * self.shape.seconds / 6)
+                for target in rng.sample(targets, rng.randint(1, len(targets))):
+                    target.is_busy = True
+                await anyio.sleep(rng.uniform(0.1, 0.6) * self.shape.seconds / 6)
+                for target in targets:
+                    target.is_busy = False
+        finally:
+            for target in targets:
+                target.is_busy = False
+
     async def supervise(self) -> None:
         """Start gateways again that have ended by themselves, and record how, until cancelled."""
         while True:
@@ -257,7 +274,10 @@
                 rng = random.Random(f"{scenario.rng.random()}")
                 client = LoadClient(number, scenario.recorder, rng, addresses)
                 client_tasks.start_soon(client.send_requests_until, stop)
-            await scenario.run_faults(anyio.current_time())
+            async with anyio.create_task_group() as load_tasks:
+                load_tasks.start_soon(scenario.vary_load)
+                await scenario.run_faults(anyio.current_time())
+                load_tasks.cancel_scope.cancel()
             stop.set()
         await scenario.check_served()
         tasks.cancel_scope.cancel()
--- a/soak/workload.py
+++ b/soak/workload.py
@@ -42,6 +42,11 @@
 EVENT_COUNT = 12
 EVENT_INTERVAL_S = 0.02
 RUN_TIME_S = 0.03
+# What a busy target does: the shares of requests that it rejects as full and that it runs with a
+# pause, and the length of the pause, in seconds. It is longer than the gateways' silence limits.
+BUSY_REJECTED_SHARE = 0.4
+BUSY_PAUSED_SHARE = 0.4
+BUSY_PAUSE_S = 1.1
 ANSWER_TIMEOUT_S = 6.0
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 
@@ -174,7 +179,8 @@
 
     Its `shed_share` is the share of requests that it rejects as not run. Its `fail_share` is the
     share of runs that end without an answer; a stream may also be closed after each event, with
-    probability `fail_share / EVENT_COUNT`. Both shares are 0 at first.
+    probability `fail_share / EVENT_COUNT`. Both shares are 0 at first. While it `is_busy`, it
+    rejects some requests as full, and pauses in some runs before the answer or within a stream.
     """
 
     async def run(target, stream, request):
@@ -182,7 +188,8 @@
         if headers[b"Expect-Instance"] != target_id.encode():
             await stream.send(encode_response(421, ((b"Instance-Id", target_id.encode()),)))
             return
-        if rng.random() < target.shed_share:
+        rejected_share = BUSY_REJECTED_SHARE if target.is_busy else 0.0
+        if rng.random() < max(target.shed_share, rejected_share):
             await answer_not_run(target, stream, request)
             return
         request_id = headers[b"Request-Id"].decode()
@@ -193,7 +200,12 @@
                 f"{request_id} reached a target with a wrong workspace or with its key"
             )
         route = request.target.decode().split("/")[1]
+        pause_before = None
+        if target.is_busy and rng.random() < BUSY_PAUSED_SHARE:
+            pause_before = rng.randint(0, EVENT_COUNT)
         await anyio.sleep(RUN_TIME_S)
+        if pause_before == 0 or (pause_before and ROUTES[route][0] != "streaming"):
+            await anyio.sleep(BUSY_PAUSE_S)
         if rng.random() < target.fail_share:
             raise EndConnection
         if ROUTES[route][0] != "streaming":
@@ -203,6 +215,8 @@
             return
         await stream.send(encode_response_head(200, signed_headers(request), CHUNKED))
         for number in range(last + 1, EVENT_COUNT + 1):
+            if number == pause_before:
+                await anyio.sleep(BUSY_PAUSE_S)
             await stream.send(encode_chunk(event(number)))
             await anyio.sleep(EVENT_INTERVAL_S)
             if rng.random() < target.fail_share / EVENT_COUNT:
@@ -211,6 +225,7 @@
 
     target = StandInTarget(run)
     target.shed_share = target.fail_share = 0.0
+    target.is_busy = False
     return target
 
 
