Loads are subtracted only from the targets that they were added to

Cause: a gateway subtracted a peer's last report by target id, whether it had been added or not, and stopped at 0. A load that arrived before its target was known here, or before the target's new start, was so subtracted from what other gateways run there. Each later report subtracted and added alike, so the missing load stayed missing for as long as the others kept the target busy: believed load had a second steady state below the true one. A gateway that hears its neighbours before the registry began in it, at all targets.

Change: what a report added is kept with the targets it was added to, and only that is subtracted, from those. Numbers need no lower bound any more.

--- a/guavawalk/process/gateway/centres.py
+++ b/guavawalk/process/gateway/centres.py
@@ -11,6 +11,7 @@
 import msgspec.msgpack
 
 from guavawalk.process.gateway.loads import (
+    AddedLoads,
     TargetLoad,
     add_loads,
     add_sent_parts,
@@ -120,6 +121,8 @@
         self.received_s = now_s
         # Whether summaries still arrive, so that the load is added to the targets.
         self.is_live = False
+        # What of the load has been added.
+        self.added_loads: AddedLoads = ()
         # Whether its gateways count when quotas are shared out.
         self.is_counted = True
 
@@ -140,10 +143,10 @@
         elif not self._is_followed(summary, centre, now_s):
             return False
         if centre.is_live:
-            subtract_loads(self._targets, centre.summary.target_loads)
+            subtract_loads(centre.added_loads)
         centre.summary, centre.received_s = summary, now_s
         centre.is_live = centre.is_counted = True
-        add_loads(self._targets, summary.target_loads)
+        centre.added_loads = add_loads(self._targets, summary.target_loads)
         add_sent_parts(self._targets, summary.sent_parts, now_s)
         # What a relay has counted before its first summary here was told by the relay before it.
         self._quotas.merge(_stream_name(summary), summary.admitted, now_s)
@@ -165,7 +168,7 @@
             is_alone = len(centre.summary.live) <= 1
             if centre.is_live and silent_s > (ALONE_SILENT_AFTER_S if is_alone else SILENT_AFTER_S):
                 centre.is_live = False
-                subtract_loads(self._targets, centre.summary.target_loads)
+                subtract_loads(centre.added_loads)
                 silent.append(data_centre)
             if centre.is_counted and silent_s > FORGET_AFTER_S:
                 centre.is_counted = False
--- a/guavawalk/process/gateway/loads.py
+++ b/guavawalk/process/gateway/loads.py
@@ -7,6 +7,7 @@
 from guavawalk.request.call import PromptPart
 
 __all__ = [
+    "AddedLoads",
     "TargetLoad",
     "add_loads",
     "add_sent_parts",
@@ -40,6 +41,10 @@
     ended: int = 0
 
 
+# Loads that count at targets, each with its target.
+AddedLoads = tuple[tuple[TrackedTarget, TargetLoad], ...]
+
+
 def measure_load(target: TrackedTarget, now_s: float) -> TargetLoad:
     """Return what this gateway runs at a target and has observed of it."""
     failed, ended = target.failures.weighted_counts(now_s)
@@ -75,32 +80,35 @@
     return tuple(sums.values())
 
 
-def add_loads(targets: TargetTable, loads: Iterable[TargetLoad]) -> None:
-    """Add other gateways' loads to the targets."""
+def add_loads(targets: TargetTable, loads: Iterable[TargetLoad]) -> AddedLoads:
+    """Add other gateways' loads to the targets that are known; return what was added."""
+    added = []
     for load in loads:
         target = targets.get(load.target_id)
-        if target is not None:
-            target.peer_running += load.running
-            target.peer_prefill_tokens += load.prefill_tokens
-            target.add_peer_attempts(load.failed, load.ended)
-            # Until this gateway has observed the target itself, another's observation counts.
-            if load.slowness_percent and not target.slowness.count:
-                target.slowness.value = load.slowness_percent / 100
+        if target is None:
+            continue
+        target.peer_running += load.running
+        target.peer_prefill_tokens += load.prefill_tokens
+        target.add_peer_attempts(load.failed, load.ended)
+        # Until this gateway has observed the target itself, another's observation counts.
+        if load.slowness_percent and not target.slowness.count:
+            target.slowness.value = load.slowness_percent / 100
+        added.append((target, load))
+    return tuple(added)
 
 
-def subtract_loads(targets: TargetTable, loads: Iterable[TargetLoad]) -> None:
-    """Subtract loads that `add_loads` added.
+def subtract_loads(added: AddedLoads) -> None:
+    """Subtract what `add_loads` added.
 
     Notes
     -----
-    Numbers stay at 0 or above: a target that has started again since then begins at 0.
+    It is subtracted from the targets that it was added to: a target that has been registered, or
+    has started again, since then keeps its load.
     """
-    for load in loads:
-        target = targets.get(load.target_id)
-        if target is not None:
-            target.add_peer_attempts(-load.failed, -load.ended)
-            target.peer_running = max(target.peer_running - load.running, 0)
-            target.peer_prefill_tokens = max(target.peer_prefill_tokens - load.prefill_tokens, 0)
+    for target, load in added:
+        target.add_peer_attempts(-load.failed, -load.ended)
+        target.peer_running -= load.running
+        target.peer_prefill_tokens -= load.prefill_tokens
 
 
 def add_sent_parts(
--- a/guavawalk/process/gateway/peers.py
+++ b/guavawalk/process/gateway/peers.py
@@ -12,7 +12,7 @@
 import anyio
 
 from guavawalk.process.gateway.centres import CentreSummary, CentreTable
-from guavawalk.process.gateway.loads import add_loads, add_sent_parts, subtract_loads
+from guavawalk.process.gateway.loads import AddedLoads, add_loads, add_sent_parts, subtract_loads
 from guavawalk.process.gateway.quota import QuotaWindows
 from guavawalk.process.gateway.reports import PeerReport, is_later
 from guavawalk.process.gateway.targets import TargetTable
@@ -67,6 +67,8 @@
         self.last_report_s = last_report_s
         # Whether its reports still arrive, so that its load is added to the targets.
         self.is_live = False
+        # What of its load has been added.
+        self.added_loads: AddedLoads = ()
 
 
 class PeerTable:
@@ -151,7 +153,7 @@
             return False
         was_failing = peer.report.is_registry_failing
         if peer.is_live:
-            subtract_loads(self._targets, peer.report.target_loads)
+            subtract_loads(peer.added_loads)
         if report.is_leaving:
             del self._peers[report.address]
             self._record_change()
@@ -160,7 +162,7 @@
         peer.is_live = True
         if report.is_registry_failing:
             self.registry_failed_s = now_s
-        add_loads(self._targets, report.target_loads)
+        peer.added_loads = add_loads(self._targets, report.target_loads)
         self._quotas.merge_local(
             f"{report.address}/{report.incarnation}", report.admitted, now_s, report.age_s
         )
@@ -193,7 +195,7 @@
         for address, peer in list(self._peers.items()):
             if peer.is_live and now_s - peer.last_report_s > silent_s:
                 peer.is_live = False
-                subtract_loads(self._targets, peer.report.target_loads)
+                subtract_loads(peer.added_loads)
                 silent.append(address)
             if now_s - peer.last_report_s > FORGET_AFTER_S:
                 self._quotas.forget_gateway(f"{address}/{peer.report.incarnation}")
--- a/guavawalk/process/gateway/targets.py
+++ b/guavawalk/process/gateway/targets.py
@@ -158,8 +158,8 @@
 
     def add_peer_attempts(self, failed: int, ended: int) -> None:
         """Add another gateway's failed and ended attempts, in tenths; negative to subtract them."""
-        self._peer_failed = max(self._peer_failed + failed, 0)
-        self._peer_ended = max(self._peer_ended + ended, 0)
+        self._peer_failed += failed
+        self._peer_ended += ended
 
     def failure_share(self, now_s: float) -> float:
         """Return the share of failed attempts at all gateways, from 0 to 1, weighted by age."""
