The calls of a gateway that leaves still count at the targets

Cause: the first report of a gateway that refuses calls removed it, and its load with it. Its calls go on until they end or the grace time does, and the others filled their slots a second time. No gateway reported to it any more, so after 1.5 s it chose targets for waiting and resumed calls as if nobody else ran there. What it had admitted since its last report was lost to the quotas, and their record of its totals was never dropped.

Change: such a gateway stays in the table. It is not counted, ranked or live any more; its load and admissions count, and it is reported to, while its reports arrive. Summaries contain its load.

--- a/guavawalk/connection/tasks/gossip.py
+++ b/guavawalk/connection/tasks/gossip.py
@@ -126,7 +126,7 @@
         targets_revision=gateway.targets.revision,
         live=tuple(report.address for report in reports),
         silent=gateway.peers.silent_count(),
-        target_loads=sum_loads(load for report in reports for load in report.target_loads),
+        target_loads=sum_loads((*own.target_loads, *gateway.peers.target_loads())),
         admitted=gateway.quotas.admitted_in_centre.changed_since(since_change),
         sent_parts=gateway.peers.pop_summary_parts(MAX_SUMMARY_PARTS),
         suspects=gateway.suspects.newest_pairs(),
--- a/guavawalk/process/gateway/peers.py
+++ b/guavawalk/process/gateway/peers.py
@@ -6,13 +6,19 @@
 
 import math
 from collections import deque
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Iterator
 from typing import NamedTuple
 
 import anyio
 
 from guavawalk.process.gateway.centres import CentreSummary, CentreTable
-from guavawalk.process.gateway.loads import AddedLoads, add_loads, add_sent_parts, subtract_loads
+from guavawalk.process.gateway.loads import (
+    AddedLoads,
+    TargetLoad,
+    add_loads,
+    add_sent_parts,
+    subtract_loads,
+)
 from guavawalk.process.gateway.quota import QuotaWindows
 from guavawalk.process.gateway.reports import PeerReport, is_later
 from guavawalk.process.gateway.targets import TargetTable
@@ -70,6 +76,11 @@
         # What of its load has been added.
         self.added_loads: AddedLoads = ()
 
+    @property
+    def is_serving(self) -> bool:
+        """Whether its reports still arrive, and it takes calls."""
+        return self.is_live and not self.report.is_leaving
+
 
 class PeerTable:
     """The other gateways; keeps the load of those in the data centre added to the targets.
@@ -138,7 +149,8 @@
         Notes
         -----
         Datagrams may arrive late or twice. One that is not newer than the last is dropped, and so
-        is one from this gateway itself. A gateway that leaves is removed at once.
+        is one from this gateway itself. A gateway that leaves is no longer live, but its load
+        counts while its reports arrive, since its calls go on.
         """
         if report.address == self.own_address:
             return False
@@ -146,7 +158,7 @@
             self.add_contact(report.address, now_s)
             return False
         peer = self._peers.get(report.address)
-        is_new = peer is None or not peer.is_live
+        was_serving = peer is not None and peer.is_serving
         if peer is None:
             peer = self._peers[report.address] = _Peer(report, now_s)
         elif not is_later(report, peer.report):
@@ -154,10 +166,6 @@
         was_failing = peer.report.is_registry_failing
         if peer.is_live:
             subtract_loads(peer.added_loads)
-        if report.is_leaving:
-            del self._peers[report.address]
-            self._record_change()
-            return False
         peer.report, peer.last_report_s = report, now_s
         peer.is_live = True
         if report.is_registry_failing:
@@ -168,9 +176,9 @@
         )
         add_sent_parts(self._targets, report.sent_parts, now_s)
         self.add_summary_parts(report.sent_parts)
-        if is_new or was_failing != report.is_registry_failing:
+        if was_serving != peer.is_serving or was_failing != report.is_registry_failing:
             self._record_change()
-        return is_new
+        return peer.is_serving and not was_serving
 
     def add_contact(self, address: str, now_s: float) -> None:
         """Record that a gateway of another data centre was heard, and may be in no summary."""
@@ -178,7 +186,7 @@
             self._contacts[address] = now_s
 
     def _record_change(self) -> None:
-        live = (address for address, peer in self._peers.items() if peer.is_live)
+        live = (address for address, peer in self._peers.items() if peer.is_serving)
         self._ranked = rank_nodes((self.own_address, *live))
         self.changed.set()
         self.changed = anyio.Event()
@@ -196,7 +204,8 @@
             if peer.is_live and now_s - peer.last_report_s > silent_s:
                 peer.is_live = False
                 subtract_loads(peer.added_loads)
-                silent.append(address)
+                if not peer.report.is_leaving:
+                    silent.append(address)
             if now_s - peer.last_report_s > FORGET_AFTER_S:
                 self._quotas.forget_gateway(f"{address}/{peer.report.incarnation}")
                 del self._peers[address]
@@ -219,8 +228,14 @@
                 self._named_addresses.add(address)
 
     def live_reports(self) -> list[PeerReport]:
-        """Return the last reports of the data centre's gateways whose reports still arrive."""
-        return [peer.report for peer in self._peers.values() if peer.is_live]
+        """Return the last reports of the data centre's live gateways."""
+        return [peer.report for peer in self._peers.values() if peer.is_serving]
+
+    def target_loads(self) -> Iterator[TargetLoad]:
+        """Yield the loads that the data centre's gateways reported last, leaving ones included."""
+        for peer in self._peers.values():
+            if peer.is_live:
+                yield from peer.report.target_loads
 
     def addresses(self) -> set[str]:
         """Return the addresses to report to, those of silent and unknown gateways included.
@@ -236,8 +251,11 @@
         return {*self._peers, *named, *seeds} - {self.own_address}
 
     def local_addresses(self) -> set[str]:
-        """Return the addresses of the live gateways in the same data centre."""
-        return set(self._ranked) - {self.own_address}
+        """Return the addresses of the gateways in the same data centre whose reports arrive.
+
+        Those that leave are included: they still choose targets for calls that wait or are resumed.
+        """
+        return {address for address, peer in self._peers.items() if peer.is_live}
 
     def named_addresses(self) -> tuple[str, ...]:
         """Return the addresses to name to others of the data centre.
@@ -327,8 +345,11 @@
         return self.local_count() + self.centres.count()
 
     def local_count(self) -> int:
-        """Return the number of known gateways of the data centre, this one included."""
-        return len(self._peers) + 1
+        """Return the number of known gateways of the data centre, this one included.
+
+        Those that leave do not count.
+        """
+        return sum(not peer.report.is_leaving for peer in self._peers.values()) + 1
 
     def silent_count(self) -> int:
         """Return the number of known gateways of the data centre that are silent."""
