Loads reported before a target was registered count once it is

Cause: a load at a target that was not registered here yet was left out until its gateway or data centre reported again. A gateway that starts hears the first reports while it reads the registry, so it began with all targets idle by its view, and gateways that start together begin with the same view.

Evidence: the new test failed before: (0, 0) calls in place of (6, 6).

Change: when registrations change, the loads that were left out of the last reports are added. Those of an earlier start of a target are not.

--- a/guavawalk/connection/tasks/follow_registry.py
+++ b/guavawalk/connection/tasks/follow_registry.py
@@ -224,9 +224,11 @@
     now_s = gateway.clock.now_s()
     for problem in update.problems:
         gateway.log.emit(events.REGISTRATION_INVALID, reason=problem, revision=update.as_of)
-    for registration in update.registered:
-        if targets.put(registration):
-            _log_registered(gateway, registration, update.last_change)
+    changed = [registration for registration in update.registered if targets.put(registration)]
+    for registration in changed:
+        _log_registered(gateway, registration, update.last_change)
+    if changed:
+        gateway.peers.count_missing_loads()
     for target_id in update.removed:
         if targets.remove(target_id, now_s, has_just_recovered):
             gateway.log.emit(
--- a/guavawalk/process/gateway/centres.py
+++ b/guavawalk/process/gateway/centres.py
@@ -14,6 +14,7 @@
     AddedLoads,
     TargetLoad,
     add_loads,
+    add_missing_loads,
     add_sent_parts,
     subtract_loads,
 )
@@ -175,6 +176,14 @@
                 self._quotas.forget_gateway(_stream_name(centre.summary))
         return silent
 
+    def count_missing_loads(self) -> None:
+        """Add the loads of targets that were not known when they were reported."""
+        for centre in self._centres.values():
+            if centre.is_live:
+                centre.added_loads = add_missing_loads(
+                    self._targets, centre.summary.target_loads, centre.added_loads
+                )
+
     def live_summaries(self) -> list[CentreSummary]:
         """Return the last summaries of the data centres whose summaries still arrive."""
         return [centre.summary for centre in self._centres.values() if centre.is_live]
--- a/guavawalk/process/gateway/loads.py
+++ b/guavawalk/process/gateway/loads.py
@@ -10,6 +10,7 @@
     "AddedLoads",
     "TargetLoad",
     "add_loads",
+    "add_missing_loads",
     "add_sent_parts",
     "measure_load",
     "subtract_loads",
@@ -97,6 +98,20 @@
     return tuple(added)
 
 
+def add_missing_loads(
+    targets: TargetTable, loads: Iterable[TargetLoad], added: AddedLoads
+) -> AddedLoads:
+    """Add those loads that `add_loads` left out; return all that have been added.
+
+    Notes
+    -----
+    A target that has started again since `add_loads` is none of them: what was reported of its
+    earlier start does not count.
+    """
+    added_ids = {load.target_id for _, load in added}
+    return added + add_loads(targets, (load for load in loads if load.target_id not in added_ids))
+
+
 def subtract_loads(added: AddedLoads) -> None:
     """Subtract what `add_loads` added.
 
--- a/guavawalk/process/gateway/peers.py
+++ b/guavawalk/process/gateway/peers.py
@@ -16,6 +16,7 @@
     AddedLoads,
     TargetLoad,
     add_loads,
+    add_missing_loads,
     add_sent_parts,
     subtract_loads,
 )
@@ -227,6 +228,15 @@
             if is_new and len(self._named_addresses) < MAX_NAMED_ADDRESSES:
                 self._named_addresses.add(address)
 
+    def count_missing_loads(self) -> None:
+        """Add the loads of targets that were not known when they were reported."""
+        for peer in self._peers.values():
+            if peer.is_live:
+                peer.added_loads = add_missing_loads(
+                    self._targets, peer.report.target_loads, peer.added_loads
+                )
+        self.centres.count_missing_loads()
+
     def live_reports(self) -> list[PeerReport]:
         """Return the last reports of the data centre's live gateways."""
         return [peer.report for peer in self._peers.values() if peer.is_serving]
--- a/tests/connection/tasks/test_follow_registry.py
+++ b/tests/connection/tasks/test_follow_registry.py
@@ -7,6 +7,9 @@
     follow_targets,
 )
 from guavawalk.platform.store import create_store
+from guavawalk.process.gateway.centres import CentreSummary
+from guavawalk.process.gateway.loads import TargetLoad
+from guavawalk.process.gateway.reports import PeerReport
 from guavawalk.version.registrations import ListedTargets
 from soak.standins import StandInStore, listen
 from tests.gateway_calls import make_registration, make_route, make_table
@@ -202,6 +205,23 @@
         target, now_s = run_with_timeout(run)
         assert 0.0 < target.usable_until_s - now_s < 2.0
 
+    def test_load_that_others_reported_before_counts_at_new_targets(self):
+        async def run():
+            gateway = GatewayHarness().gateway
+            loads = (TargetLoad("i-1", 3, 30),)
+            report = PeerReport("127.0.0.1:2", 1, 1, target_loads=loads, data_centre="a")
+            gateway.peers.apply_report(report, 0.0)
+            gateway.peers.centres.apply(
+                CentreSummary("b", "127.0.0.1:3", 1, 1, target_loads=loads), 0.0
+            )
+            await apply_target_list(gateway, ListedTargets(3, (make_registration(),)), "")
+            first = gateway.targets.get("i-1").total_running
+            again = make_registration(draining=True)
+            await apply_target_list(gateway, ListedTargets(4, (again,)), "")
+            return first, gateway.targets.get("i-1").total_running
+
+        assert run_with_timeout(run) == (6, 6)
+
     def test_only_newer_target_lists_are_applied(self):
         async def run():
             story = GatewayHarness()
--- a/tests/process/gateway/test_believed_load.py
+++ b/tests/process/gateway/test_believed_load.py
@@ -58,7 +58,9 @@
             self.register(target_id)
 
     def register(self, target_id):
-        self.targets.put(make_registration(target_id, started_at_ms=self._starts[target_id]))
+        registration = make_registration(target_id, started_at_ms=self._starts[target_id])
+        if self.targets.put(registration):
+            self.peers.count_missing_loads()
 
     def start_again(self, target_id):
         self._starts[target_id] += 1
