--- a/tests/memory_network.py
+++ b/tests/memory_network.py
@@ -80,8 +80,10 @@
 
 
 class _MemorySocket:
-    def __init__(self, network):
+    def __init__(self, network, address):
+        host, port = address.split(":")
         self._network = network
+        self._address = host, int(port)
         self.write, self._read = anyio.create_memory_object_stream(MAX_QUEUED_DATAGRAMS)
 
     async def sendto(self, data, host, port):
@@ -89,7 +91,7 @@
         receiver = self._network.sockets.get(f"{host}:{port}")
         if receiver is not None:
             with suppress(anyio.WouldBlock, anyio.BrokenResourceError):
-                receiver.write.send_nowait((data, (host, port)))
+                receiver.write.send_nowait((data, self._address))
 
     def __aiter__(self):
         return self._read
@@ -110,7 +112,7 @@
 
     def bind(self, address):
         """Return a datagram socket at an address; it replaces the one bound there before."""
-        self.sockets[address] = _MemorySocket(self)
+        self.sockets[address] = _MemorySocket(self, address)
         return self.sockets[address]
 
     def kill(self, address):
