Calls that a stop cuts off are logged and counted; call_ended tells the reason

Callers saw: calls that were still running at the end of the grace time lost their connection, and nothing in log or metrics told which; a stream that broke off since no slot or no other target was left ended as TARGET_LOST, like one whose target was lost. Cause: the process's end cancels the tasks of the calls, which skips the record of their end; the log was flushed before that. A failure after the answer had begun dropped its error. Change: a cancelled call leaves call_ended with CUT_OFF and counts in calls_total; the log is flushed after the tasks have ended; call_ended has a reason. A caller that leaves leaves the same fields. What callers get doesn't change.

--- a/guavawalk/connection/tasks/call_progress.py
+++ b/guavawalk/connection/tasks/call_progress.py
@@ -45,6 +45,8 @@
     next_reservation : Reservation, optional
         Slot for the next attempt, reserved before the present attempt was ended; None if there is
         none.
+    end_reason : str
+        Name and text of the error that ended the call, for the log; empty if there is none.
     """
 
     def __init__(self) -> None:
@@ -57,6 +59,7 @@
         self.last_event_at_s = 0.0
         self.longest_pause_s = 0.0
         self.next_reservation: Reservation | None = None
+        self.end_reason = ""
 
     def pop_next_reservation(self) -> Reservation | None:
         """Remove and return the reservation for the next attempt; None if there is none."""
--- a/guavawalk/connection/tasks/forward_call.py
+++ b/guavawalk/connection/tasks/forward_call.py
@@ -19,7 +19,7 @@
 if TYPE_CHECKING:
     from guavawalk.process.gateway.state import Gateway
 
-__all__ = ["forward_call", "refuse_call"]
+__all__ = ["count_end", "forward_call", "refuse_call"]
 
 # Time after which the caller may retry a call that no target has run, in seconds, if the error
 # states none.
@@ -143,6 +143,7 @@
     An answer that has already begun is broken off by closing the connection. Otherwise the caller
     gets the last error answer of a target, or else an error status of the gateway.
     """
+    progress.end_reason = f"{error.code.name}: {error}"
     if answer.has_begun:
         answer.keep_alive = False
         return ResultCode.TARGET_LOST
@@ -166,6 +167,7 @@
 async def _end_at_deadline(
     gateway: Gateway, call: Call, progress: Progress, answer: CallerAnswer
 ) -> ResultCode:
+    progress.end_reason = "the deadline passed"
     if answer.has_begun:
         answer.keep_alive = False
         return ResultCode.TARGET_LOST
@@ -180,12 +182,20 @@
     gateway: Gateway, call: Call, progress: Progress, answer: CallerAnswer, code: ResultCode
 ) -> None:
     total_s = gateway.clock.now_s() - call.arrived_s
-    gateway.metrics.count("calls_total", code=code.name)
     gateway.metrics.observe("call_seconds", total_s, kind=call.route.kind.value)
     if progress.first_event_s:
         gateway.metrics.observe("first_event_seconds", progress.first_event_s, rank=str(call.rank))
     if progress.longest_pause_s:
         gateway.metrics.observe("pause_seconds", progress.longest_pause_s, rank=str(call.rank))
+    count_end(gateway, call, progress, answer, code)
+
+
+def count_end(
+    gateway: Gateway, call: Call, progress: Progress, answer: CallerAnswer, code: ResultCode
+) -> None:
+    """Log and count the end of a call, once for each call that is forwarded."""
+    total_s = gateway.clock.now_s() - call.arrived_s
+    gateway.metrics.count("calls_total", code=code.name)
     gateway.log.emit(
         events.CALL_ENDED,
         trace_id=call.fields.request_id,
@@ -193,6 +203,7 @@
         code_name=code.name,
         status=answer.status,
         is_whole=answer.is_complete,
+        reason=progress.end_reason,
         first_ms=int(progress.first_event_s * 1000),
         longest_pause_ms=int(progress.longest_pause_s * 1000),
         after_ms=int(total_s * 1000),
--- a/guavawalk/connection/tasks/serve_caller.py
+++ b/guavawalk/connection/tasks/serve_caller.py
@@ -13,7 +13,7 @@
 from guavawalk.connection.request_reader import ReceivedRequest, RequestReader
 from guavawalk.connection.streams import close_stream, enable_dead_peer_detection
 from guavawalk.connection.tasks.call_progress import Progress
-from guavawalk.connection.tasks.forward_call import forward_call, refuse_call
+from guavawalk.connection.tasks.forward_call import count_end, forward_call, refuse_call
 from guavawalk.exception import CallerGone, HttpInvalid, RequestError
 from guavawalk.platform.requests import decode_call
 from guavawalk.request.admission import admit_call
@@ -108,7 +108,7 @@
 async def _forward_until_caller_leaves(
     gateway: Gateway, call: Call, reader: RequestReader, answer: CallerAnswer
 ) -> None:
-    caller_left = False
+    caller_left = has_ended = False
     progress = Progress()
 
     async def watch_caller(scope: anyio.CancelScope) -> None:
@@ -122,21 +122,22 @@
             tasks.start_soon(watch_caller, tasks.cancel_scope)
             try:
                 await forward_call(gateway, call, progress, answer)
-            except CallerGone:
+                has_ended = True
+            except CallerGone as error:
+                progress.end_reason = f"the connection broke: {error}"
                 caller_left = True
             tasks.cancel_scope.cancel()
+    except anyio.get_cancelled_exc_class():
+        if not has_ended:
+            progress.end_reason = "the process ends"
+            count_end(gateway, call, progress, answer, ResultCode.CUT_OFF)
+        raise
     finally:
         if not progress.has_run:
             gateway.quotas.refund(call.workspace.name, _quota_amount(call), call.arrived_s)
     if caller_left and not answer.is_complete:
-        gateway.metrics.count("calls_total", code=ResultCode.CALLER_LEFT.name)
-        gateway.log.emit(
-            events.CALL_ENDED,
-            trace_id=call.fields.request_id,
-            code=int(ResultCode.CALLER_LEFT),
-            code_name=ResultCode.CALLER_LEFT.name,
-            after_ms=int((gateway.clock.now_s() - call.arrived_s) * 1000),
-        )
+        if not has_ended:
+            count_end(gateway, call, progress, answer, ResultCode.CALLER_LEFT)
         raise CallerGone(describe_code(ResultCode.CALLER_LEFT).message)
 
 
--- a/guavawalk/process/gateway_daemon.py
+++ b/guavawalk/process/gateway_daemon.py
@@ -95,9 +95,11 @@
             tasks.start_soon(serve_guarded, log, "page", listener, partial(serve_pages, pages))
         tasks.start_soon(_serve_callers, gateway, callers_listener)
         await _drain_on_signal(gateway)
-        log.emit(events.SHUTDOWN_DONE, left=gateway.callers.calls)
-        log.flush(STDOUT)
+        left = gateway.callers.calls
         tasks.cancel_scope.cancel()
+    # The calls that were cut have logged their end by now.
+    log.emit(events.SHUTDOWN_DONE, left=left)
+    log.flush(STDOUT)
     return 0
 
 
--- a/guavawalk/process/observe/names.py
+++ b/guavawalk/process/observe/names.py
@@ -51,7 +51,12 @@
     MetricName("window", "gauge", "sidecar", "attempts that may run at once"),
     MetricName("version", "gauge", "both", "number of the configuration in force"),
     MetricName("resident_bytes", "gauge", "both", "memory of the process"),
-    MetricName("calls_total{code}", "count", "gateway", "calls that ended, by result code"),
+    MetricName(
+        "calls_total{code}",
+        "count",
+        "gateway",
+        "calls that ended, those cut off by a stop included, by result code",
+    ),
     MetricName(
         "requests_rejected_total{status}",
         "count",
--- a/tests/connection/tasks/test_serve_caller_refusals.py
+++ b/tests/connection/tasks/test_serve_caller_refusals.py
@@ -1,18 +1,30 @@
 import anyio
 import pytest
 
+from guavawalk.connection.http_encoding import encode_chunk, encode_response_head
 from guavawalk.version.routes import CallerLimits, Quota
 from soak.standins import (
+    CHUNKED,
     StandInTarget,
     answer_not_run,
     answer_plain,
     break_stream,
     close_without_answer,
+    event,
+    signed_headers,
+    stay_silent,
 )
-from tests.gateway_calls import PLAN, SAFE, UNSAFE, make_table
+from tests.gateway_calls import PLAN, RESUMABLE, SAFE, UNSAFE, make_table
 from tests.gateway_standins import GatewayHarness, ask_once, run_with_timeout
 
 
+async def stay_silent_after_an_event(target, stream, request):
+    """Send the first event of a stream, then nothing until the gateway closes the connection."""
+    await stream.send(encode_response_head(200, signed_headers(request), CHUNKED))
+    await stream.send(encode_chunk(event(1)))
+    await stay_silent(target, stream, request)
+
+
 class TestRefusals:
     def assert_refused(self, status, code=None, table=None, **request):
         async def run():
@@ -133,6 +145,37 @@
         assert (ended["result"], ended["next"]) == ("lost", "break")
         assert (end["code_name"], end["events"], end["is_whole"]) == ("TARGET_LOST", 2, False)
 
+    @pytest.mark.parametrize(
+        ("scripts", "reason"),
+        [
+            ([break_stream], "NO_TARGET: no target may serve this now"),
+            ([break_stream, break_stream], ""),
+            ([stay_silent_after_an_event], "the deadline passed"),
+        ],
+    )
+    def test_reason_of_a_stream_that_broke_off_is_logged(self, scripts, reason):
+        story, _, answer = ask_once(RESUMABLE, *scripts)
+        end = self.chain(story)[-1][1]
+        assert answer is None and (end["code_name"], end["reason"]) == ("TARGET_LOST", reason)
+
+    @pytest.mark.parametrize("script", [stay_silent, stay_silent_after_an_event])
+    def test_call_that_a_stop_cuts_off_leaves_one_line(self, script):
+        async def run():
+            story, target = GatewayHarness(PLAN), StandInTarget(script)
+            async with story.running(target, service="model"):
+                caller = await story.caller()
+                await caller.send()
+                while not target.received:
+                    await anyio.sleep(0.01)
+                await anyio.sleep(0.05)
+            return story
+
+        story = run_with_timeout(run)
+        (end,) = story.log.named("call_ended")
+        assert (end["code_name"], end["is_whole"]) == ("CUT_OFF", False)
+        assert end["reason"] == "the process ends"
+        assert 'calls_total{code="CUT_OFF"} 1' in story.gateway.metrics.render()
+
     def test_unsafe_call_without_an_answer(self):
         story, _, _ = ask_once(UNSAFE, close_without_answer)
         (_, sent), (_, ended), (_, end) = self.chain(story)
--- a/tests/process/test_gateway_daemon.py
+++ b/tests/process/test_gateway_daemon.py
@@ -10,10 +10,20 @@
 import pytest
 
 from guavawalk.connection.http_client import create_http_client
+from guavawalk.connection.http_encoding import encode_chunk, encode_response_head
 from guavawalk.exception import TargetError, TargetLost
 from guavawalk.process.gateway_daemon import run_gateway
 from soak.fleet import free_ports
-from soak.standins import Caller, StandInStore, StandInTarget, answer_plain, listen
+from soak.standins import (
+    CHUNKED,
+    Caller,
+    StandInStore,
+    StandInTarget,
+    answer_plain,
+    event,
+    listen,
+    signed_headers,
+)
 from tests.gateway_standins import run_with_timeout
 from tests.platform.test_registrations import ROW
 
@@ -85,9 +95,12 @@
         host, port = self.callers.split(":")
         return Caller(await anyio.connect_tcp(host, int(port)))
 
-    def events(self):
+    def lines(self):
         lines = self.output.read_text().splitlines()
-        return [json.loads(line)["event_name"] for line in lines if line.startswith("{")]
+        return [json.loads(line) for line in lines if line.startswith("{")]
+
+    def events(self):
+        return [line["event_name"] for line in self.lines()]
 
     async def fail_on_error_exit(self):
         """Wait for the process to exit; fail if its exit code is not 0."""
@@ -217,6 +230,32 @@
 
         run_with_daemon(tmp_path, scenario, slow)
 
+    def test_stream_that_the_stop_cuts_off_is_logged_before_the_exit(self, tmp_path):
+        async def endless(target, stream, request):
+            await stream.send(encode_response_head(200, signed_headers(request), CHUNKED))
+            while True:
+                await stream.send(encode_chunk(event(1)))
+                await anyio.sleep(0.05)
+
+        async def scenario(daemon, store, target):
+            route = {**ROUTE, "routeType": "streaming", "timeoutMs": 20_000}
+            store.put("op/config", {**DOCUMENT, "routes": [route]})
+            await wait_until(daemon.ready)
+            caller = await daemon.caller()
+            await caller.send()
+            assert (await caller.reader.read_head()).status == 200
+            daemon.process.send_signal(signal.SIGTERM)
+            with pytest.raises(TargetLost):
+                while await caller.reader.read_part():
+                    pass
+            assert await daemon.wait_exit() == 0
+            *_, ended, done = daemon.lines()
+            assert (ended["event_name"], ended["code_name"]) == ("call_ended", "CUT_OFF")
+            assert not ended["is_whole"] and ended["status"] == 200
+            assert (done["event_name"], done["left"]) == ("shutdown_done", 1)
+
+        run_with_daemon(tmp_path, scenario, endless, grace_ms=3500)
+
     def test_requests_at_any_moment_of_a_stop_are_answered(self, tmp_path):
         async def ask_all(caller, statuses):
             """Send requests on one connection until the gateway announces that it closes."""
