Failing tests: calls that a stop or a deadline ends without an answer

Callers saw: connections that closed without an answer or a refusal, at the end of a gateway's grace time, at a call's deadline, and behind a call that was answered while the gateway drained. That a caller which doesn't read ends soon after its deadline holds today and has a test, since the mending could break it.

--- a/tests/connection/tasks/test_serve_caller.py
+++ b/tests/connection/tasks/test_serve_caller.py
@@ -1,8 +1,11 @@
+import socket
 from functools import partial
 
 import anyio
 import pytest
+from anyio.abc import SocketAttribute
 
+from guavawalk.connection.caller_answer import CallerAnswer
 from guavawalk.connection.http_encoding import (
     LAST_CHUNK,
     encode_chunk,
@@ -182,6 +185,69 @@
         assert sum(len(target.received) for target in targets) == 1
 
 
+class TestAnswersAtTheDeadline:
+    """The deadline passes while an answer is ready, or is being sent."""
+
+    SHORT = SAFE._replace(timeout_s=0.5, max_targets=1)
+    SHORT_PLAN = PLAN._replace(timeout_s=0.5)
+
+    def ask(self, monkeypatch, method, route, script):
+        """Ask through a gateway that gets no processor from `method` until the deadline."""
+        send = getattr(CallerAnswer, method)
+
+        async def send_late(answer, *args):
+            with anyio.CancelScope(shield=True):
+                await anyio.sleep(route.timeout_s)
+            await send(answer, *args)
+
+        monkeypatch.setattr(CallerAnswer, method, send_late)
+        return ask_once(route, script)
+
+    @pytest.mark.parametrize("script", [answer_plain, answer_failure])
+    def test_answer_that_is_ready_is_sent(self, monkeypatch, script):
+        story, _, answer = self.ask(monkeypatch, "send_complete", self.SHORT, script)
+        (end,) = story.log.named("call_ended")
+        assert answer is not None and answer[2] in (b"served ", b"sorry")
+        assert end["is_whole"] and end["code_name"] in ("COMPLETED", "TARGET_ERROR")
+
+    def test_stream_of_which_only_the_end_is_left_is_completed(self, monkeypatch):
+        _, _, answer = self.ask(monkeypatch, "finish", self.SHORT_PLAN, answer_stream)
+        assert answer is not None and answer[2] == b"".join(map(event, range(1, 6)))
+
+    def test_stream_of_which_nothing_was_sent_has_an_answer(self, monkeypatch):
+        _, _, answer = self.ask(monkeypatch, "begin", self.SHORT_PLAN, answer_stream)
+        assert answer is not None and answer[0] == 504
+
+    @pytest.mark.parametrize("is_stream", [False, True])
+    def test_caller_that_does_not_read_ends_soon_after(self, is_stream):
+        async def script(target, stream, request):
+            body = b"id: 1\ndata: %s\n\n" % bytes(200_000)
+            await stream.send(encode_response_head(200, signed_headers(request), CHUNKED))
+            for _ in range(20):
+                await stream.send(encode_chunk(body))
+            await stream.send(LAST_CHUNK)
+
+        async def run():
+            route = self.SHORT_PLAN if is_stream else self.SHORT
+            story = GatewayHarness(route)
+            service = route.services[0].service
+            async with story.running(StandInTarget(script), service=service):
+                caller = await story.caller()
+                raw = caller.stream.extra(SocketAttribute.raw_socket)
+                raw.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+                await caller.send()
+                while not story.log.named("call_ended"):
+                    await anyio.sleep(0.01)
+                (end,) = story.log.named("call_ended")
+                while story.gateway.callers.connections:
+                    await anyio.sleep(0.01)
+            return end
+
+        end = run_with_timeout(run)
+        # The kernel would break the connection 3 s after the last acknowledgement.
+        assert not end["is_whole"] and end["after_ms"] < 2500
+
+
 class TestForwarding:
     def test_request_and_answer_pass_unchanged(self):
         _, (target,), (status, headers, body) = ask_once(
--- a/tests/connection/tasks/test_serve_caller_refusals.py
+++ b/tests/connection/tasks/test_serve_caller_refusals.py
@@ -1,7 +1,11 @@
 import anyio
 import pytest
 
-from guavawalk.connection.http_encoding import encode_chunk, encode_response_head
+from guavawalk.connection.http_encoding import (
+    LAST_CHUNK,
+    encode_chunk,
+    encode_response_head,
+)
 from guavawalk.version.routes import CallerLimits, Quota
 from soak.standins import (
     CHUNKED,
@@ -235,6 +239,44 @@
 
         run_with_timeout(run)
 
+    @pytest.mark.parametrize("is_refusing", [False, True])
+    @pytest.mark.parametrize(
+        ("is_first_earlier", "is_begun"), [(False, False), (True, False), (True, True)]
+    )
+    def test_request_that_was_read_behind_another_is_answered(
+        self, is_refusing, is_first_earlier, is_begun
+    ):
+        async def run():
+            gate = anyio.Event()
+
+            async def stream_later(target, stream, request):
+                await stream.send(encode_response_head(200, signed_headers(request), CHUNKED))
+                if is_begun:
+                    await stream.send(encode_chunk(event(1)))
+                await gate.wait()
+                await stream.send(encode_chunk(event(2)) + LAST_CHUNK)
+
+            story = GatewayHarness(PLAN)
+            target = StandInTarget(stream_later)
+            async with story.running(target, service="model"):
+                caller = await story.caller()
+                story.gateway.callers.is_draining = not is_first_earlier
+                await caller.send(request_id=b"r1")
+                while not target.received:
+                    await anyio.sleep(0.01)
+                # The gateway reads the second request while the first runs.
+                await anyio.sleep(0.1)
+                story.gateway.callers.is_draining = True
+                story.gateway.callers.is_refusing = is_refusing
+                await caller.send(request_id=b"r2")
+                await anyio.sleep(0.1)
+                gate.set()
+                return [await caller.answer() for _ in range(2)]
+
+        (first, first_headers, _), (second, headers, _) = run_with_timeout(run)
+        assert first == 200 and b"Connection" not in first_headers
+        assert second == (503 if is_refusing else 200) and headers[b"Connection"] == b"close"
+
     def test_calls_that_come_too_late_are_refused_and_those_under_way_end(self):
         async def run():
             gate = anyio.Event()
--- a/tests/process/test_gateway_daemon.py
+++ b/tests/process/test_gateway_daemon.py
@@ -23,6 +23,7 @@
     event,
     listen,
     signed_headers,
+    stay_silent,
 )
 from tests.gateway_standins import run_with_timeout
 from tests.platform.test_registrations import ROW
@@ -294,6 +295,48 @@
 
         run_with_daemon(tmp_path, scenario)
 
+    def test_calls_that_outlast_the_stop_are_answered(self, tmp_path):
+        """One call is running, one waits in the queue, and two are pipelined behind the first."""
+
+        async def scenario(daemon, store, target):
+            one_slot = {**ROW, "service": "desk", "address": target.address, "capacity": 1}
+            store.put("servers/i-1", one_slot)
+            store.put("op/config", {**DOCUMENT, "routes": [{**ROUTE, "routeType": "unsafe"}]})
+            await wait_until(daemon.ready)
+            running, other, waiting = [await daemon.caller() for _ in range(3)]
+            for number, caller in enumerate((running, other, running, running)):
+                await caller.send(body=b"a", request_id=b"r%d" % number)
+                while not target.received:
+                    await anyio.sleep(0.02)
+            while len(target.received) < 2:
+                await anyio.sleep(0.02)
+            daemon.process.send_signal(signal.SIGTERM)
+            await anyio.sleep(1.8)
+            await waiting.send(body=b"a", request_id=b"waiting")
+            answers = {
+                "other": await other.answer(),
+                "waiting": await waiting.answer(),
+                "running": await running.answer(),
+                "next": await running.answer(),
+                "last": await running.answer(),
+            }
+            assert await daemon.wait_exit() == 0
+            assert {name: answer[0] for name, answer in answers.items()} == {
+                "other": 502,
+                "waiting": 503,
+                "running": 502,
+                "next": 503,
+                "last": 503,
+            }
+            closing = [
+                name for name, (_, headers, _) in answers.items() if b"Connection" in headers
+            ]
+            assert closing == ["other", "waiting", "last"]
+            assert all(b"Retry-After" in answers[name][1] for name in ("waiting", "next", "last"))
+            assert len(target.received) == 2
+
+        run_with_daemon(tmp_path, scenario, stay_silent, grace_ms=3500)
+
     def test_lack_of_descriptors_ends_no_process(self, tmp_path):
         async def scenario(daemon, store, target):
             store.put("op/config", DOCUMENT)
