Answers that are ready are sent though the deadline passes

Callers saw: the connection closed without an answer at the deadline, logged as TARGET_LOST with status 504 or 200 and is_whole false. Cause: the deadline cancelled the send of an answer before its first byte (a send begins with a cancellation point), and the answer counted as begun from before that, so that no other was sent. A caller that leaves ends a send at once. At the process's end the connections of callers that don't read are closed, so that they don't delay the exit.

--- a/guavawalk/connection/tasks/forward_call.py
+++ b/guavawalk/connection/tasks/forward_call.py
@@ -74,6 +74,7 @@
         If the caller's connection breaks.
     """
     gateway.retries.record_request(call.service, call.arrived_s)
+    answer.deadline_s = call.deadline_s
     with anyio.CancelScope(deadline=call.deadline_s) as scope:
         try:
             code = await _run_attempts(gateway, call, progress, answer)
--- a/guavawalk/connection/tasks/serve_caller.py
+++ b/guavawalk/connection/tasks/serve_caller.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-import anyio
+import anyio.lowlevel
 from anyio.abc import ByteStream
 
 from guavawalk import events
@@ -39,7 +39,7 @@
     try:
         enable_dead_peer_detection(stream)
         reader = RequestReader(stream, gateway.routes.table.limits)
-        with gateway.callers.connection():
+        with gateway.callers.connection(stream):
             while await _serve_next(gateway, stream, reader):
                 pass
     except (CallerGone, OSError):
@@ -115,6 +115,7 @@
         nonlocal caller_left
         await reader.wait_closed()
         caller_left = True
+        answer.abandon()
         scope.cancel()
 
     try:
@@ -124,9 +125,11 @@
                 await forward_call(gateway, call, progress, answer)
                 has_ended = True
             except CallerGone as error:
-                progress.end_reason = f"the connection broke: {error}"
+                progress.end_reason = str(error)
                 caller_left = True
             tasks.cancel_scope.cancel()
+        # A process that ends closes the connections of callers that don't read.
+        await anyio.lowlevel.checkpoint_if_cancelled()
     except anyio.get_cancelled_exc_class():
         if not has_ended:
             progress.end_reason = "the process ends"
--- a/guavawalk/process/gateway/callers.py
+++ b/guavawalk/process/gateway/callers.py
@@ -4,6 +4,9 @@
 from contextlib import contextmanager
 
 import anyio
+from anyio.abc import ByteStream
+
+from guavawalk.connection.streams import reset_stream
 
 __all__ = ["CallerTracker", "create_caller_tracker"]
 
@@ -19,26 +22,29 @@
         Whether new calls are refused, since they might not end before the process does.
     calls : int
         Running calls.
-    connections : int
-        Open connections of callers.
     """
 
     def __init__(self) -> None:
         self.is_draining = False
         self.is_refusing = False
         self.calls = 0
-        self.connections = 0
+        self._streams: set[ByteStream] = set()
         self._idle: dict[anyio.CancelScope, Callable[[], bool]] = {}
         self._changed = anyio.Event()
 
+    @property
+    def connections(self) -> int:
+        """Number of open connections of callers."""
+        return len(self._streams)
+
     @contextmanager
-    def connection(self) -> Iterator[None]:
+    def connection(self, stream: ByteStream) -> Iterator[None]:
         """Count a connection while it is open."""
-        self.connections += 1
+        self._streams.add(stream)
         try:
             yield
         finally:
-            self.connections -= 1
+            self._streams.remove(stream)
             self._notify()
 
     @contextmanager
@@ -84,6 +90,11 @@
         while self.connections:
             await self._changed.wait()
 
+    async def reset_connections(self) -> None:
+        """Close the open connections at once; answers that callers are slow to read are lost."""
+        for stream in tuple(self._streams):
+            await reset_stream(stream)
+
     def _notify(self) -> None:
         self._changed.set()
         self._changed = anyio.Event()
--- a/guavawalk/process/gateway_daemon.py
+++ b/guavawalk/process/gateway_daemon.py
@@ -97,6 +97,9 @@
         await _drain_on_signal(gateway)
         left = gateway.callers.calls
         tasks.cancel_scope.cancel()
+        # Ready answers are sent in spite of the cancellation. One that its caller doesn't read must
+        # not delay the exit.
+        await gateway.callers.reset_connections()
     # The calls that were cut have logged their end by now.
     log.emit(events.SHUTDOWN_DONE, left=left)
     log.flush(STDOUT)
--- a/tests/process/test_gateway_daemon.py
+++ b/tests/process/test_gateway_daemon.py
@@ -2,15 +2,21 @@
 import os
 import resource
 import signal
+import socket
 import subprocess
 import sys
 import threading
+from datetime import datetime
 
 import anyio
 import pytest
 
 from guavawalk.connection.http_client import create_http_client
-from guavawalk.connection.http_encoding import encode_chunk, encode_response_head
+from guavawalk.connection.http_encoding import (
+    encode_chunk,
+    encode_response,
+    encode_response_head,
+)
 from guavawalk.exception import TargetError, TargetLost
 from guavawalk.process.gateway_daemon import run_gateway
 from soak.fleet import free_ports
@@ -295,6 +301,30 @@
 
         run_with_daemon(tmp_path, scenario)
 
+    def test_caller_that_does_not_read_its_answer_does_not_delay_the_exit(self, tmp_path):
+        async def answer_much(target, stream, request):
+            await anyio.sleep(2.0)
+            await stream.send(encode_response(200, signed_headers(request), bytes(4_000_000)))
+
+        async def scenario(daemon, store, target):
+            store.put("op/config", DOCUMENT)
+            await wait_until(daemon.ready)
+            caller = await daemon.caller()
+            raw = caller.stream.extra(anyio.abc.SocketAttribute.raw_socket)
+            raw.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+            await caller.send()
+            while not target.received:
+                await anyio.sleep(0.02)
+            daemon.process.send_signal(signal.SIGTERM)
+            assert await daemon.wait_exit() == 0
+            *_, ended, done = daemon.lines()
+            assert (ended["event_name"], ended["code_name"]) == ("call_ended", "CUT_OFF")
+            begun = daemon.lines()[daemon.events().index("shutdown_begun")]
+            # The kernel breaks the connection after 5 s, and the call's deadline is as late.
+            assert seconds_between(begun, done) < 4.5
+
+        run_with_daemon(tmp_path, scenario, answer_much, grace_ms=3500)
+
     def test_calls_that_outlast_the_stop_are_answered(self, tmp_path):
         """One call is running, one waits in the queue, and two are pipelined behind the first."""
 
@@ -429,6 +459,11 @@
         assert next(iter(change)) in found.stderr and "Traceback" not in found.stderr
 
 
+def seconds_between(line, later_line):
+    first, second = (datetime.fromisoformat(found["time"]) for found in (line, later_line))
+    return (second - first).total_seconds()
+
+
 async def is_answered(client):
     try:
         return (await client.get("/readyz", 1.0)).status > 0
