Calls that a stop can't await get a last, honest answer

Callers saw: 0.3 s before the platform kills a gateway, calls under way lost their connection without an answer or a refusal, also those that waited in the queue; so did requests read behind another on the same connection, where that answer announced the close or ended while the gateway refuses. A repeated SIGTERM ended the process with status -15 while it exited. Cause: the end of the grace time cancelled the connections' tasks. Whether an answer announces the close was decided when its call began, before the next request could have been read. The signals had their default action again after the drain. Change: at that moment CallerTracker.end_calls cancels the forwarding of each call, and its task sends the last answer: 503 with Retry-After if no target may have run the call, else the failure that a target gave or 502; begun answers end incomplete as CUT_OFF. New calls are refused, so that nothing is sent afterwards. The close is announced with the head, if no request behind it was read. The stop's signals are received until the exit and ignored then.

--- a/guavawalk/connection/caller_answer.py
+++ b/guavawalk/connection/caller_answer.py
@@ -1,7 +1,7 @@
 """Writes the answer to one HTTP/1.1 request on its caller's connection."""
 
 import math
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 
 import anyio.lowlevel
 from anyio.abc import ByteStream
@@ -28,13 +28,19 @@
 class CallerAnswer:
     """Writer of one answer, either complete or in chunks.
 
+    Parameters
+    ----------
+    may_keep_alive : callable
+        Returns whether the connection may stay open after the answer; called when its head is sent.
+
     Attributes
     ----------
     keep_alive : bool
-        Whether the connection stays open for another request after a complete answer.
+        Whether the connection stays open for another request after a complete answer; it is known
+        from the head on.
     deadline_s : float
-        When the answer should have been sent, on the event loop's clock in seconds; infinite for no
-        limit.
+        When the answer should have been sent, on the event loop's clock in seconds; infinite for an
+        answer of which a cancellation ends the sending at once.
     has_begun : bool
         Whether a byte of the answer may have been sent.
     is_complete : bool
@@ -48,10 +54,11 @@
     deadline if the caller reads slowly. A cancellation ends the sending of other parts at once.
     """
 
-    def __init__(self, stream: ByteStream, keep_alive: bool) -> None:
+    def __init__(self, stream: ByteStream, may_keep_alive: Callable[[], bool]) -> None:
         self._stream = stream
+        self._may_keep_alive = may_keep_alive
         self._sending: anyio.CancelScope | None = None
-        self.keep_alive = keep_alive
+        self.keep_alive = True
         self.deadline_s = math.inf
         self.has_begun = False
         self.is_complete = False
@@ -95,11 +102,13 @@
             self._sending.cancel()
 
     def _with_close(self, headers: Sequence[Header]) -> Sequence[Header]:
+        self.keep_alive = self._may_keep_alive()
         return headers if self.keep_alive else (*headers, CLOSE)
 
     async def _send_last(self, data: bytes) -> None:
         until_s = max(self.deadline_s, anyio.current_time()) + SEND_MARGIN_S
-        with anyio.CancelScope(deadline=until_s, shield=True) as self._sending:
+        has_deadline = until_s < math.inf
+        with anyio.CancelScope(deadline=until_s, shield=has_deadline) as self._sending:
             await self._send(data)
             self.is_complete = True
         self._sending = None
--- a/guavawalk/connection/tasks/forward_call.py
+++ b/guavawalk/connection/tasks/forward_call.py
@@ -75,14 +75,19 @@
     """
     gateway.retries.record_request(call.service, call.arrived_s)
     answer.deadline_s = call.deadline_s
-    with anyio.CancelScope(deadline=call.deadline_s) as scope:
+    with (
+        anyio.CancelScope(deadline=call.deadline_s) as scope,
+        gateway.callers.forwarding(scope),
+    ):
         try:
             code = await _run_attempts(gateway, call, progress, answer)
         finally:
             if (unused := progress.pop_next_reservation()) is not None:
                 gateway.dispatcher.release(unused)
     if scope.cancelled_caught:
-        code = await _end_at_deadline(gateway, call, progress, answer)
+        has_stopped = gateway.callers.is_ending
+        end = _end_at_stop if has_stopped else _end_at_deadline
+        code = await end(gateway, call, progress, answer)
     _record_end(gateway, call, progress, answer, code)
 
 
@@ -179,6 +184,17 @@
     return await _answer_failure(gateway, call, progress, answer, error)
 
 
+async def _end_at_stop(
+    gateway: Gateway, call: Call, progress: Progress, answer: CallerAnswer
+) -> ResultCode:
+    if answer.has_begun:
+        progress.end_reason = "the process ends"
+        answer.keep_alive = False
+        return ResultCode.CUT_OFF
+    error = RequestError(ResultCode.DRAINING, retry_after_ms=0)
+    return await _answer_failure(gateway, call, progress, answer, error)
+
+
 def _record_end(
     gateway: Gateway, call: Call, progress: Progress, answer: CallerAnswer, code: ResultCode
 ) -> None:
--- a/guavawalk/connection/tasks/serve_caller.py
+++ b/guavawalk/connection/tasks/serve_caller.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from functools import partial
 from typing import TYPE_CHECKING
 
 import anyio.lowlevel
@@ -20,6 +21,7 @@
 from guavawalk.request.call import Call
 
 if TYPE_CHECKING:
+    from guavawalk.process.gateway.callers import CallerTracker
     from guavawalk.process.gateway.state import Gateway
 
 __all__ = ["serve_caller"]
@@ -59,10 +61,18 @@
     if request is None:
         return False
     with gateway.callers.call():
-        keep_alive = request.keep_alive and not gateway.callers.is_draining
-        answer = CallerAnswer(stream, keep_alive)
+        answer = CallerAnswer(stream, partial(_may_keep_alive, gateway.callers, request, reader))
         await _answer_request(gateway, request, reader, answer)
-    return answer.is_complete and answer.keep_alive and not gateway.callers.is_refusing
+    if not answer.is_complete or not answer.keep_alive:
+        return False
+    return reader.is_receiving() or not gateway.callers.is_refusing
+
+
+def _may_keep_alive(
+    callers: CallerTracker, request: ReceivedRequest, reader: RequestReader
+) -> bool:
+    # A request behind this one may have been read already, and gets no answer after a close.
+    return request.keep_alive and (not callers.is_draining or reader.is_receiving())
 
 
 async def _answer_request(
@@ -147,7 +157,7 @@
 async def _reject(gateway: Gateway, stream: ByteStream, error: HttpInvalid) -> None:
     gateway.metrics.count("requests_rejected_total", status=str(error.status))
     gateway.log.emit(events.CALL_REJECTED, status=error.status, reason=error.problem)
-    await CallerAnswer(stream, keep_alive=False).send_complete(error.status, ())
+    await CallerAnswer(stream, lambda: False).send_complete(error.status, ())
     with anyio.move_on_after(LINGER_S):
         try:
             await stream.send_eof()
--- a/guavawalk/connection/tasks/serve_probe.py
+++ b/guavawalk/connection/tasks/serve_probe.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from functools import partial
 from typing import NamedTuple
 
 import anyio
@@ -41,9 +42,9 @@
         while (request := await reader.next(PAGE_LIMITS)) is not None:
             create_page = pages.get(request.target.partition(b"?")[0])
             page = PageAnswer(NOT_FOUND_STATUS) if create_page is None else create_page()
-            answer = CallerAnswer(stream, request.keep_alive)
+            answer = CallerAnswer(stream, partial(bool, request.keep_alive))
             await answer.send_complete(page.status, (), page.body)
-            if not request.keep_alive:
+            if not answer.keep_alive:
                 break
     except (CallerGone, HttpInvalid, anyio.ClosedResourceError, OSError):
         # No error is answered: the client sees the closed connection and repeats its request.
--- a/guavawalk/process/gateway/callers.py
+++ b/guavawalk/process/gateway/callers.py
@@ -20,6 +20,8 @@
         Whether the process shuts down: answers announce that their connection closes.
     is_refusing : bool
         Whether new calls are refused, since they might not end before the process does.
+    is_ending : bool
+        Whether the calls under way are ended, since the process is about to be killed.
     calls : int
         Running calls.
     """
@@ -27,8 +29,10 @@
     def __init__(self) -> None:
         self.is_draining = False
         self.is_refusing = False
+        self.is_ending = False
         self.calls = 0
         self._streams: set[ByteStream] = set()
+        self._forwarding: set[anyio.CancelScope] = set()
         self._idle: dict[anyio.CancelScope, Callable[[], bool]] = {}
         self._changed = anyio.Event()
 
@@ -57,6 +61,15 @@
             self.calls -= 1
             self._notify()
 
+    @contextmanager
+    def forwarding(self, scope: anyio.CancelScope) -> Iterator[None]:
+        """Let `end_calls` cancel a scope, in which a call is forwarded to targets."""
+        self._forwarding.add(scope)
+        try:
+            yield
+        finally:
+            self._forwarding.remove(scope)
+
     @contextmanager
     def idle(self, is_receiving: Callable[[], bool]) -> Iterator[None]:
         """Mark a connection as waiting for its next request, so that `close_idle` ends the wait.
@@ -74,6 +87,12 @@
         finally:
             del self._idle[scope]
 
+    def end_calls(self) -> None:
+        """End the forwarding of all calls, and refuse new ones; each call is still answered."""
+        self.is_draining = self.is_refusing = self.is_ending = True
+        for scope in self._forwarding:
+            scope.cancel()
+
     def close_idle(self) -> None:
         """End the connections that wait for a request of which nothing has arrived."""
         for scope, is_receiving in self._idle.items():
--- a/guavawalk/process/gateway_daemon.py
+++ b/guavawalk/process/gateway_daemon.py
@@ -6,6 +6,8 @@
 import os
 import signal
 import sys
+from collections.abc import AsyncIterator, Iterator
+from contextlib import contextmanager
 from functools import partial
 from pathlib import Path
 
@@ -38,8 +40,10 @@
 NOTICE_S = 2.6
 # Time for which requests that are arriving when all calls have ended are awaited, in seconds.
 LAST_REQUESTS_S = 1.0
-# Time before the platform kills the process at which calls still running are aborted, in seconds.
+# Time before the platform kills the process at which calls still running are ended, in seconds.
 EXIT_BEFORE_KILL_S = 0.3
+# Longest time for their last answers, in seconds.
+LAST_ANSWERS_S = 0.15
 # Interval at which the settings file is checked for changes without a signal, in seconds.
 CHECK_SETTINGS_EVERY_S = 2.0
 # Time for which an invalid settings file is read again at the start, and the interval, in seconds.
@@ -88,21 +92,22 @@
     page_listeners = [
         (await _listen(address), pages) for address, pages in pages_by_address.items()
     ]
-    async with anyio.create_task_group() as tasks:
-        for name, task in permanent_tasks.items():
-            tasks.start_soon(run_restarting, log, name, task)
-        for listener, pages in page_listeners:
-            tasks.start_soon(serve_guarded, log, "page", listener, partial(serve_pages, pages))
-        tasks.start_soon(_serve_callers, gateway, callers_listener)
-        await _drain_on_signal(gateway)
-        left = gateway.callers.calls
-        tasks.cancel_scope.cancel()
-        # Ready answers are sent in spite of the cancellation. One that its caller doesn't read must
-        # not delay the exit.
-        await gateway.callers.reset_connections()
-    # The calls that were cut have logged their end by now.
-    log.emit(events.SHUTDOWN_DONE, left=left)
-    log.flush(STDOUT)
+    with _receive_stop_signals() as signals:
+        async with anyio.create_task_group() as tasks:
+            for name, task in permanent_tasks.items():
+                tasks.start_soon(run_restarting, log, name, task)
+            for listener, pages in page_listeners:
+                tasks.start_soon(serve_guarded, log, "page", listener, partial(serve_pages, pages))
+            tasks.start_soon(_serve_callers, gateway, callers_listener)
+            await anext(signals)
+            left = await _drain(gateway)
+            tasks.cancel_scope.cancel()
+            # Ready answers are sent in spite of the cancellation. One that its caller doesn't read
+            # must not delay the exit.
+            await gateway.callers.reset_connections()
+        # All calls have logged their end by now.
+        log.emit(events.SHUTDOWN_DONE, left=left)
+        log.flush(STDOUT)
     return 0
 
 
@@ -196,14 +201,26 @@
         return 0
 
 
-async def _drain_on_signal(gateway: Gateway) -> None:
-    """Wait for SIGTERM or SIGINT, then drain; further signals have no effect."""
+@contextmanager
+def _receive_stop_signals() -> Iterator[AsyncIterator[signal.Signals]]:
+    """Receive SIGTERM and SIGINT; after the block they, and SIGHUP, are ignored.
+
+    Their default action would end the process with an error while it exits.
+    """
     with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-        await anext(signals)
-        await _drain(gateway)
+        yield signals
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        signal.signal(number, signal.SIG_IGN)
+
 
+async def _drain(gateway: Gateway) -> int:
+    """End all calls before the platform kills the process.
 
-async def _drain(gateway: Gateway) -> None:
+    Returns
+    -------
+    int
+        Number of calls that were still running at the end and did not get their targets' answer.
+    """
     gateway.callers.is_draining = True
     gateway.log.emit(events.SHUTDOWN_BEGUN, running=gateway.callers.calls)
     drain_timeout_s = gateway.settings.grace_ms / 1000 - EXIT_BEFORE_KILL_S
@@ -217,6 +234,11 @@
         with anyio.move_on_after(LAST_REQUESTS_S):
             await gateway.callers.wait_for_connections()
         await gateway.callers.wait_for_calls()
+    left = gateway.callers.calls
+    gateway.callers.end_calls()
+    with anyio.move_on_after(LAST_ANSWERS_S):
+        await gateway.callers.wait_for_calls()
+    return left
 
 
 def main() -> None:
--- a/tests/connection/tasks/test_serve_caller_refusals.py
+++ b/tests/connection/tasks/test_serve_caller_refusals.py
@@ -10,6 +10,7 @@
 from soak.standins import (
     CHUNKED,
     StandInTarget,
+    answer_failure,
     answer_not_run,
     answer_plain,
     break_stream,
@@ -277,6 +278,55 @@
         assert first == 200 and b"Connection" not in first_headers
         assert second == (503 if is_refusing else 200) and headers[b"Connection"] == b"close"
 
+    def test_call_that_waits_is_not_sent_after_the_end_of_all_calls(self):
+        async def run():
+            gate = anyio.Event()
+
+            async def wait(target, stream, request):
+                await gate.wait()
+                await answer_plain(target, stream, request)
+
+            story, target = GatewayHarness(UNSAFE), StandInTarget(wait)
+            async with story.running(target, slots=1):
+                callers = [await story.caller() for _ in range(3)]
+                for sent, caller in enumerate(callers, 1):
+                    await caller.send(request_id=b"r%d" % sent)
+                    while story.gateway.callers.calls < sent or len(target.received) < min(sent, 2):
+                        await anyio.sleep(0.01)
+                story.gateway.callers.end_calls()
+                # Slots become free while the calls end.
+                gate.set()
+                answers = [await caller.answer() for caller in callers]
+                await anyio.sleep(0.1)
+            return answers, len(target.received), story.log.named("call_ended")
+
+        answers, received, ends = run_with_timeout(run)
+        assert [status for status, _, _ in answers] == [502, 502, 503] and received == 2
+        assert all(headers[b"Connection"] == b"close" for _, headers, _ in answers)
+        assert b"Retry-After" in answers[2][1]
+        assert sorted(end["code_name"] for end in ends) == ["DRAINING"] + 2 * ["OUTCOME_UNKNOWN"]
+
+    def test_call_gets_the_failure_of_its_first_target_at_the_end_of_all_calls(self):
+        async def run():
+            story = GatewayHarness(SAFE)
+            targets = []
+
+            async def fail_first(target, stream, request):
+                is_first = sum(len(target.received) for target in targets) == 1
+                await (answer_failure if is_first else stay_silent)(target, stream, request)
+
+            targets += [StandInTarget(fail_first) for _ in range(2)]
+            async with story.running(*targets):
+                caller = await story.caller()
+                await caller.send()
+                while not all(target.received for target in targets):
+                    await anyio.sleep(0.01)
+                story.gateway.callers.end_calls()
+                return await caller.answer()
+
+        status, headers, body = run_with_timeout(run)
+        assert (status, headers[b"Server-Stamp"], body) == (500, b"stamp", b"sorry")
+
     def test_calls_that_come_too_late_are_refused_and_those_under_way_end(self):
         async def run():
             gate = anyio.Event()
--- a/tests/process/test_gateway_daemon.py
+++ b/tests/process/test_gateway_daemon.py
@@ -325,6 +325,24 @@
 
         run_with_daemon(tmp_path, scenario, answer_much, grace_ms=3500)
 
+    def test_signals_until_the_exit_change_nothing(self, tmp_path):
+        async def scenario(daemon, store, target):
+            store.put("op/config", {**DOCUMENT, "routes": [{**ROUTE, "routeType": "unsafe"}]})
+            await wait_until(daemon.ready)
+            caller = await daemon.caller()
+            await caller.send()
+            while not target.received:
+                await anyio.sleep(0.02)
+            while daemon.process.poll() is None:
+                for number in (signal.SIGTERM, signal.SIGINT):
+                    daemon.process.send_signal(number)
+                await anyio.sleep(0.002)
+            assert daemon.process.returncode == 0
+            assert (await caller.answer())[0] == 502
+            assert daemon.events()[-2:] == ["call_ended", "shutdown_done"]
+
+        run_with_daemon(tmp_path, scenario, stay_silent, grace_ms=3500)
+
     def test_calls_that_outlast_the_stop_are_answered(self, tmp_path):
         """One call is running, one waits in the queue, and two are pipelined behind the first."""
 
