--- a/guavawalk/connection/tasks/call_progress.py
+++ b/guavawalk/connection/tasks/call_progress.py
@@ -46,6 +46,8 @@
     successor : TargetExchange, optional
         Exchange with another target whose answer has begun, so that the call goes on there; None if
         there is none.
+    end_reason : str
+        Name and text of the error that ended the call, for the log; empty if there is none.
     """
 
     def __init__(self) -> None:
@@ -56,6 +58,7 @@
         self.first_event_s = 0.0
         self.last_event_at_s = 0.0
         self.longest_pause_s = 0.0
+        self.end_reason = ""
         self.successor: TargetExchange | None = None
         # Number of targets that have got the call and did not state that they did not run it.
         self._possible_runs = 0
--- a/guavawalk/connection/tasks/serve_caller.py
+++ b/guavawalk/connection/tasks/serve_caller.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
+from functools import partial
 from typing import TYPE_CHECKING
 
-import anyio
+import anyio.lowlevel
 from anyio.abc import ByteStream
 
 from guavawalk import events
@@ -13,13 +14,14 @@
 from guavawalk.connection.request_reader import ReceivedRequest, RequestReader
 from guavawalk.connection.streams import close_stream, enable_dead_peer_detection
 from guavawalk.connection.tasks.call_progress import Progress
-from guavawalk.connection.tasks.forward_call import forward_call, refuse_call
+from guavawalk.connection.tasks.forward_call import count_end, forward_call, refuse_call
 from guavawalk.exception import CallerGone, HttpInvalid, RequestError
 from guavawalk.platform.requests import decode_call
 from guavawalk.request.admission import admit_call
 from guavawalk.request.call import Call
 
 if TYPE_CHECKING:
+    from guavawalk.process.gateway.callers import CallerTracker
     from guavawalk.process.gateway.state import Gateway
 
 __all__ = ["serve_caller"]
@@ -39,7 +41,7 @@
     try:
         enable_dead_peer_detection(stream)
         reader = RequestReader(stream, gateway.routes.table.limits)
-        with gateway.callers.connection():
+        with gateway.callers.connection(stream):
             while await _serve_next(gateway, stream, reader):
                 pass
     except (CallerGone, OSError):
@@ -59,10 +61,18 @@
     if request is None:
         return False
     with gateway.callers.call():
-        keep_alive = request.keep_alive and not gateway.callers.is_draining
-        answer = CallerAnswer(stream, keep_alive)
+        answer = CallerAnswer(stream, partial(_may_keep_alive, gateway.callers, request, reader))
         await _answer_request(gateway, request, reader, answer)
-    return answer.is_complete and answer.keep_alive and not gateway.callers.is_refusing
+    if not answer.is_complete or not answer.keep_alive:
+        return False
+    return reader.is_receiving() or not gateway.callers.is_refusing
+
+
+def _may_keep_alive(
+    callers: CallerTracker, request: ReceivedRequest, reader: RequestReader
+) -> bool:
+    # A request behind this one may have been read already, and gets no answer after a close.
+    return request.keep_alive and (not callers.is_draining or reader.is_receiving())
 
 
 async def _answer_request(
@@ -108,13 +118,14 @@
 async def _forward_until_caller_leaves(
     gateway: Gateway, call: Call, reader: RequestReader, answer: CallerAnswer
 ) -> None:
-    caller_left = False
+    caller_left = has_ended = False
     progress = Progress()
 
     async def watch_caller(scope: anyio.CancelScope) -> None:
         nonlocal caller_left
         await reader.wait_closed()
         caller_left = True
+        answer.abandon()
         scope.cancel()
 
     try:
@@ -122,28 +133,31 @@
             tasks.start_soon(watch_caller, tasks.cancel_scope)
             try:
                 await forward_call(gateway, call, progress, answer)
-            except CallerGone:
+                has_ended = True
+            except CallerGone as error:
+                progress.end_reason = str(error)
                 caller_left = True
             tasks.cancel_scope.cancel()
+        # A process that ends closes the connections of callers that don't read.
+        await anyio.lowlevel.checkpoint_if_cancelled()
+    except anyio.get_cancelled_exc_class():
+        if not has_ended:
+            progress.end_reason = "the process ends"
+            count_end(gateway, call, progress, answer, ResultCode.CUT_OFF)
+        raise
     finally:
         if not progress.has_run:
             gateway.quotas.refund(call.workspace.name, _quota_amount(call), call.arrived_s)
     if caller_left and not answer.is_complete:
-        gateway.metrics.count("calls_total", code=ResultCode.CALLER_LEFT.name)
-        gateway.log.emit(
-            events.CALL_ENDED,
-            trace_id=call.fields.request_id,
-            code=int(ResultCode.CALLER_LEFT),
-            code_name=ResultCode.CALLER_LEFT.name,
-            after_ms=int((gateway.clock.now_s() - call.arrived_s) * 1000),
-        )
+        if not has_ended:
+            count_end(gateway, call, progress, answer, ResultCode.CALLER_LEFT)
         raise CallerGone(describe_code(ResultCode.CALLER_LEFT).message)
 
 
 async def _reject(gateway: Gateway, stream: ByteStream, error: HttpInvalid) -> None:
     gateway.metrics.count("requests_rejected_total", status=str(error.status))
     gateway.log.emit(events.CALL_REJECTED, status=error.status, reason=error.problem)
-    await CallerAnswer(stream, keep_alive=False).send_complete(error.status, ())
+    await CallerAnswer(stream, lambda: False).send_complete(error.status, ())
     with anyio.move_on_after(LINGER_S):
         try:
             await stream.send_eof()
--- a/guavawalk/process/gateway/callers.py
+++ b/guavawalk/process/gateway/callers.py
@@ -4,6 +4,9 @@
 from contextlib import contextmanager
 
 import anyio
+from anyio.abc import ByteStream
+
+from guavawalk.connection.streams import reset_stream
 
 __all__ = ["CallerTracker", "create_caller_tracker"]
 
@@ -17,28 +20,35 @@
         Whether the process shuts down: answers announce that their connection closes.
     is_refusing : bool
         Whether new calls are refused, since they might not end before the process does.
+    is_ending : bool
+        Whether the calls under way are ended, since the process is about to be killed.
     calls : int
         Running calls.
-    connections : int
-        Open connections of callers.
     """
 
     def __init__(self) -> None:
         self.is_draining = False
         self.is_refusing = False
+        self.is_ending = False
         self.calls = 0
-        self.connections = 0
+        self._streams: set[ByteStream] = set()
+        self._forwarding: set[anyio.CancelScope] = set()
         self._idle: dict[anyio.CancelScope, Callable[[], bool]] = {}
         self._changed = anyio.Event()
 
+    @property
+    def connections(self) -> int:
+        """Number of open connections of callers."""
+        return len(self._streams)
+
     @contextmanager
-    def connection(self) -> Iterator[None]:
+    def connection(self, stream: ByteStream) -> Iterator[None]:
         """Count a connection while it is open."""
-        self.connections += 1
+        self._streams.add(stream)
         try:
             yield
         finally:
-            self.connections -= 1
+            self._streams.remove(stream)
             self._notify()
 
     @contextmanager
@@ -51,6 +61,15 @@
             self.calls -= 1
             self._notify()
 
+    @contextmanager
+    def forwarding(self, scope: anyio.CancelScope) -> Iterator[None]:
+        """Let `end_calls` cancel a scope, in which a call is forwarded to targets."""
+        self._forwarding.add(scope)
+        try:
+            yield
+        finally:
+            self._forwarding.remove(scope)
+
     @contextmanager
     def idle(self, is_receiving: Callable[[], bool]) -> Iterator[None]:
         """Mark a connection as waiting for its next request, so that `close_idle` ends the wait.
@@ -68,6 +87,12 @@
         finally:
             del self._idle[scope]
 
+    def end_calls(self) -> None:
+        """End the forwarding of all calls, and refuse new ones; each call is still answered."""
+        self.is_draining = self.is_refusing = self.is_ending = True
+        for scope in self._forwarding:
+            scope.cancel()
+
     def close_idle(self) -> None:
         """End the connections that wait for a request of which nothing has arrived."""
         for scope, is_receiving in self._idle.items():
@@ -84,6 +109,11 @@
         while self.connections:
             await self._changed.wait()
 
+    async def reset_connections(self) -> None:
+        """Close the open connections at once; answers that callers are slow to read are lost."""
+        for stream in tuple(self._streams):
+            await reset_stream(stream)
+
     def _notify(self) -> None:
         self._changed.set()
         self._changed = anyio.Event()
--- a/tests/connection/tasks/test_serve_caller_refusals.py
+++ b/tests/connection/tasks/test_serve_caller_refusals.py
@@ -1,18 +1,35 @@
 import anyio
 import pytest
 
+from guavawalk.connection.http_encoding import (
+    LAST_CHUNK,
+    encode_chunk,
+    encode_response_head,
+)
 from guavawalk.version.routes import CallerLimits, Quota
 from soak.standins import (
+    CHUNKED,
     StandInTarget,
+    answer_failure,
     answer_not_run,
     answer_plain,
     break_stream,
     close_without_answer,
+    event,
+    signed_headers,
+    stay_silent,
 )
-from tests.gateway_calls import PLAN, SAFE, UNSAFE, make_table
+from tests.gateway_calls import PLAN, RESUMABLE, SAFE, UNSAFE, make_table
 from tests.gateway_standins import GatewayHarness, ask_once, run_with_timeout
 
 
+async def stay_silent_after_an_event(target, stream, request):
+    """Send the first event of a stream, then nothing until the gateway closes the connection."""
+    await stream.send(encode_response_head(200, signed_headers(request), CHUNKED))
+    await stream.send(encode_chunk(event(1)))
+    await stay_silent(target, stream, request)
+
+
 class TestRefusals:
     def assert_refused(self, status, code=None, table=None, **request):
         async def run():
@@ -133,6 +150,37 @@
         assert (ended["result"], ended["next"]) == ("lost", "break")
         assert (end["code_name"], end["events"], end["is_whole"]) == ("TARGET_LOST", 2, False)
 
+    @pytest.mark.parametrize(
+        ("scripts", "reason"),
+        [
+            ([break_stream], "NO_TARGET: no target may serve this now"),
+            ([break_stream, break_stream], ""),
+            ([stay_silent_after_an_event], "the deadline passed"),
+        ],
+    )
+    def test_reason_of_a_stream_that_broke_off_is_logged(self, scripts, reason):
+        story, _, answer = ask_once(RESUMABLE, *scripts)
+        end = self.chain(story)[-1][1]
+        assert answer is None and (end["code_name"], end["reason"]) == ("TARGET_LOST", reason)
+
+    @pytest.mark.parametrize("script", [stay_silent, stay_silent_after_an_event])
+    def test_call_that_a_stop_cuts_off_leaves_one_line(self, script):
+        async def run():
+            story, target = GatewayHarness(PLAN), StandInTarget(script)
+            async with story.running(target, service="model"):
+                caller = await story.caller()
+                await caller.send()
+                while not target.received:
+                    await anyio.sleep(0.01)
+                await anyio.sleep(0.05)
+            return story
+
+        story = run_with_timeout(run)
+        (end,) = story.log.named("call_ended")
+        assert (end["code_name"], end["is_whole"]) == ("CUT_OFF", False)
+        assert end["reason"] == "the process ends"
+        assert 'calls_total{code="CUT_OFF"} 1' in story.gateway.metrics.render()
+
     def test_unsafe_call_without_an_answer(self):
         story, _, _ = ask_once(UNSAFE, close_without_answer)
         (_, sent), (_, ended), (_, end) = self.chain(story)
@@ -192,6 +240,93 @@
 
         run_with_timeout(run)
 
+    @pytest.mark.parametrize("is_refusing", [False, True])
+    @pytest.mark.parametrize(
+        ("is_first_earlier", "is_begun"), [(False, False), (True, False), (True, True)]
+    )
+    def test_request_that_was_read_behind_another_is_answered(
+        self, is_refusing, is_first_earlier, is_begun
+    ):
+        async def run():
+            gate = anyio.Event()
+
+            async def stream_later(target, stream, request):
+                await stream.send(encode_response_head(200, signed_headers(request), CHUNKED))
+                if is_begun:
+                    await stream.send(encode_chunk(event(1)))
+                await gate.wait()
+                await stream.send(encode_chunk(event(2)) + LAST_CHUNK)
+
+            story = GatewayHarness(PLAN)
+            target = StandInTarget(stream_later)
+            async with story.running(target, service="model"):
+                caller = await story.caller()
+                story.gateway.callers.is_draining = not is_first_earlier
+                await caller.send(request_id=b"r1")
+                while not target.received:
+                    await anyio.sleep(0.01)
+                # The gateway reads the second request while the first runs.
+                await anyio.sleep(0.1)
+                story.gateway.callers.is_draining = True
+                story.gateway.callers.is_refusing = is_refusing
+                await caller.send(request_id=b"r2")
+                await anyio.sleep(0.1)
+                gate.set()
+                return [await caller.answer() for _ in range(2)]
+
+        (first, first_headers, _), (second, headers, _) = run_with_timeout(run)
+        assert first == 200 and b"Connection" not in first_headers
+        assert second == (503 if is_refusing else 200) and headers[b"Connection"] == b"close"
+
+    def test_call_that_waits_is_not_sent_after_the_end_of_all_calls(self):
+        async def run():
+            gate = anyio.Event()
+
+            async def wait(target, stream, request):
+                await gate.wait()
+                await answer_plain(target, stream, request)
+
+            story, target = GatewayHarness(UNSAFE), StandInTarget(wait)
+            async with story.running(target, slots=1):
+                callers = [await story.caller() for _ in range(3)]
+                for sent, caller in enumerate(callers, 1):
+                    await caller.send(request_id=b"r%d" % sent)
+                    while story.gateway.callers.calls < sent or len(target.received) < min(sent, 2):
+                        await anyio.sleep(0.01)
+                story.gateway.callers.end_calls()
+                # Slots become free while the calls end.
+                gate.set()
+                answers = [await caller.answer() for caller in callers]
+                await anyio.sleep(0.1)
+            return answers, len(target.received), story.log.named("call_ended")
+
+        answers, received, ends = run_with_timeout(run)
+        assert [status for status, _, _ in answers] == [502, 502, 503] and received == 2
+        assert all(headers[b"Connection"] == b"close" for _, headers, _ in answers)
+        assert b"Retry-After" in answers[2][1]
+        assert sorted(end["code_name"] for end in ends) == ["DRAINING"] + 2 * ["OUTCOME_UNKNOWN"]
+
+    def test_call_gets_the_failure_of_its_first_target_at_the_end_of_all_calls(self):
+        async def run():
+            story = GatewayHarness(SAFE)
+            targets = []
+
+            async def fail_first(target, stream, request):
+                is_first = sum(len(target.received) for target in targets) == 1
+                await (answer_failure if is_first else stay_silent)(target, stream, request)
+
+            targets += [StandInTarget(fail_first) for _ in range(2)]
+            async with story.running(*targets):
+                caller = await story.caller()
+                await caller.send()
+                while not all(target.received for target in targets):
+                    await anyio.sleep(0.01)
+                story.gateway.callers.end_calls()
+                return await caller.answer()
+
+        status, headers, body = run_with_timeout(run)
+        assert (status, headers[b"Server-Stamp"], body) == (500, b"stamp", b"sorry")
+
     def test_calls_that_come_too_late_are_refused_and_those_under_way_end(self):
         async def run():
             gate = anyio.Event()
--- a/tests/process/test_gateway_daemon.py
+++ b/tests/process/test_gateway_daemon.py
@@ -2,18 +2,35 @@
 import os
 import resource
 import signal
+import socket
 import subprocess
 import sys
 import threading
+from datetime import datetime
 
 import anyio
 import pytest
 
 from guavawalk.connection.http_client import create_http_client
+from guavawalk.connection.http_encoding import (
+    encode_chunk,
+    encode_response,
+    encode_response_head,
+)
 from guavawalk.exception import TargetError, TargetLost
 from guavawalk.process.gateway_daemon import run_gateway
 from soak.fleet import free_ports
-from soak.standins import Caller, StandInStore, StandInTarget, answer_plain, listen
+from soak.standins import (
+    CHUNKED,
+    Caller,
+    StandInStore,
+    StandInTarget,
+    answer_plain,
+    event,
+    listen,
+    signed_headers,
+    stay_silent,
+)
 from tests.gateway_standins import run_with_timeout
 from tests.platform.test_registrations import ROW
 
@@ -85,9 +102,12 @@
         host, port = self.callers.split(":")
         return Caller(await anyio.connect_tcp(host, int(port)))
 
-    def events(self):
+    def lines(self):
         lines = self.output.read_text().splitlines()
-        return [json.loads(line)["event_name"] for line in lines if line.startswith("{")]
+        return [json.loads(line) for line in lines if line.startswith("{")]
+
+    def events(self):
+        return [line["event_name"] for line in self.lines()]
 
     async def fail_on_error_exit(self):
         """Wait for the process to exit; fail if its exit code is not 0."""
@@ -217,6 +237,32 @@
 
         run_with_daemon(tmp_path, scenario, slow)
 
+    def test_stream_that_the_stop_cuts_off_is_logged_before_the_exit(self, tmp_path):
+        async def endless(target, stream, request):
+            await stream.send(encode_response_head(200, signed_headers(request), CHUNKED))
+            while True:
+                await stream.send(encode_chunk(event(1)))
+                await anyio.sleep(0.05)
+
+        async def scenario(daemon, store, target):
+            route = {**ROUTE, "routeType": "streaming", "timeoutMs": 20_000}
+            store.put("op/config", {**DOCUMENT, "routes": [route]})
+            await wait_until(daemon.ready)
+            caller = await daemon.caller()
+            await caller.send()
+            assert (await caller.reader.read_head()).status == 200
+            daemon.process.send_signal(signal.SIGTERM)
+            with pytest.raises(TargetLost):
+                while await caller.reader.read_part():
+                    pass
+            assert await daemon.wait_exit() == 0
+            *_, ended, done = daemon.lines()
+            assert (ended["event_name"], ended["code_name"]) == ("call_ended", "CUT_OFF")
+            assert not ended["is_whole"] and ended["status"] == 200
+            assert (done["event_name"], done["left"]) == ("shutdown_done", 1)
+
+        run_with_daemon(tmp_path, scenario, endless, grace_ms=3500)
+
     def test_requests_at_any_moment_of_a_stop_are_answered(self, tmp_path):
         async def ask_all(caller, statuses):
             """Send requests on one connection until the gateway announces that it closes."""
@@ -255,6 +301,90 @@
 
         run_with_daemon(tmp_path, scenario)
 
+    def test_caller_that_does_not_read_its_answer_does_not_delay_the_exit(self, tmp_path):
+        async def answer_much(target, stream, request):
+            await anyio.sleep(2.0)
+            await stream.send(encode_response(200, signed_headers(request), bytes(4_000_000)))
+
+        async def scenario(daemon, store, target):
+            store.put("op/config", DOCUMENT)
+            await wait_until(daemon.ready)
+            caller = await daemon.caller()
+            raw = caller.stream.extra(anyio.abc.SocketAttribute.raw_socket)
+            raw.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+            await caller.send()
+            while not target.received:
+                await anyio.sleep(0.02)
+            daemon.process.send_signal(signal.SIGTERM)
+            assert await daemon.wait_exit() == 0
+            *_, ended, done = daemon.lines()
+            assert (ended["event_name"], ended["code_name"]) == ("call_ended", "CUT_OFF")
+            begun = daemon.lines()[daemon.events().index("shutdown_begun")]
+            # The kernel breaks the connection after 5 s, and the call's deadline is as late.
+            assert seconds_between(begun, done) < 4.5
+
+        run_with_daemon(tmp_path, scenario, answer_much, grace_ms=3500)
+
+    def test_signals_until_the_exit_change_nothing(self, tmp_path):
+        async def scenario(daemon, store, target):
+            store.put("op/config", {**DOCUMENT, "routes": [{**ROUTE, "routeType": "unsafe"}]})
+            await wait_until(daemon.ready)
+            caller = await daemon.caller()
+            await caller.send()
+            while not target.received:
+                await anyio.sleep(0.02)
+            while daemon.process.poll() is None:
+                for number in (signal.SIGTERM, signal.SIGINT):
+                    daemon.process.send_signal(number)
+                await anyio.sleep(0.002)
+            assert daemon.process.returncode == 0
+            assert (await caller.answer())[0] == 502
+            assert daemon.events()[-2:] == ["call_ended", "shutdown_done"]
+
+        run_with_daemon(tmp_path, scenario, stay_silent, grace_ms=3500)
+
+    def test_calls_that_outlast_the_stop_are_answered(self, tmp_path):
+        """One call is running, one waits in the queue, and two are pipelined behind the first."""
+
+        async def scenario(daemon, store, target):
+            one_slot = {**ROW, "service": "desk", "address": target.address, "capacity": 1}
+            store.put("servers/i-1", one_slot)
+            store.put("op/config", {**DOCUMENT, "routes": [{**ROUTE, "routeType": "unsafe"}]})
+            await wait_until(daemon.ready)
+            running, other, waiting = [await daemon.caller() for _ in range(3)]
+            for number, caller in enumerate((running, other, running, running)):
+                await caller.send(body=b"a", request_id=b"r%d" % number)
+                while not target.received:
+                    await anyio.sleep(0.02)
+            while len(target.received) < 2:
+                await anyio.sleep(0.02)
+            daemon.process.send_signal(signal.SIGTERM)
+            await anyio.sleep(1.8)
+            await waiting.send(body=b"a", request_id=b"waiting")
+            answers = {
+                "other": await other.answer(),
+                "waiting": await waiting.answer(),
+                "running": await running.answer(),
+                "next": await running.answer(),
+                "last": await running.answer(),
+            }
+            assert await daemon.wait_exit() == 0
+            assert {name: answer[0] for name, answer in answers.items()} == {
+                "other": 502,
+                "waiting": 503,
+                "running": 502,
+                "next": 503,
+                "last": 503,
+            }
+            closing = [
+                name for name, (_, headers, _) in answers.items() if b"Connection" in headers
+            ]
+            assert closing == ["other", "waiting", "last"]
+            assert all(b"Retry-After" in answers[name][1] for name in ("waiting", "next", "last"))
+            assert len(target.received) == 2
+
+        run_with_daemon(tmp_path, scenario, stay_silent, grace_ms=3500)
+
     def test_lack_of_descriptors_ends_no_process(self, tmp_path):
         async def scenario(daemon, store, target):
             store.put("op/config", DOCUMENT)
@@ -347,6 +477,11 @@
         assert next(iter(change)) in found.stderr and "Traceback" not in found.stderr
 
 
+def seconds_between(line, later_line):
+    first, second = (datetime.fromisoformat(found["time"]) for found in (line, later_line))
+    return (second - first).total_seconds()
+
+
 async def is_answered(client):
     try:
         return (await client.get("/readyz", 1.0)).status > 0
