A gateway that stops refuses calls that would outlast it

What callers saw: streams that a gateway accepted up to 2.6 s after its SIGTERM and cut off in the middle at the end of the grace time.

Cause: during the notice, in which the load balancer still sends connections, calls were accepted however long they would run.

Change: while the process stops, a call is refused as not run, to be sent again at once, if its hinted length, at the speed of the target that it would be sent to, gives a risk over 0.2 that it is still running when calls are ended. Retries reach other gateways.

The new test with a hint of 100,000 tokens and 4 s left failed before (200) and passes now; a short answer is still served.

--- a/guavawalk/connection/tasks/serve_caller.py
+++ b/guavawalk/connection/tasks/serve_caller.py
@@ -32,6 +32,10 @@
 LINGER_S = 0.5
 LINGER_CHUNK_BYTES = 65_536
 
+# Risk, from 0 to 1, of being cut off by the end of the process above which a call is refused. The
+# caller of a refused call loses the time of a new connection, that of a cut one the whole answer.
+MAX_CUT_OFF_RISK = 0.2
+
 
 async def serve_caller(gateway: Gateway, stream: ByteStream) -> None:
     """Serve the requests of one connection one after another until it closes.
@@ -85,6 +89,10 @@
             raise RequestError(ResultCode.DRAINING, retry_after_ms=0)
         table = gateway.routes.table
         call = admit_call(table, fields, request.method, request.target, request.body, now_s)
+        if gateway.dispatcher.cut_off_risk(call, gateway.callers.ends_s) > MAX_CUT_OFF_RISK:
+            raise RequestError(
+                ResultCode.DRAINING, "it would not end before the process", retry_after_ms=0
+            )
         if gateway.suspects.is_blocked(call.fingerprint):
             raise RequestError(ResultCode.CRASH_SUSPECT)
         _admit_to_quota(gateway, call)
--- a/guavawalk/process/gateway/callers.py
+++ b/guavawalk/process/gateway/callers.py
@@ -1,5 +1,6 @@
 """Tracks the callers' connections of a gateway, and closes them when it shuts down."""
 
+import math
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 
@@ -22,6 +23,9 @@
         Whether new calls are refused, since they might not end before the process does.
     is_ending : bool
         Whether the calls under way are ended, since the process is about to be killed.
+    ends_s : float
+        When calls under way will be ended, on the process's monotonic clock; infinity until the
+        process shuts down.
     calls : int
         Running calls.
     """
@@ -30,6 +34,7 @@
         self.is_draining = False
         self.is_refusing = False
         self.is_ending = False
+        self.ends_s = math.inf
         self.calls = 0
         self._streams: set[ByteStream] = set()
         self._forwarding: set[anyio.CancelScope] = set()
--- a/guavawalk/process/gateway/dispatch.py
+++ b/guavawalk/process/gateway/dispatch.py
@@ -197,6 +197,34 @@
         snapshots = list(self._snapshots(call, tried_ids, now_s))
         return self._try_reserve(queue, _Waiter(call, tried_ids, True), snapshots, now_s)
 
+    def cut_off_risk(self, call: Call, ends_s: float) -> float:
+        """Return the risk, from 0 to 1, that a call sent now is still running at `ends_s`.
+
+        Parameters
+        ----------
+        ends_s : float
+            When this process ends, on its monotonic clock; infinity for no end.
+
+        Notes
+        -----
+        It is the risk at the target that would be chosen; 0 if there is none, if the caller gave no
+        hint of the answer's length, or if the call's deadline is earlier.
+        """
+        if call.deadline_s <= ends_s:
+            return 0.0
+        now_s = self._clock.now_s()
+        snapshots = list(self._snapshots(call, (), now_s))
+        choice = choose_target(call, self._local_data_centre, snapshots, now_s)
+        cut_off = call._replace(deadline_s=ends_s)
+        return max(
+            (
+                unfinished_share(cut_off, snapshot, now_s)
+                for snapshot in snapshots
+                if snapshot.target_id == choice.target_id
+            ),
+            default=0.0,
+        )
+
     def dispatch_ready(self, service: str) -> None:
         """Reserve free slots of a service's targets for waiting calls, the most urgent first."""
         queue = self._queues.get(service)
--- a/guavawalk/process/gateway_daemon.py
+++ b/guavawalk/process/gateway_daemon.py
@@ -224,6 +224,7 @@
     gateway.callers.is_draining = True
     gateway.log.emit(events.SHUTDOWN_BEGUN, running=gateway.callers.calls)
     drain_timeout_s = gateway.settings.grace_ms / 1000 - EXIT_BEFORE_KILL_S
+    gateway.callers.ends_s = gateway.clock.now_s() + drain_timeout_s
     with anyio.move_on_after(drain_timeout_s):
         await anyio.sleep(NOTICE_S)
         gateway.callers.is_refusing = True
--- a/tests/connection/tasks/test_serve_caller_refusals.py
+++ b/tests/connection/tasks/test_serve_caller_refusals.py
@@ -13,6 +13,7 @@
     answer_failure,
     answer_not_run,
     answer_plain,
+    answer_stream,
     break_stream,
     close_without_answer,
     event,
@@ -351,6 +352,24 @@
         assert refused[0] == 503 and refused[1][b"Connection"] == b"close"
         assert served[2] == b"served early"
 
+    @pytest.mark.parametrize(("hint", "status"), [(b"100000", 503), (b"5", 200)])
+    def test_long_answer_is_not_accepted_shortly_before_the_end(self, hint, status):
+        async def run():
+            route = PLAN._replace(timeout_s=15.0)
+            story = GatewayHarness(route)
+            target = StandInTarget(answer_stream)
+            async with story.running(target, service="model"):
+                callers = story.gateway.callers
+                callers.is_draining = True
+                callers.ends_s = story.gateway.clock.now_s() + 4.0
+                answer = await (await story.caller()).ask(headers=[(b"Length-Hint", hint)])
+            return answer, target.received
+
+        (found, headers, _), received = run_with_timeout(run)
+        assert found == status and headers[b"Connection"] == b"close"
+        assert len(received) == (status == 200)
+        assert status == 200 or float(headers[b"Retry-After"]) == 0
+
 
 def fingerprint_of(story, body):
     """Return the fingerprint of calls with this body."""
--- a/tests/process/gateway/test_dispatch.py
+++ b/tests/process/gateway/test_dispatch.py
@@ -272,3 +272,28 @@
             return [await fixture.dispatcher.reserve(fixture.call(), ()) for _ in range(2)]
 
         assert len(run_virtually(scenario)) == 2
+
+
+class TestCutOffRisk:
+    @pytest.mark.parametrize(
+        ("hinted_output_tokens", "left_s", "expected"),
+        [(0, 1.0, 0.0), (40, 5.0, 0.0), (40_000, 5.0, 1.0), (40_000, 60.0, 0.0)],
+    )
+    def test_follows_the_hinted_length_and_the_time_left(
+        self, hinted_output_tokens, left_s, expected
+    ):
+        async def scenario():
+            fixture = DispatchFixture()
+            call = fixture.call(hinted_output_tokens=hinted_output_tokens)
+            return fixture.dispatcher.cut_off_risk(call, anyio.current_time() + left_s)
+
+        assert run_virtually(scenario) == expected
+
+    def test_is_none_without_targets(self):
+        async def scenario():
+            fixture = DispatchFixture()
+            fixture.targets.remove("i-1", 0.0, has_lapsed=False)
+            call = fixture.call(hinted_output_tokens=40_000)
+            return fixture.dispatcher.cut_off_risk(call, anyio.current_time() + 1.0)
+
+        assert run_virtually(scenario) == 0.0
