Two targets share a stream for a quarter of a second at most, and whole answers count

One that broke off or sent a truncated, unsigned or failed answer ended the call although the silent target was sound. It has the call now once a plain answer has arrived completely, or an event of a stream has. - Both targets could work on one stream for as long as the other took to begin; the platform allows 0.4 s. A stream that the other target has not rejected 0.25 s after it was sent is taken as accepted, and the silent connection is closed. - A bad answer of the silent target (unsigned, truncated, an error, a rejection) cancelled the other request. Only a success does now. - A failure of the other target was dropped, and the caller got 502 or 504. It is kept, and given to the caller if nothing better comes by the deadline.

--- a/guavawalk/connection/tasks/attempt_call.py
+++ b/guavawalk/connection/tasks/attempt_call.py
@@ -9,10 +9,9 @@
 
 from guavawalk import events
 from guavawalk.connection.caller_answer import CallerAnswer
-from guavawalk.connection.response_reader import ResponseHead
-from guavawalk.connection.tasks.call_progress import FailedAnswer, Progress
+from guavawalk.connection.tasks.call_progress import Progress
 from guavawalk.connection.tasks.target_exchange import TargetExchange
-from guavawalk.exception import TargetConnectError, TargetLost
+from guavawalk.exception import TargetError
 from guavawalk.process.gateway.dispatch import Reservation
 from guavawalk.request.call import Call
 from guavawalk.request.engine_time import nominal_event_gap_s
@@ -46,11 +45,10 @@
     Parameters
     ----------
     exchange : TargetExchange
-        The exchange with the target where a slot is reserved. If its answer has begun, the call
-        goes on there.
+        The exchange with the target where a slot is reserved.
     progress : Progress
         State of the call over all its attempts; it is updated. After a `SILENT` attempt, and
-        perhaps a `LOST` one, its `successor` is the exchange with which the call goes on.
+        perhaps a failed one, its `successor` is the exchange with which the call goes on.
     answer : CallerAnswer
         Where the answer is written to.
 
@@ -92,58 +90,29 @@
         self._awaited_since_s = 0.0
 
     async def run(self) -> AttemptEnd:
-        """Send the call, unless its answer has begun, and forward the answer."""
+        """Send the call, unless that was done before, and forward the answer."""
         exchange = self._exchange
         try:
-            if exchange.head is None:
+            if not exchange.is_sent:
                 await exchange.send()
-                silence_limit_s = answer_silence_limit_s(
-                    self._call.route, self._progress.sent_count, exchange.choice.first_event_s
-                )
-                if await self._receive_unless_silent(exchange.read_head, silence_limit_s) is None:
-                    return AttemptEnd(
-                        AttemptResult.SILENT, "no answer from the target within the silence limit"
-                    )
-            return await self._forward_answer(exchange.head, exchange.fields)
-        except (TargetConnectError, TargetLost) as error:
-            return exchange.end_by(error)
-
-    async def _forward_answer(self, head: ResponseHead, fields: AnswerFields) -> AttemptEnd:
-        if fields.is_not_run:
-            return self._exchange.end_as_not_run()
-        if fields.status < 300 and self._call.route.kind is RouteKind.STREAM:
-            if not fields.is_stamped:
-                return AttemptEnd(AttemptResult.LOST, "the answer has no signature of the target")
-            return await self._forward_stream(head)
-        return await self._forward_buffered(fields)
-
-    async def _forward_buffered(self, fields: AnswerFields) -> AttemptEnd:
-        with self._gateway.buffers.answer() as buffered:
-            while part := await self._exchange.reader.read_part():
-                buffered.append(part)
-            return await self._finish_buffered(fields, bytes(buffered))
-
-    async def _finish_buffered(self, fields: AnswerFields, body: bytes) -> AttemptEnd:
-        if fields.status < 300:
-            if not fields.is_stamped or (fields.request_id != self._call.fields.request_id):
+            silence_limit_s = answer_silence_limit_s(
+                self._call.route, self._progress.sent_count, exchange.choice.first_event_s
+            )
+            fields = await self._receive_unless_silent(exchange.receive_answer, silence_limit_s)
+            if fields is None:
                 return AttemptEnd(
-                    AttemptResult.LOST,
-                    "the answer has no signature of the target, or not the id of the request",
+                    AttemptResult.SILENT, "no answer from the target within the silence limit"
                 )
+            if self._call.route.kind is RouteKind.STREAM:
+                return await self._forward_stream(fields)
             self._record_first_event()
-            await self._answer.send_complete(fields.status, fields.forwarded_headers, body)
+            await self._answer.send_complete(fields.status, fields.forwarded_headers, exchange.body)
             return AttemptEnd(AttemptResult.DELIVERED)
-        # A target that did not run the call normally states so in a header. Without that header,
-        # these statuses and answers without a signature leave open whether the call ran.
-        if not fields.is_stamped or fields.status in (408, 421, 429, 503):
-            return AttemptEnd(
-                AttemptResult.LOST, f"HTTP {fields.status} leaves open whether the call ran"
-            )
-        self._progress.failure = FailedAnswer(fields.status, fields.forwarded_headers, body)
-        return AttemptEnd(AttemptResult.FAILED, f"HTTP {fields.status}")
+        except TargetError as error:
+            return exchange.end_by(error)
 
-    async def _forward_stream(self, head: ResponseHead) -> AttemptEnd:
-        answer, stream, fields = self._answer, self._progress.stream, self._exchange.fields
+    async def _forward_stream(self, fields: AnswerFields) -> AttemptEnd:
+        answer, stream = self._answer, self._progress.stream
         # An event that broke off in the previous attempt is sent again as a whole in this one.
         stream.discard_partial()
         while True:
@@ -161,13 +130,13 @@
             if not complete_events:
                 break
             if not answer.has_begun:
-                await answer.begin(head.status, fields.forwarded_headers, complete_events)
+                await answer.begin(fields.status, fields.forwarded_headers, complete_events)
             else:
                 await answer.send_part(complete_events)
             self._record_events(stream.count - count)
         rest = stream.pop_partial()
         if not answer.has_begun:
-            await answer.begin(head.status, fields.forwarded_headers, rest)
+            await answer.begin(fields.status, fields.forwarded_headers, rest)
         elif rest:
             await answer.send_part(rest)
         await answer.finish()
@@ -180,7 +149,7 @@
         -----
         Bytes that complete no event, such as comments, are kept and don't end the wait.
         """
-        while part := await self._exchange.reader.read_part():
+        while part := await self._exchange.read_part():
             if complete_events := self._progress.stream.feed(part):
                 return complete_events
         return b""
@@ -220,8 +189,8 @@
 
         Notes
         -----
-        Whichever target answers first keeps the call. A silent target may be sound, and another one
-        may reject the call, so the connection to the silent one stays open until then.
+        A silent target may be sound, and another one may reject the call, so the connection to the
+        silent one stays open until the other has taken the call.
         """
         progress = self._progress
         self._awaited_since_s = self._gateway.clock.now_s()
@@ -247,55 +216,57 @@
         -------
         object or None
             The result of `receive`; the request to the other target is cancelled then. None if the
-            other target has begun to answer, and is the `successor`, or if it has not taken the
-            call.
+            other target has taken the call, and is the `successor`, or if it has not.
 
         Raises
         ------
-        TargetLost
-            If the connection to the silent target ends. The call may have a successor all the same.
+        TargetError
+            If the silent target fails. The call may have a successor all the same.
         """
-        progress, own_exchange = self._progress, self._exchange
+        progress = self._progress
         other = TargetExchange(self._gateway, self._call, reservation, progress)
         other_end: AttemptEnd | None = None
         received: T | None = None
-        error: TargetLost | None = None
+        error: TargetError | None = None
 
         async def receive_own(scope: anyio.CancelScope) -> None:
             nonlocal received, error
             try:
                 received = await receive()
-            except TargetLost as lost:
-                error = lost
-            # After an error or a failure the other target is still awaited.
-            if error is None and own_exchange.fields.status < 300:
+            except TargetError as found:
+                # The other target is still awaited.
+                error = found
+            else:
                 scope.cancel()
 
-        async def begin_other(scope: anyio.CancelScope) -> None:
+        async def send_to_other(scope: anyio.CancelScope) -> None:
             nonlocal other_end
             silence_limit_s = answer_silence_limit_s(
                 self._call.route, progress.sent_count + 1, other.choice.first_event_s
             )
             other_end = AttemptEnd(AttemptResult.SILENT, "the other target is silent too")
-            with anyio.move_on_after(silence_limit_s):
-                other_end = await other.begin()
+            try:
+                with anyio.move_on_after(silence_limit_s):
+                    await other.take_over()
+                    other_end = None
+            except TargetError as found:
+                other_end = other.end_by(found)
             scope.cancel()
 
         try:
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(receive_own, tasks.cancel_scope)
-                tasks.start_soon(begin_other, tasks.cancel_scope)
-            if received is not None and own_exchange.fields.status < 300:
+                tasks.start_soon(send_to_other, tasks.cancel_scope)
+            if received is not None:
                 other_end = AttemptEnd(AttemptResult.UNNEEDED)
-            if other_end is None:
-                received = None
+            elif other_end is None:
                 progress.successor = other
         finally:
             if progress.successor is not other:
                 await other.close()
         if other_end is not None:
             other.record_end(other_end)
-            other.log_end(other_end, "stay", may_retry=False)
+            other.log_end(other_end, "end" if error else "stay", may_retry=False)
         if error is not None:
             raise error
         return received
--- a/guavawalk/connection/tasks/call_progress.py
+++ b/guavawalk/connection/tasks/call_progress.py
@@ -44,8 +44,8 @@
     longest_pause_s : float
         Longest time between two receipts of events, in seconds; 0 before the second.
     successor : TargetExchange, optional
-        Exchange with another target whose answer has begun, so that the call goes on there; None if
-        there is none.
+        Exchange with another target that has taken the call, which goes on there; None if there is
+        none.
     end_reason : str
         Name and text of the error that ended the call, for the log; empty if there is none.
     """
--- a/guavawalk/connection/tasks/forward_call.py
+++ b/guavawalk/connection/tasks/forward_call.py
@@ -177,7 +177,7 @@
     if answer.has_begun:
         answer.keep_alive = False
         return ResultCode.TARGET_LOST
-    if progress.has_run:
+    if progress.has_run and progress.failure is None:
         await answer.send_complete(encode_status(ResultCode.LINK_LOST), ())
         return ResultCode.LINK_LOST
     error = RequestError(ResultCode.DEADLINE_UNREACHABLE)
--- a/guavawalk/connection/tasks/target_exchange.py
+++ b/guavawalk/connection/tasks/target_exchange.py
@@ -1,27 +1,36 @@
-"""One request at one target: its connection, from the sending to the head of the answer."""
+"""One request at one target: its connection, from the sending until the answer can be forwarded."""
 
 from __future__ import annotations
 
+from contextlib import ExitStack
 from typing import TYPE_CHECKING
 
 import anyio
 
 from guavawalk import events
 from guavawalk.connection.http_encoding import encode_request
-from guavawalk.connection.response_reader import ResponseHead, ResponseReader
+from guavawalk.connection.response_reader import ResponseReader
 from guavawalk.connection.streams import STREAM_ERRORS
-from guavawalk.exception import AnswerOverLimit, TargetConnectError, TargetLost
+from guavawalk.connection.tasks.call_progress import FailedAnswer, Progress
+from guavawalk.exception import (
+    AnswerOverLimit,
+    TargetConnectError,
+    TargetError,
+    TargetFailed,
+    TargetLost,
+    TargetRejected,
+)
 from guavawalk.platform.requests import decode_answer, encode_target_headers, is_misdirected
 from guavawalk.process.gateway.connect_failure import record_connect_failure
 from guavawalk.process.gateway.connections import TargetConnection
 from guavawalk.process.gateway.dispatch import Reservation
 from guavawalk.request.call import Call
+from guavawalk.request.event_stream import EVENT_END, MAX_EVENT_BYTES
 from guavawalk.request.repeat import AttemptEnd, AttemptResult
 from guavawalk.request.target_answer import AnswerFields
 from guavawalk.version.routes import RouteKind
 
 if TYPE_CHECKING:
-    from guavawalk.connection.tasks.call_progress import Progress
     from guavawalk.process.gateway.state import Gateway
 
 __all__ = ["TargetExchange"]
@@ -37,6 +46,9 @@
 # Largest body of an answer to another request that is skipped, in bytes; a larger one isn't worth
 # reading to reach the answer behind it.
 MAX_SURPLUS_BYTES = 65_536
+# Longest time for which two targets may have one stream, in seconds. A full target rejects a
+# request within a round trip; the platform allows two to work on a stream for 0.4 s.
+MAX_OVERLAP_S = 0.25
 
 
 class TargetExchange:
@@ -49,10 +61,8 @@
 
     Attributes
     ----------
-    head : ResponseHead, optional
-        Head of the answer; None before it has arrived.
     fields : AnswerFields, optional
-        The decoded head; None before it has arrived.
+        Decoded head of the answer; None before it has arrived.
     """
 
     def __init__(
@@ -61,21 +71,34 @@
         self.choice = reservation.choice
         self.target = reservation.target
         self.running_call = reservation.running
-        self.head: ResponseHead | None = None
         self.fields: AnswerFields | None = None
         self._gateway = gateway
         self._call = call
         self._reservation = reservation
         self._progress = progress
         self._connection: TargetConnection | None = None
+        self._resources = ExitStack()
+        self._buffered = self._resources.enter_context(gateway.buffers.answer())
+        # Bytes of a stream that were received before it is forwarded.
+        self._early = b""
         # Whether an answer to another request arrived on the connection.
         self._has_surplus = False
 
+    @property
+    def is_sent(self) -> bool:
+        """Whether the request has been sent, at least in part."""
+        return self._connection is not None
+
     @property
     def reader(self) -> ResponseReader:
         """Reader of the answer; the request must have been sent."""
         return self._connection.reader
 
+    @property
+    def body(self) -> bytes:
+        """Body of an answer that has arrived completely; empty for a stream."""
+        return bytes(self._buffered)
+
     async def send(self) -> None:
         """Connect to the target and send the request.
 
@@ -125,21 +148,55 @@
             # all the same. If there is none, reading it fails.
             gateway.metrics.count("sends_broken_total")
 
-    async def read_head(self) -> ResponseHead:
-        """Return the head of the answer to this request, skipping answers to other requests.
+    async def receive_answer(self) -> AnswerFields:
+        """Receive the answer until it can be forwarded; return its head.
+
+        A stream can be from its head on, another answer once it has arrived completely and is a
+        success. A cancelled call loses nothing that has arrived; the next one goes on.
 
         Raises
         ------
         TargetLost
-            If the connection ends first, or carries only answers to other requests.
+            If the connection ends first, or the answer doesn't prove that it is the target's own.
+        TargetRejected, TargetFailed
+            If the answer is no success.
         """
+        if self.fields is None:
+            self.fields = await self._read_own_head()
+        fields = self.fields
+        if fields.is_not_run:
+            is_other_target = is_misdirected(fields.status)
+            problem = "another target answers at the address"
+            raise TargetRejected(
+                problem if is_other_target else f"HTTP {fields.status}", is_other_target
+            )
+        is_success = fields.status < 300
+        if is_success and self._call.route.kind is RouteKind.STREAM:
+            if not fields.is_stamped:
+                raise TargetLost("the answer has no signature of the target")
+            return fields
+        while part := await self.reader.read_part():
+            self._buffered.append(part)
+        if is_success:
+            if not fields.is_stamped or fields.request_id != self._call.fields.request_id:
+                raise TargetLost(
+                    "the answer has no signature of the target, or not the id of the request"
+                )
+            return fields
+        # A target that did not run the call normally states so in a header. Without that header,
+        # these statuses and answers without a signature leave open whether the call ran.
+        if not fields.is_stamped or fields.status in (408, 421, 429, 503):
+            raise TargetLost(f"HTTP {fields.status} leaves open whether the call ran")
+        self._progress.failure = FailedAnswer(fields.status, fields.forwarded_headers, self.body)
+        raise TargetFailed(f"HTTP {fields.status}")
+
+    async def _read_own_head(self) -> AnswerFields:
+        """Return the head of the answer to this request, skipping answers to other requests."""
         for _ in range(MAX_SURPLUS_ANSWERS):
-            head = await self.reader.read_head()
-            fields = decode_answer(head)
+            fields = decode_answer(await self.reader.read_head())
             if self._is_own(fields):
-                self.head, self.fields = head, fields
                 self.target.record_answer_start(self._gateway.clock.now_s())
-                return head
+                return fields
             self._gateway.metrics.count("surplus_answers_total")
             self._has_surplus = True
             await self.reader.read_body(MAX_SURPLUS_BYTES)
@@ -153,43 +210,53 @@
             return not self._connection.is_reused or fields.is_not_run
         return fields.request_id == self._call.fields.request_id
 
-    async def begin(self) -> AttemptEnd | None:
-        """Send the request and wait for the head of a successful answer.
+    async def take_over(self) -> None:
+        """Send the request while another target is silent, until this one has taken the call.
+
+        It has once its answer can be forwarded: a stream once an event is complete. It is also
+        taken to have a stream that it has not rejected within `MAX_OVERLAP_S`.
 
-        Returns
-        -------
-        AttemptEnd or None
-            How the attempt ended without such a head, to be recorded by `record_end`; None if the
-            answer has begun.
+        Raises
+        ------
+        TargetError
+            If the target accepts no connection, or as `receive_answer` does.
         """
-        try:
-            await self.send()
-            await self.read_head()
-        except (TargetConnectError, TargetLost) as error:
-            return self.end_by(error)
-        if self.fields.is_not_run:
-            return self.end_as_not_run()
-        if self.fields.status >= 300:
-            return AttemptEnd(AttemptResult.FAILED, f"HTTP {self.fields.status}")
-        if not self.fields.is_stamped:
-            return AttemptEnd(AttemptResult.LOST, "the answer has no signature of the target")
-        return None
-
-    def end_by(self, error: TargetConnectError | TargetLost) -> AttemptEnd:
-        """Return the end of an attempt that an error of the connection or the answer ended."""
-        if isinstance(error, TargetConnectError):
-            return AttemptEnd(AttemptResult.UNREACHED, str(error))
+        await self.send()
+        if self._call.route.kind is not RouteKind.STREAM:
+            await self.receive_answer()
+            return
+        with anyio.move_on_after(MAX_OVERLAP_S):
+            await self.receive_answer()
+            while EVENT_END not in self._early and len(self._early) <= MAX_EVENT_BYTES:
+                part = await self.reader.read_part()
+                if not part:
+                    break
+                self._early += part
+
+    async def read_part(self) -> bytes:
+        """Return the next bytes of a stream, waiting for some; empty at its end."""
+        if self._early:
+            early, self._early = self._early, b""
+            return early
+        return await self.reader.read_part()
+
+    def end_by(self, error: TargetError) -> AttemptEnd:
+        """Return the end of an attempt that an error ended; called once for the exchange."""
+        match error:
+            case TargetConnectError():
+                result = AttemptResult.UNREACHED
+            case TargetRejected():
+                self._progress.record_not_run(is_counted=not error.is_misdirected)
+                result = AttemptResult.NOT_RUN
+                if error.is_misdirected:
+                    result = AttemptResult.MISDIRECTED
+            case TargetFailed():
+                result = AttemptResult.FAILED
+            case _:
+                result = AttemptResult.LOST
         if isinstance(error, AnswerOverLimit):
             self._gateway.metrics.count("answers_over_limit_total")
-        return AttemptEnd(AttemptResult.LOST, str(error))
-
-    def end_as_not_run(self) -> AttemptEnd:
-        """Return the end of an attempt after the target stated that it did not run the call."""
-        is_other_target = is_misdirected(self.fields.status)
-        self._progress.record_not_run(is_counted=not is_other_target)
-        if is_other_target:
-            return AttemptEnd(AttemptResult.MISDIRECTED, "another target answers at the address")
-        return AttemptEnd(AttemptResult.NOT_RUN, f"HTTP {self.fields.status}")
+        return AttemptEnd(result, str(error))
 
     def record_end(self, end: AttemptEnd) -> None:
         """Record what the end of an attempt shows about the target."""
@@ -229,6 +296,7 @@
     async def close(self) -> None:
         """Pool or close the connection and release the slot, even if the task is cancelled."""
         try:
+            self._resources.close()
             with anyio.CancelScope(shield=True):
                 await self._release_connection()
         finally:
--- a/guavawalk/exception.py
+++ b/guavawalk/exception.py
@@ -194,5 +194,23 @@
     """No complete answer arrived on the connection to the target; the request may have run."""
 
 
+class TargetRejected(TargetError):
+    """The target stated that it did not run the request and won't.
+
+    Parameters
+    ----------
+    is_misdirected : bool
+        Whether another target than the expected one is at the address.
+    """
+
+    def __init__(self, problem: str, is_misdirected: bool) -> None:
+        super().__init__(problem)
+        self.is_misdirected = is_misdirected
+
+
+class TargetFailed(TargetError):
+    """The target ran the request and answered with an error of its own."""
+
+
 class AnswerOverLimit(TargetLost):
     """An answer exceeds a limit of its head, framing, events or body; the request may have run."""
--- a/guavawalk/process/observe/names.py
+++ b/guavawalk/process/observe/names.py
@@ -70,7 +70,8 @@
         "repeats_total{result}",
         "count",
         "gateway",
-        "further attempts, by the result of the attempt before",
+        "further attempts, by the result of the attempt before; `SILENT` where the call went on at"
+        " another target",
     ),
     MetricName(
         "surplus_answers_total",
--- a/guavawalk/request/__init__.py
+++ b/guavawalk/request/__init__.py
@@ -10,7 +10,7 @@
     "call": ["Call", "CallFields", "PromptPart"],
     "cost": ["OUTPUT_TOKEN_COST", "offer_cost_tokens"],
     "engine_time": ["nominal_event_gap_s", "nominal_first_event_s", "nominal_prefill_s"],
-    "event_stream": ["EventStream"],
+    "event_stream": ["EVENT_END", "MAX_EVENT_BYTES", "EventStream"],
     "expected_cost": [
         "CostEstimate",
         "ExpectedCost",
--- a/guavawalk/request/event_stream.py
+++ b/guavawalk/request/event_stream.py
@@ -2,7 +2,7 @@
 
 from guavawalk.exception import AnswerOverLimit
 
-__all__ = ["EventStream"]
+__all__ = ["EVENT_END", "MAX_EVENT_BYTES", "EventStream"]
 
 # End of an event. Streams with CR or CRLF line ends are not split.
 EVENT_END = b"\n\n"
