Resumed streams wait for a slot together, and for a target to register

What callers saw: where a target leaves with several streams, all but the first of them break off at once, though slots become free within the time that they may wait; and a stream whose only other target registers a moment later breaks off too.

Cause: a call is refused if more calls wait before it than left the queue in the last second. None leaves while all slots are taken by running streams, so one resumed stream ahead was enough. Without any target a call was refused at once as NO_TARGET.

Change: both refusals are for calls that have not begun; a resumed stream is refused after its longest wait only. Both new tests failed before (two of three refused after 0 s; NO_TARGET after 0 s) and pass now.

--- a/guavawalk/process/gateway/dispatch.py
+++ b/guavawalk/process/gateway/dispatch.py
@@ -165,14 +165,17 @@
         ------
         RequestError
             `NO_TARGET` if no target may serve the call; `QUEUE_FULL` if no slot is expected to
-            become free within the longest wait, or none did.
+            become free within the longest wait, or none did. A resumed call is refused only after
+            the longest wait.
         """
         queue = self._queues.setdefault(call.service, _ServiceQueue())
         now_s = self._clock.now_s()
         snapshots = list(self._snapshots(call, tried_ids, now_s))
-        waiter = _Waiter(
-            call, tried_ids, is_resumed, self._best_first_event_s(call, snapshots, now_s)
-        )
+        # Where a stream's target leaves, the one that replaces it may register any moment.
+        first_event_s = 0.0
+        if snapshots or not is_resumed:
+            first_event_s = self._best_first_event_s(call, snapshots, now_s)
+        waiter = _Waiter(call, tried_ids, is_resumed, first_event_s)
         ahead = self._count_ahead(queue, waiter, now_s)
         if not ahead:
             reservation = self._try_reserve(queue, waiter, snapshots, now_s)
@@ -180,7 +183,8 @@
                 return reservation
         max_wait_s = _max_wait_s(call, is_resumed, now_s)
         rate = queue.departure_rate(now_s)
-        if max_wait_s <= 0.0 or (ahead and ahead > rate * max_wait_s):
+        is_hopeless = bool(ahead) and not is_resumed and ahead > rate * max_wait_s
+        if max_wait_s <= 0.0 or is_hopeless:
             raise self._refusal(queue, now_s)
         return await self._wait(queue, waiter, max_wait_s)
 
--- a/tests/process/gateway/test_dispatch.py
+++ b/tests/process/gateway/test_dispatch.py
@@ -128,6 +128,35 @@
 
         assert run_virtually(scenario) == ["resumed"]
 
+    def test_resumed_streams_wait_together_while_nothing_leaves_the_queue(self):
+        async def scenario():
+            fixture = DispatchFixture()
+            calls = [fixture.call() for _ in range(3)]
+            taken = await fixture.fill()
+            await anyio.sleep(3.0)
+            async with anyio.create_task_group() as tasks:
+                for call in calls:
+                    tasks.start_soon(fixture.run_call, "resumed", call, True)
+                await anyio.sleep(0.5)
+                for reservation in taken:
+                    fixture.dispatcher.release(reservation)
+            return fixture.order
+
+        assert run_virtually(scenario) == ["resumed"] * 3
+
+    def test_resumed_stream_waits_for_a_target_to_register(self):
+        async def scenario():
+            fixture = DispatchFixture()
+            fixture.targets.remove("i-1", 0.0, has_lapsed=False)
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(fixture.run_call, "resumed", fixture.call(), True)
+                await anyio.sleep(0.3)
+                fixture.targets.put(make_registration("i-2", "model"))
+                fixture.dispatcher.dispatch_all()
+            return fixture.order
+
+        assert run_virtually(scenario) == ["resumed"]
+
     def test_resumed_stream_is_refused_at_its_deadline(self):
         async def scenario():
             fixture = DispatchFixture()
