A lack of file descriptors for a target's connection refuses the call

What callers saw: the connection closed without an answer or a refusal, and a paused stream broken off, while the gateway had no file descriptor left for a connection to a target.

Cause: the socket was created outside the part of open_stream that turns errors of the system into TargetConnectError, so the error ended the task of the caller's connection.

Both cases of TestLackOfDescriptors failed before (no answer) and pass now: the paused stream stays where it is, a call that was not sent gets 503.

--- a/guavawalk/connection/streams.py
+++ b/guavawalk/connection/streams.py
@@ -52,10 +52,14 @@
     Raises
     ------
     TargetConnectError
-        If no connection is made within `timeout_s`; nothing has been sent then.
+        If no connection is made within `timeout_s`, or no file descriptor is left; nothing has been
+        sent then.
     """
     host, port = split_address(address)
-    raw = socket.socket(socket.AF_INET6 if ":" in host else socket.AF_INET)
+    try:
+        raw = socket.socket(socket.AF_INET6 if ":" in host else socket.AF_INET)
+    except OSError as error:
+        raise TargetConnectError(f"{address}: {error.strerror}") from error
     try:
         await _connect(raw, host, port, timeout_s)
         stream = await SocketStream.from_socket(raw)
--- a/tests/connection/tasks/test_serve_caller.py
+++ b/tests/connection/tasks/test_serve_caller.py
@@ -1,10 +1,13 @@
+import errno
 import socket
 from functools import partial
+from types import SimpleNamespace
 
 import anyio
 import pytest
 from anyio.abc import SocketAttribute
 
+from guavawalk.connection import streams
 from guavawalk.connection.caller_answer import CallerAnswer
 from guavawalk.connection.http_encoding import (
     LAST_CHUNK,
@@ -442,6 +445,43 @@
         assert not end["is_whole"] and end["after_ms"] < 2500
 
 
+class TestLackOfDescriptors:
+    def refuse_sockets(self, monkeypatch, after):
+        """Let the gateway open `after` sockets to targets, and none after that."""
+        opened = []
+
+        def open_or_fail(*args):
+            opened.append(args)
+            if len(opened) > after:
+                raise OSError(errno.EMFILE, "too many open files")
+            return socket.socket(*args)
+
+        module = SimpleNamespace(**{**vars(socket), "socket": open_or_fail})
+        monkeypatch.setattr(streams, "socket", module)
+
+    def test_paused_stream_is_not_lost(self, monkeypatch):
+        async def run():
+            harness = GatewayHarness(RESUMABLE)
+            targets = [StandInTarget(pause_stream) for _ in range(2)]
+            async with harness.running(*targets, service="model"):
+                caller = await harness.caller()
+                self.refuse_sockets(monkeypatch, after=1)
+                return await caller.ask()
+
+        answer = run_with_timeout(run)
+        assert answer[::2] == (200, b"".join(map(event, range(1, 6))))
+
+    def test_call_is_refused_as_not_run(self, monkeypatch):
+        async def run():
+            harness = GatewayHarness(SAFE)
+            async with harness.running(StandInTarget(answer_plain)):
+                caller = await harness.caller()
+                self.refuse_sockets(monkeypatch, after=0)
+                return await caller.ask()
+
+        assert run_with_timeout(run)[0] == 503
+
+
 class TestForwarding:
     def test_request_and_answer_pass_unchanged(self):
         _, (target,), (status, headers, body) = ask_once(
