An unexpected error while a call is forwarded leaves no caller without an answer

What callers saw: after any error that the code doesn't foresee, the connection closed without an answer or a refusal, and the log named no request.

Cause: the error ended the task of the connection; only that was logged.

Change: the call ends as after any failure: 503 if no target may have run it, 502 if one may have, a begun answer as incomplete. task_failed has the request's id.

Both cases of TestUnexpectedErrors failed before (no answer) and pass now.

--- a/guavawalk/connection/tasks/forward_call.py
+++ b/guavawalk/connection/tasks/forward_call.py
@@ -12,8 +12,9 @@
 from guavawalk.connection.tasks.attempt_call import attempt_call
 from guavawalk.connection.tasks.call_progress import Progress
 from guavawalk.connection.tasks.target_exchange import TargetExchange
-from guavawalk.exception import RequestError
+from guavawalk.exception import CallerGone, RequestError
 from guavawalk.platform.requests import encode_retry_after, encode_status
+from guavawalk.process.supervise import log_failure
 from guavawalk.request.call import Call
 from guavawalk.request.repeat import AttemptResult, StepKind, decide_next
 
@@ -67,7 +68,8 @@
 ) -> None:
     """Attempt a call at targets until one has answered it, it fails, or its deadline passes.
 
-    The outcome is written to `answer`, logged and counted.
+    The outcome is written to `answer`, logged and counted. So is an unexpected error, after which
+    the caller is answered all the same.
 
     Raises
     ------
@@ -82,6 +84,12 @@
     ):
         try:
             code = await _run_attempts(gateway, call, progress, answer)
+        except CallerGone:
+            raise
+        except Exception as error:
+            log_failure(gateway.log, "call", error, trace_id=call.fields.request_id)
+            failure = RequestError(ResultCode.INTERNAL_ERROR)
+            code = await _answer_failure(gateway, call, progress, answer, failure)
         finally:
             if (unused := progress.pop_successor()) is not None:
                 await unused.close()
--- a/guavawalk/process/supervise.py
+++ b/guavawalk/process/supervise.py
@@ -9,7 +9,7 @@
 from guavawalk import events
 from guavawalk.process.observe.log import EventLog
 
-__all__ = ["run_guarded", "run_restarting", "serve_guarded"]
+__all__ = ["log_failure", "run_guarded", "run_restarting", "serve_guarded"]
 
 # Delay before a failed task is restarted, in seconds.
 RESTART_DELAY_S = 0.2
@@ -23,12 +23,18 @@
     try:
         await task()
     except Exception as error:
-        log.emit(
-            events.TASK_FAILED,
-            task=name,
-            reason=f"{type(error).__name__}: {error}",
-            trace=traceback.format_exc(limit=-4)[-1500:],
-        )
+        log_failure(log, name, error)
+
+
+def log_failure(log: EventLog, name: str, error: Exception, **fields: str) -> None:
+    """Log an unexpected error, which is being handled, under `name` with further fields."""
+    log.emit(
+        events.TASK_FAILED,
+        task=name,
+        reason=f"{type(error).__name__}: {error}",
+        trace=traceback.format_exc(limit=-4)[-1500:],
+        **fields,
+    )
 
 
 async def run_restarting(log: EventLog, name: str, task: Callable[[], Awaitable[None]]) -> None:
--- a/tests/connection/tasks/test_serve_caller.py
+++ b/tests/connection/tasks/test_serve_caller.py
@@ -16,6 +16,7 @@
     encode_response_head,
 )
 from guavawalk.connection.request_reader import RequestReader
+from guavawalk.connection.tasks.target_exchange import TargetExchange
 from guavawalk.exception import TargetLost
 from soak.standins import (
     CHUNKED,
@@ -482,6 +483,26 @@
         assert run_with_timeout(run)[0] == 503
 
 
+class TestUnexpectedErrors:
+    @pytest.mark.parametrize(("method", "status"), [("send", 503), ("receive_answer", 502)])
+    def test_call_gets_an_answer(self, monkeypatch, method, status):
+        async def fail(exchange):
+            raise ValueError("a fault of the gateway")
+
+        async def run():
+            harness = GatewayHarness(SAFE)
+            async with harness.running(StandInTarget(answer_plain)):
+                caller = await harness.caller()
+                monkeypatch.setattr(TargetExchange, method, fail)
+                answer = await caller.ask()
+            return harness, answer
+
+        harness, answer = run_with_timeout(run)
+        assert answer[0] == status
+        assert harness.log.named("task_failed")[0]["trace_id"] == "r1"
+        assert [target.running for target in harness.gateway.targets] == [0]
+
+
 class TestForwarding:
     def test_request_and_answer_pass_unchanged(self):
         _, (target,), (status, headers, body) = ask_once(
