The end of a resumed stream's wait says whether there was a target

Since resumed streams wait without a target too, the reason in call_ended was a full queue, or the deadline. It is NO_TARGET again where none is registered at the end, and the wait ends shortly before the deadline so that the log has it.

--- a/guavawalk/process/gateway/dispatch.py
+++ b/guavawalk/process/gateway/dispatch.py
@@ -46,6 +46,8 @@
 # Longest wait in the queue, in seconds: few callers still wait for answers that begin later, or for
 # streams that pause for longer.
 MAX_WAIT_S = 2.0
+# Time before its deadline, in seconds, from which a resumed stream needs no slot any more.
+MIN_RUN_S = 0.02
 # Share of the time from its arrival to its deadline for which a call may wait in the queue, unless
 # it resumes a stream.
 MAX_WAIT_SHARE = 0.5
@@ -272,7 +274,10 @@
             if waiter in queue.waiters:
                 queue.waiters.remove(waiter)
         if waiter.reservation is None:
-            raise self._refusal(queue, self._clock.now_s())
+            now_s = self._clock.now_s()
+            if not any(self._snapshots(waiter.call, waiter.tried_ids, now_s)):
+                raise RequestError(ResultCode.NO_TARGET)
+            raise self._refusal(queue, now_s)
         return waiter.reservation
 
     def release(self, reservation: Reservation) -> None:
@@ -383,7 +388,7 @@
     """Return how much longer a call may wait in the queue, in seconds; 0 or less if no longer."""
     if is_resumed:
         # Its caller has waited since the last event, not since the call arrived.
-        return min(MAX_WAIT_S, call.deadline_s - now_s)
+        return min(MAX_WAIT_S, call.deadline_s - MIN_RUN_S - now_s)
     total_s = call.deadline_s - call.arrived_s
     return call.arrived_s + min(MAX_WAIT_S, MAX_WAIT_SHARE * total_s) - now_s
 
