Known red: requests that a stopping gateway has not read yet get no answer

The request came 2.334 s after SIGTERM, on a machine whose processor was busy with large configurations, and its connection was closed 0.386 s later, when a gateway that stops closes its idle connections. Its log has no line of it.

Both tests fail on this code: the connection is reset without an answer.

--- a/tests/connection/tasks/test_serve_caller_refusals.py
+++ b/tests/connection/tasks/test_serve_caller_refusals.py
@@ -1,5 +1,8 @@
+import os
+
 import anyio
 import pytest
+from anyio.abc import SocketAttribute
 
 from guavawalk.connection.http_encoding import (
     LAST_CHUNK,
@@ -9,6 +12,7 @@
 from guavawalk.version.routes import CallerLimits, Quota
 from soak.standins import (
     CHUNKED,
+    Caller,
     StandInTarget,
     answer_failure,
     answer_not_run,
@@ -213,6 +217,16 @@
         assert refused["routes_version"] == 5
 
 
+class PartsCollector:
+    """A stream that keeps what is sent."""
+
+    def __init__(self):
+        self.sent = []
+
+    async def send(self, data):
+        self.sent.append(data)
+
+
 class TestDraining:
     def test_answers_announce_the_close(self):
         async def run():
@@ -328,6 +342,25 @@
         status, headers, body = run_with_timeout(run)
         assert (status, headers[b"Server-Stamp"], body) == (500, b"stamp", b"sorry")
 
+    def test_request_that_is_not_read_yet_is_not_taken_as_an_idle_connection(self):
+        async def run():
+            story = GatewayHarness(SAFE)
+            async with story.running(StandInTarget(answer_plain)):
+                caller = await story.caller()
+                await caller.ask()
+                await anyio.sleep(0.05)
+                # The gateway gets no processor between the arrival and `close_idle`.
+                parts = PartsCollector()
+                await Caller(parts).send(body=b"late")
+                raw = caller.stream.extra(SocketAttribute.raw_socket)
+                os.write(raw.fileno(), b"".join(parts.sent))
+                story.gateway.callers.is_draining = story.gateway.callers.is_refusing = True
+                story.gateway.callers.close_idle()
+                return await caller.answer()
+
+        status, headers, _ = run_with_timeout(run)
+        assert status == 503 and headers[b"Connection"] == b"close"
+
     def test_calls_that_come_too_late_are_refused_and_those_under_way_end(self):
         async def run():
             gate = anyio.Event()
--- a/tests/process/test_gateway_daemon.py
+++ b/tests/process/test_gateway_daemon.py
@@ -385,6 +385,28 @@
 
         run_with_daemon(tmp_path, scenario, stay_silent, grace_ms=3500)
 
+    @pytest.mark.parametrize("is_kept", [True, False])
+    def test_requests_that_come_while_a_stopping_process_gets_no_processor_are_answered(
+        self, tmp_path, is_kept
+    ):
+        async def scenario(daemon, store, target):
+            store.put("op/config", DOCUMENT)
+            await wait_until(daemon.ready)
+            caller = await daemon.caller() if is_kept else None
+            if caller:
+                assert (await caller.ask(body=b"a"))[0] == 200
+            daemon.process.send_signal(signal.SIGTERM)
+            await anyio.sleep(2.3)
+            daemon.process.send_signal(signal.SIGSTOP)
+            caller = caller or await daemon.caller()
+            await caller.send(body=b"b")
+            await anyio.sleep(0.7)
+            daemon.process.send_signal(signal.SIGCONT)
+            assert (await caller.answer())[0] in (200, 503)
+            assert await daemon.wait_exit() == 0
+
+        run_with_daemon(tmp_path, scenario)
+
     def test_lack_of_descriptors_ends_no_process(self, tmp_path):
         async def scenario(daemon, store, target):
             store.put("op/config", DOCUMENT)
