A gateway that stops answers requests that it has not read yet

Cause: 2.6 s after SIGTERM the gateway closes its idle connections, and ends once no call and no connection is left. A connection counted as idle if its reader had parsed no byte of a request, and as none if its task had not begun. Its class: an end is decided by what the process has read, not by what has arrived.

Change: a connection is idle only if no byte waits in its socket either. At the end the process looks at the listener's socket too, until two looks 20 ms apart find neither a connection nor one to accept, for 1 s at most as before. shutdown_refuses says how many connections were closed and how many went on.

--- a/guavawalk/connection/request_reader.py
+++ b/guavawalk/connection/request_reader.py
@@ -13,7 +13,7 @@
 from anyio.abc import ByteStream
 
 from guavawalk.connection.http_encoding import Header
-from guavawalk.connection.streams import STREAM_ERRORS
+from guavawalk.connection.streams import STREAM_ERRORS, has_input
 from guavawalk.exception import HttpInvalid
 from guavawalk.version.routes import CallerLimits
 
@@ -136,9 +136,16 @@
         self._failure: HttpInvalid | None = None
 
     def is_receiving(self) -> bool:
-        """Return whether a part of the next request has arrived."""
+        """Return whether a part of the next request has been read."""
         return self._parser.is_in_message or bool(self._parser.received)
 
+    def has_arrived(self) -> bool:
+        """Return whether a part of the next request has been read, or waits to be read.
+
+        While the process is short of processor time, a request may have waited for long.
+        """
+        return self.is_receiving() or has_input(self._stream)
+
     async def next(self, limits: CallerLimits) -> ReceivedRequest | None:
         """Return the next request; None if the caller closes or sends none in the idle timeout.
 
--- a/guavawalk/connection/tasks/serve_caller.py
+++ b/guavawalk/connection/tasks/serve_caller.py
@@ -57,7 +57,7 @@
 async def _serve_next(gateway: Gateway, stream: ByteStream, reader: RequestReader) -> bool:
     request = None
     try:
-        with gateway.callers.idle(reader.is_receiving):
+        with gateway.callers.idle(reader.has_arrived):
             request = await reader.next(gateway.routes.table.limits)
     except HttpInvalid as error:
         await _reject(gateway, stream, error)
--- a/guavawalk/events.py
+++ b/guavawalk/events.py
@@ -64,6 +64,10 @@
     1009, "log_lines_dropped", logging.WARNING, "log lines were dropped, counted by kind"
 )
 
+SHUTDOWN_REFUSES = _event(
+    1010, "shutdown_refuses", logging.INFO, "new calls are refused and idle connections closed"
+)
+
 REQUEST_ENDED = _event(2001, "request_ended", logging.INFO, "a request has ended")
 REQUEST_INVALID = _event(2002, "request_invalid", logging.WARNING, "a request was refused")
 ATTEMPT_ENDED = _event(2003, "attempt_ended", logging.INFO, "an attempt has ended")
--- a/guavawalk/process/gateway/callers.py
+++ b/guavawalk/process/gateway/callers.py
@@ -76,16 +76,16 @@
             self._forwarding.remove(scope)
 
     @contextmanager
-    def idle(self, is_receiving: Callable[[], bool]) -> Iterator[None]:
+    def idle(self, has_arrived: Callable[[], bool]) -> Iterator[None]:
         """Mark a connection as waiting for its next request, so that `close_idle` ends the wait.
 
         Parameters
         ----------
-        is_receiving : callable
-            Returns whether a part of a request has arrived.
+        has_arrived : callable
+            Returns whether a part of a request has arrived, read or not.
         """
         scope = anyio.CancelScope()
-        self._idle[scope] = is_receiving
+        self._idle[scope] = has_arrived
         try:
             with scope:
                 yield
@@ -98,11 +98,20 @@
         for scope in self._forwarding:
             scope.cancel()
 
-    def close_idle(self) -> None:
-        """End the connections that wait for a request of which nothing has arrived."""
-        for scope, is_receiving in self._idle.items():
-            if not is_receiving():
+    def close_idle(self) -> int:
+        """End the connections that wait for a request of which nothing has arrived.
+
+        Returns
+        -------
+        int
+            Number of these connections.
+        """
+        closed = 0
+        for scope, has_arrived in self._idle.items():
+            if not has_arrived():
                 scope.cancel()
+                closed += 1
+        return closed
 
     async def wait_for_calls(self) -> None:
         """Wait until no call is running."""
--- a/guavawalk/process/gateway_daemon.py
+++ b/guavawalk/process/gateway_daemon.py
@@ -16,6 +16,7 @@
 
 from guavawalk import events
 from guavawalk.connection.address import split_address
+from guavawalk.connection.streams import has_input
 from guavawalk.connection.tasks.follow_registry import follow_routes, follow_targets
 from guavawalk.connection.tasks.gossip import receive_reports, send_reports
 from guavawalk.connection.tasks.serve_caller import serve_caller
@@ -40,6 +41,8 @@
 NOTICE_S = 2.6
 # Time for which requests that are arriving when all calls have ended are awaited, in seconds.
 LAST_REQUESTS_S = 1.0
+# Interval at which connections that the kernel has accepted are looked for then, in seconds.
+LAST_CONNECTIONS_EVERY_S = 0.02
 # Time before the platform kills the process at which calls still running are ended, in seconds.
 EXIT_BEFORE_KILL_S = 0.3
 # Longest time for their last answers, in seconds.
@@ -100,7 +103,7 @@
                 tasks.start_soon(serve_guarded, log, "page", listener, partial(serve_pages, pages))
             tasks.start_soon(_serve_callers, gateway, callers_listener)
             await anext(signals)
-            left = await _drain(gateway)
+            left = await _drain(gateway, callers_listener)
             tasks.cancel_scope.cancel()
             # Ready answers are sent in spite of the cancellation. One that its caller doesn't read
             # must not delay the exit.
@@ -213,9 +216,14 @@
         signal.signal(number, signal.SIG_IGN)
 
 
-async def _drain(gateway: Gateway) -> int:
+async def _drain(gateway: Gateway, listener: Listener[SocketStream]) -> int:
     """End all calls before the platform kills the process.
 
+    Parameters
+    ----------
+    listener : Listener
+        Where callers connect.
+
     Returns
     -------
     int
@@ -228,12 +236,16 @@
     with anyio.move_on_after(drain_timeout_s):
         await anyio.sleep(NOTICE_S)
         gateway.callers.is_refusing = True
-        gateway.callers.close_idle()
+        closed = gateway.callers.close_idle()
+        gateway.log.emit(
+            events.SHUTDOWN_REFUSES,
+            closed=closed,
+            open=gateway.callers.connections - closed,
+            running=gateway.callers.calls,
+        )
         await gateway.callers.wait_for_calls()
-        # Requests that have begun to arrive, and connections that the kernel has accepted, are
-        # still read, and answered as not run.
         with anyio.move_on_after(LAST_REQUESTS_S):
-            await gateway.callers.wait_for_connections()
+            await _answer_last_requests(gateway, listener)
         await gateway.callers.wait_for_calls()
     left = gateway.callers.calls
     gateway.callers.end_calls()
@@ -242,6 +254,19 @@
     return left
 
 
+async def _answer_last_requests(gateway: Gateway, listener: Listener[SocketStream]) -> None:
+    """Wait for requests that are arriving, and connections that the kernel has accepted.
+
+    They are answered as not run.
+    """
+    quiet_checks = 0
+    # A connection is counted shortly after it was accepted, so one look is not enough.
+    while quiet_checks < 2:
+        is_quiet = not gateway.callers.connections and not has_input(listener)
+        quiet_checks = quiet_checks + 1 if is_quiet else 0
+        await anyio.sleep(LAST_CONNECTIONS_EVERY_S)
+
+
 def main() -> None:
     """Run a gateway with the settings file named by the platform, then exit.
 
