A gateway that stops closes its listener before it ends

Cause: connections were accepted up to the end of the process, 1 s after the last call at the latest. Those that had come in the last moment were reset with their requests unread.

Change: the listener is closed first, at a moment at which the kernel has no connection to accept, and the connections that are open by then still get their answers. Tasks of a listener end once it is closed.

--- a/guavawalk/process/gateway_daemon.py
+++ b/guavawalk/process/gateway_daemon.py
@@ -39,7 +39,8 @@
 # Time between "not ready" and the closing of idle connections, in seconds. The load balancer polls
 # once a second and acts on two failures, and a new connection may be in transit by then.
 NOTICE_S = 2.6
-# Time for which requests that are arriving when all calls have ended are awaited, in seconds.
+# Time for which requests that are arriving when all calls have ended are awaited, in seconds: once
+# before the listener is closed, and once after.
 LAST_REQUESTS_S = 1.0
 # Interval at which connections that the kernel has accepted are looked for then, in seconds.
 LAST_CONNECTIONS_EVERY_S = 0.02
@@ -244,8 +245,7 @@
             running=gateway.callers.calls,
         )
         await gateway.callers.wait_for_calls()
-        with anyio.move_on_after(LAST_REQUESTS_S):
-            await _answer_last_requests(gateway, listener)
+        await _answer_last_requests(gateway, listener)
         await gateway.callers.wait_for_calls()
     left = gateway.callers.calls
     gateway.callers.end_calls()
@@ -255,16 +255,25 @@
 
 
 async def _answer_last_requests(gateway: Gateway, listener: Listener[SocketStream]) -> None:
-    """Wait for requests that are arriving, and connections that the kernel has accepted.
+    """Answer the requests that are arriving as not run, then stop accepting connections.
 
-    They are answered as not run.
+    Callers may send new ones all the time, so the listener closes after `LAST_REQUESTS_S` at the
+    latest, at a moment at which the kernel holds no connection to accept.
     """
-    quiet_checks = 0
-    # A connection is counted shortly after it was accepted, so one look is not enough.
-    while quiet_checks < 2:
-        is_quiet = not gateway.callers.connections and not has_input(listener)
-        quiet_checks = quiet_checks + 1 if is_quiet else 0
+    with anyio.move_on_after(LAST_REQUESTS_S):
+        quiet_checks = 0
+        # A connection is counted shortly after it was accepted, so one look is not enough.
+        while quiet_checks < 2:
+            is_quiet = not gateway.callers.connections and not has_input(listener)
+            quiet_checks = quiet_checks + 1 if is_quiet else 0
+            await anyio.sleep(LAST_CONNECTIONS_EVERY_S)
+    while has_input(listener):
         await anyio.sleep(LAST_CONNECTIONS_EVERY_S)
+    await listener.aclose()
+    await anyio.sleep(LAST_CONNECTIONS_EVERY_S)
+    gateway.callers.close_idle()
+    with anyio.move_on_after(LAST_REQUESTS_S):
+        await gateway.callers.wait_for_connections()
 
 
 def main() -> None:
--- a/guavawalk/process/supervise.py
+++ b/guavawalk/process/supervise.py
@@ -4,7 +4,7 @@
 from collections.abc import Awaitable, Callable
 
 import anyio
-from anyio.abc import ByteStream, Listener
+from anyio.abc import ByteStream, Listener, TaskGroup
 
 from guavawalk import events
 from guavawalk.process.observe.log import EventLog
@@ -53,18 +53,25 @@
     listener: Listener,
     serve: Callable[[ByteStream], Awaitable[None]],
 ) -> None:
-    """Accept connections and serve each in a task of its own, until cancelled.
+    """Accept connections and serve each in a task of its own.
 
-    An error while a connection is accepted, such as a lack of descriptors, or while one is served,
-    is logged under `name`, and ends neither the other connections nor the listener.
+    Returns once the listener is closed and its connections have ended. An error while a connection
+    is accepted, such as a lack of descriptors, or while one is served, is logged under `name`, and
+    ends neither the other connections nor the listener.
     """
+    is_open = True
 
     async def serve_one(stream: ByteStream) -> None:
         await run_guarded(log, name, lambda: serve(stream))
 
+    async def accept(connections: TaskGroup) -> None:
+        nonlocal is_open
+        try:
+            await listener.serve(serve_one, connections)
+        except* anyio.ClosedResourceError:
+            is_open = False
+
     async with anyio.create_task_group() as connections:
-        while True:
-            await run_guarded(
-                log, f"{name} listener", lambda: listener.serve(serve_one, connections)
-            )
+        while is_open:
+            await run_guarded(log, f"{name} listener", lambda: accept(connections))
             await anyio.sleep(ACCEPT_DELAY_S)
--- a/tests/process/test_gateway_daemon.py
+++ b/tests/process/test_gateway_daemon.py
@@ -407,6 +407,34 @@
 
         run_with_daemon(tmp_path, scenario)
 
+    def test_requests_are_not_cut_off_where_callers_connect_until_the_process_ends(self, tmp_path):
+        async def connect_until_refused(daemon, outcomes):
+            while True:
+                try:
+                    caller = await daemon.caller()
+                except OSError:
+                    return
+                try:
+                    outcomes.append((await caller.ask(body=b"a"))[0])
+                except (TargetLost, anyio.BrokenResourceError):
+                    outcomes.append(None)
+                await caller.stream.aclose()
+
+        async def scenario(daemon, store, target):
+            store.put("op/config", DOCUMENT)
+            await wait_until(daemon.ready)
+            outcomes = []
+            async with anyio.create_task_group() as tasks:
+                for _ in range(4):
+                    tasks.start_soon(connect_until_refused, daemon, outcomes)
+                daemon.process.send_signal(signal.SIGTERM)
+                await daemon.wait_exit()
+            # A connection that the kernel accepts at the moment of the close is reset unread.
+            assert set(outcomes) <= {200, 503, None}
+            assert outcomes.count(None) <= 4 and outcomes.count(503) > 4
+
+        run_with_daemon(tmp_path, scenario)
+
     def test_lack_of_descriptors_ends_no_process(self, tmp_path):
         async def scenario(daemon, store, target):
             store.put("op/config", DOCUMENT)
