Idle connections are closed at a moment when nothing was read for them

Cause: a task cancelled the waits of all idle connections. Their tasks run only after the event loop has read from its sockets once more (uvloop), and, on a slow machine, one after the other for tens of milliseconds. A request that was read in between stayed in the connection's queue, and the connection was closed.

Change: the waits end by a timer, whose cancellations take effect before the loop reads again. Once a wait has ended, the task looks at the socket, and goes on if a request has arrived.

The cases of test_request_that_is_not_read_yet_is_not_taken_as_an_idle_connection in which the request comes right after close_idle failed before, on asyncio and on uvloop, and pass now.

--- a/guavawalk/connection/tasks/serve_caller.py
+++ b/guavawalk/connection/tasks/serve_caller.py
@@ -55,10 +55,8 @@
 
 
 async def _serve_next(gateway: Gateway, stream: ByteStream, reader: RequestReader) -> bool:
-    request = None
     try:
-        with gateway.callers.idle(reader.has_arrived):
-            request = await reader.next(gateway.routes.table.limits)
+        request = await _next_request(gateway, reader)
     except HttpInvalid as error:
         await _reject(gateway, stream, error)
         return False
@@ -72,6 +70,16 @@
     return reader.is_receiving() or not gateway.callers.is_refusing
 
 
+async def _next_request(gateway: Gateway, reader: RequestReader) -> ReceivedRequest | None:
+    """Return the next request; None if there is none or the wait for it was ended."""
+    while True:
+        with gateway.callers.idle(reader.has_arrived) as scope:
+            return await reader.next(gateway.routes.table.limits)
+        # One that has arrived when the wait ends is still read, and answered.
+        if not scope.cancelled_caught or not reader.has_arrived():
+            return None
+
+
 def _may_keep_alive(
     callers: CallerTracker, request: ReceivedRequest, reader: RequestReader
 ) -> bool:
--- a/guavawalk/process/gateway/callers.py
+++ b/guavawalk/process/gateway/callers.py
@@ -11,6 +11,11 @@
 
 __all__ = ["CallerTracker", "create_caller_tracker"]
 
+# Time after which `close_idle` ends a wait, in seconds. The event loop runs a task that a timer has
+# cancelled before it reads from sockets, but one that another task has cancelled only after that:
+# what it has read for it would be lost.
+IDLE_END_DELAY_S = 0.001
+
 
 class CallerTracker:
     """Counts running calls and open connections.
@@ -76,19 +81,24 @@
             self._forwarding.remove(scope)
 
     @contextmanager
-    def idle(self, has_arrived: Callable[[], bool]) -> Iterator[None]:
+    def idle(self, has_arrived: Callable[[], bool]) -> Iterator[anyio.CancelScope]:
         """Mark a connection as waiting for its next request, so that `close_idle` ends the wait.
 
         Parameters
         ----------
         has_arrived : callable
             Returns whether a part of a request has arrived, read or not.
+
+        Yields
+        ------
+        CancelScope
+            Its `cancelled_caught` says after the block whether `close_idle` ended the wait.
         """
         scope = anyio.CancelScope()
         self._idle[scope] = has_arrived
         try:
             with scope:
-                yield
+                yield scope
         finally:
             del self._idle[scope]
 
@@ -107,9 +117,10 @@
             Number of these connections.
         """
         closed = 0
+        ends_at_s = anyio.current_time() + IDLE_END_DELAY_S
         for scope, has_arrived in self._idle.items():
             if not has_arrived():
-                scope.cancel()
+                scope.deadline = ends_at_s
                 closed += 1
         return closed
 
--- a/tests/connection/tasks/test_serve_caller_refusals.py
+++ b/tests/connection/tasks/test_serve_caller_refusals.py
@@ -342,23 +342,31 @@
         status, headers, body = run_with_timeout(run)
         assert (status, headers[b"Server-Stamp"], body) == (500, b"stamp", b"sorry")
 
-    def test_request_that_is_not_read_yet_is_not_taken_as_an_idle_connection(self):
+    @pytest.mark.parametrize("use_uvloop", [False, True])
+    @pytest.mark.parametrize("comes_before", [True, False])
+    def test_request_that_is_not_read_yet_is_not_taken_as_an_idle_connection(
+        self, use_uvloop, comes_before
+    ):
         async def run():
             story = GatewayHarness(SAFE)
             async with story.running(StandInTarget(answer_plain)):
                 caller = await story.caller()
                 await caller.ask()
                 await anyio.sleep(0.05)
-                # The gateway gets no processor between the arrival and `close_idle`.
                 parts = PartsCollector()
                 await Caller(parts).send(body=b"late")
                 raw = caller.stream.extra(SocketAttribute.raw_socket)
-                os.write(raw.fileno(), b"".join(parts.sent))
+                # The event loop reads nothing between these calls.
+                if comes_before:
+                    os.write(raw.fileno(), b"".join(parts.sent))
                 story.gateway.callers.is_draining = story.gateway.callers.is_refusing = True
                 story.gateway.callers.close_idle()
-                return await caller.answer()
+                if not comes_before:
+                    os.write(raw.fileno(), b"".join(parts.sent))
+                with anyio.fail_after(10):
+                    return await caller.answer()
 
-        status, headers, _ = run_with_timeout(run)
+        status, headers, _ = anyio.run(run, backend_options={"use_uvloop": use_uvloop})
         assert status == 503 and headers[b"Connection"] == b"close"
 
     def test_calls_that_come_too_late_are_refused_and_those_under_way_end(self):
