A body that arrives with the end of a split head does not count as head

Cause: where a head was split between two reads, all bytes of the second one counted against the limit of the head while its headers were parsed, those of the body too.

Change: that count is checked after the read has been parsed, when a complete head has reset it; headers count against the limit by their own size. Heads, trailers and chunk extensions without end are limited as before (test_endless_answers passes).

test_body_does_not_count_as_head_where_the_head_is_split failed before for one of its three splits and passes now.

--- a/guavawalk/connection/request_reader.py
+++ b/guavawalk/connection/request_reader.py
@@ -74,14 +74,14 @@
         # The parser makes no callback for an incomplete line of the head, for chunk extensions and
         # for lines of trailers; without this check, endless ones would never reach the limit.
         if self.is_in_message:
-            self._check_head_bytes()
+            self._check_head_bytes(self._overhead_bytes)
 
     def _count_head_bytes(self, size: int) -> None:
         self._head_bytes += size
-        self._check_head_bytes()
+        self._check_head_bytes(self._head_bytes)
 
-    def _check_head_bytes(self) -> None:
-        if max(self._head_bytes, self._overhead_bytes) > self.limits.head_bytes:
+    def _check_head_bytes(self, size: int) -> None:
+        if size > self.limits.head_bytes:
             raise HttpInvalid(431, f"the head is over {self.limits.head_bytes} bytes")
 
     def on_message_begin(self) -> None:
--- a/tests/connection/test_http_readers.py
+++ b/tests/connection/test_http_readers.py
@@ -119,6 +119,14 @@
     def test_unterminated_header_over_the_limit_is_rejected(self):
         assert rejection_status(HEAD, b"X-A: " + b"x" * 200, b"x" * 200) == 431
 
+    @pytest.mark.parametrize("split_at", [10, 100, 250])
+    def test_body_does_not_count_as_head_where_the_head_is_split(self, split_at):
+        body = b"b" * LIMITS.body_bytes
+        head = HEAD + b"X-Long: " + b"x" * 200 + b"\r\nContent-Length: %d\r\n\r\n" % len(body)
+        data = head + body
+        (found,) = read_requests(data[:split_at], data[split_at:])
+        assert found.body == body
+
     def test_body_over_the_limit_is_rejected(self):
         assert rejection_status(HEAD + b"Content-Length: 200\r\n\r\n" + b"x" * 101) == 413
 
