No signal ends a process between its receiver's end and SIG_IGN

The signals are blocked in between; those that come then are discarded. Seven runs after that passed; the gap itself is not reproduced.

--- a/guavawalk/process/gateway_daemon.py
+++ b/guavawalk/process/gateway_daemon.py
@@ -211,10 +211,14 @@
 
     Their default action would end the process with an error while it exits.
     """
+    ignored = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
     with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
         yield signals
-    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        # The receiver's end restores the default action.
+        signal.pthread_sigmask(signal.SIG_BLOCK, ignored)
+    for number in ignored:
         signal.signal(number, signal.SIG_IGN)
+    signal.pthread_sigmask(signal.SIG_UNBLOCK, ignored)
 
 
 async def _drain(gateway: Gateway, listener: Listener[SocketStream]) -> int:
