A request in the queue of a connection's stream is answered when a stop closes idle ones

Cause: the event loop reads from a connection that it has accepted before its task asks for bytes, into the stream's queue. Neither the parser nor the socket knows of them, and the read that takes them begins with a point at which it can be cancelled. Where the wait was ended there, the connection closed with a whole request in the queue.

Change: after a wait was ended the task reads once more, for 5 ms at most; a queue is read at once. So it does before it closes a connection whose answer promised to keep it open.

test_request_that_the_event_loop_has_read_is_not_taken_as_an_idle_connection failed before and passes now.

--- a/guavawalk/connection/request_reader.py
+++ b/guavawalk/connection/request_reader.py
@@ -21,6 +21,8 @@
 
 # Most bytes of one read from a stream: the size of a usual socket buffer.
 READ_BYTES = 65_536
+# Longest time for a last read after a wait was ended, in seconds; a queue is read at once.
+LAST_READ_S = 0.005
 # Most requests of one connection that are parsed while an earlier one is answered; later ones
 # stay in the socket buffer.
 MAX_PARSED_AHEAD = 16
@@ -146,6 +148,19 @@
         """
         return self.is_receiving() or has_input(self._stream)
 
+    async def look_again(self) -> bool:
+        """Return whether a part of the next request has arrived, once a wait for it was ended.
+
+        Notes
+        -----
+        Bytes that the event loop has read for a wait that was cancelled are in the stream's queue,
+        of which nothing but a further read tells.
+        """
+        with anyio.move_on_after(LAST_READ_S):
+            if not self.is_receiving():
+                await self._receive()
+        return self.has_arrived()
+
     async def next(self, limits: CallerLimits) -> ReceivedRequest | None:
         """Return the next request; None if the caller closes or sends none in the idle timeout.
 
--- a/guavawalk/connection/tasks/serve_caller.py
+++ b/guavawalk/connection/tasks/serve_caller.py
@@ -67,16 +67,16 @@
         await _answer_request(gateway, request, reader, answer)
     if not answer.is_complete or not answer.keep_alive:
         return False
-    return reader.is_receiving() or not gateway.callers.is_refusing
+    return not gateway.callers.is_refusing or await reader.look_again()
 
 
 async def _next_request(gateway: Gateway, reader: RequestReader) -> ReceivedRequest | None:
     """Return the next request; None if there is none or the wait for it was ended."""
     while True:
-        with gateway.callers.idle(reader.has_arrived) as scope:
+        with gateway.callers.idle(reader.has_arrived):
             return await reader.next(gateway.routes.table.limits)
         # One that has arrived when the wait ends is still read, and answered.
-        if not scope.cancelled_caught or not reader.has_arrived():
+        if not await reader.look_again():
             return None
 
 
--- a/guavawalk/process/gateway/callers.py
+++ b/guavawalk/process/gateway/callers.py
@@ -81,24 +81,19 @@
             self._forwarding.remove(scope)
 
     @contextmanager
-    def idle(self, has_arrived: Callable[[], bool]) -> Iterator[anyio.CancelScope]:
+    def idle(self, has_arrived: Callable[[], bool]) -> Iterator[None]:
         """Mark a connection as waiting for its next request, so that `close_idle` ends the wait.
 
         Parameters
         ----------
         has_arrived : callable
             Returns whether a part of a request has arrived, read or not.
-
-        Yields
-        ------
-        CancelScope
-            Its `cancelled_caught` says after the block whether `close_idle` ended the wait.
         """
         scope = anyio.CancelScope()
         self._idle[scope] = has_arrived
         try:
             with scope:
-                yield scope
+                yield
         finally:
             del self._idle[scope]
 
--- a/tests/connection/tasks/test_serve_caller_refusals.py
+++ b/tests/connection/tasks/test_serve_caller_refusals.py
@@ -9,6 +9,7 @@
     encode_chunk,
     encode_response_head,
 )
+from guavawalk.connection.tasks.serve_caller import serve_caller
 from guavawalk.version.routes import CallerLimits, Quota
 from soak.standins import (
     CHUNKED,
@@ -21,6 +22,7 @@
     break_stream,
     close_without_answer,
     event,
+    listen,
     signed_headers,
     stay_silent,
 )
@@ -369,6 +371,41 @@
         status, headers, _ = anyio.run(run, backend_options={"use_uvloop": use_uvloop})
         assert status == 503 and headers[b"Connection"] == b"close"
 
+    def test_request_that_the_event_loop_has_read_is_not_taken_as_an_idle_connection(self):
+        class StreamWithQueue:
+            """The wait is ended while bytes read from the socket are in the stream's queue."""
+
+            def __init__(self, stream, story):
+                self._stream = stream
+                self._story = story
+                self._queue = []
+
+            def __getattr__(self, name):
+                return getattr(self._stream, name)
+
+            async def receive(self, max_bytes):
+                if not self._queue:
+                    self._queue.append(await self._stream.receive(max_bytes))
+                    self._story.gateway.callers.is_refusing = True
+                    self._story.gateway.callers.close_idle()
+                await anyio.sleep(0.003)
+                return self._queue.pop()
+
+        async def run():
+            story = GatewayHarness(SAFE)
+            async with story.running(StandInTarget(answer_plain)):
+
+                async def serve(stream):
+                    await serve_caller(story.gateway, StreamWithQueue(stream, story))
+
+                listener, address = await listen(serve)
+                story.tasks.start_soon(listener.serve, serve)
+                host, port = address.split(":")
+                caller = Caller(await anyio.connect_tcp(host, int(port)))
+                return (await caller.ask(body=b"late"))[0]
+
+        assert run_with_timeout(run) == 503
+
     def test_calls_that_come_too_late_are_refused_and_those_under_way_end(self):
         async def run():
             gate = anyio.Event()
