--- a/guavawalk/process/gateway/connect_failure.py
+++ b/guavawalk/process/gateway/connect_failure.py
@@ -8,7 +8,7 @@
 
 if TYPE_CHECKING:
     from guavawalk.process.gateway.state import Gateway
-    from guavawalk.process.gateway.targets import TrackedTarget
+    from guavawalk.process.gateway.tracked_target import TrackedTarget
 
 __all__ = ["record_connect_failure"]
 
--- a/guavawalk/process/gateway/dispatch.py
+++ b/guavawalk/process/gateway/dispatch.py
@@ -14,7 +14,8 @@
 from guavawalk.codes import ResultCode
 from guavawalk.exception import RequestError
 from guavawalk.process.clock import Clock
-from guavawalk.process.gateway.targets import RunningCall, TargetTable, TrackedTarget
+from guavawalk.process.gateway.targets import TargetTable
+from guavawalk.process.gateway.tracked_target import RunningCall, TrackedTarget
 from guavawalk.request.call import Call
 from guavawalk.request.target_choice import (
     TargetChoice,
--- a/guavawalk/process/gateway/loads.py
+++ b/guavawalk/process/gateway/loads.py
@@ -3,7 +3,8 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
-from guavawalk.process.gateway.targets import TargetTable, TrackedTarget
+from guavawalk.process.gateway.targets import TargetTable
+from guavawalk.process.gateway.tracked_target import TrackedTarget
 from guavawalk.request.call import PromptPart
 
 __all__ = [
