Logs and metrics show what is known of a target's end

The log couldn't tell a target that ended from one whose link was cut, nor which attempts of a suspected call were lost: target_ended names the evidence (refused, restarted, lapsed), call_attempt_ended the fingerprint of a lost or silent attempt, target_paused whether the connection was refused. No decision changes.

--- a/guavawalk/connection/streams.py
+++ b/guavawalk/connection/streams.py
@@ -67,7 +67,8 @@
     except (OSError, TimeoutError, ValueError) as error:
         # `from_socket` raises ValueError if the peer has already reset the connection.
         raw.close()
-        raise TargetConnectError(f"{address}: {type(error).__name__}") from error
+        is_refused = isinstance(error, ConnectionRefusedError)
+        raise TargetConnectError(f"{address}: {type(error).__name__}", is_refused) from error
     except BaseException:
         raw.close()
         raise
--- a/guavawalk/connection/tasks/follow_registry.py
+++ b/guavawalk/connection/tasks/follow_registry.py
@@ -11,6 +11,7 @@
 from guavawalk import events
 from guavawalk.connection.registry import Registry, TargetUpdate
 from guavawalk.exception import HistoryGone, PlatformUnavailable
+from guavawalk.process.gateway.target_end import EndEvidence, record_target_end
 from guavawalk.version.registrations import ListedTargets, Registration
 from guavawalk.version.routes import RouteTable
 
@@ -224,13 +225,16 @@
     now_s = gateway.clock.now_s()
     for problem in update.problems:
         gateway.log.emit(events.REGISTRATION_INVALID, reason=problem, revision=update.as_of)
-    changed = [registration for registration in update.registered if targets.put(registration)]
+    changed = [registration for registration in update.registered if _put(gateway, registration)]
     for registration in changed:
         _log_registered(gateway, registration, update.last_change)
     if changed:
         gateway.peers.count_missing_loads()
     for target_id in update.removed:
+        target = targets.get(target_id)
         if targets.remove(target_id, now_s, has_just_recovered):
+            if targets.get(target_id) is None and not target.registration.draining:
+                record_target_end(gateway, target, EndEvidence.LAPSED)
             gateway.log.emit(
                 events.TARGET_GONE,
                 target=target_id,
@@ -244,6 +248,13 @@
         gateway.peers.report_news()
 
 
+def _put(gateway: Gateway, registration: Registration) -> bool:
+    """Add or update a target; return whether its registration is new or has changed."""
+    for ended in gateway.targets.replaced_by(registration):
+        record_target_end(gateway, ended, EndEvidence.RESTARTED)
+    return gateway.targets.put(registration)
+
+
 def _log_registered(gateway: Gateway, registration: Registration, revision: int) -> None:
     gateway.log.emit(
         events.TARGET_REGISTERED,
--- a/guavawalk/connection/tasks/target_exchange.py
+++ b/guavawalk/connection/tasks/target_exchange.py
@@ -21,9 +21,9 @@
     TargetRejected,
 )
 from guavawalk.platform.requests import decode_answer, encode_target_headers, is_misdirected
-from guavawalk.process.gateway.connect_failure import record_connect_failure
 from guavawalk.process.gateway.connections import TargetConnection
 from guavawalk.process.gateway.dispatch import Reservation
+from guavawalk.process.gateway.target_end import record_connect_failure
 from guavawalk.request.call import Call
 from guavawalk.request.event_stream import EVENT_END, MAX_EVENT_BYTES
 from guavawalk.request.repeat import AttemptEnd, AttemptResult
@@ -83,6 +83,8 @@
         self._early = b""
         # Whether an answer to another request arrived on the connection.
         self._has_surplus = False
+        # Whether the target refused the connection.
+        self._is_refused = False
 
     @property
     def is_sent(self) -> bool:
@@ -244,6 +246,7 @@
         """Return the end of an attempt that an error ended; called once for the exchange."""
         match error:
             case TargetConnectError():
+                self._is_refused = error.is_refused
                 result = AttemptResult.UNREACHED
             case TargetRejected():
                 self._progress.record_not_run(is_counted=not error.is_misdirected)
@@ -265,7 +268,7 @@
         if result is AttemptResult.UNNEEDED:
             return
         if result is AttemptResult.UNREACHED:
-            record_connect_failure(gateway, target)
+            record_connect_failure(gateway, target, self._is_refused)
             return
         if result is AttemptResult.DELIVERED:
             target.failures.record(False, now_s)
@@ -282,6 +285,7 @@
 
     def log_end(self, end: AttemptEnd, next_step: str, may_retry: bool) -> None:
         """Log how the attempt ended, and what the gateway does next with the call."""
+        has_doubt = end.result in (AttemptResult.LOST, AttemptResult.SILENT)
         self._gateway.log.emit(
             events.CALL_ATTEMPT_ENDED,
             trace_id=self._call.fields.request_id,
@@ -291,6 +295,7 @@
             sent=self._progress.sent_count,
             may_retry=may_retry,
             next=next_step,
+            fingerprint=self._call.fingerprint if has_doubt else None,
         )
 
     async def close(self) -> None:
--- a/guavawalk/events.py
+++ b/guavawalk/events.py
@@ -132,6 +132,7 @@
 TARGETS_FETCHED = _event(
     4017, "targets_fetched", logging.INFO, "newer registrations were fetched from another gateway"
 )
+TARGET_ENDED = _event(4019, "target_ended", logging.INFO, "there is evidence that a target ended")
 TARGET_PAUSED = _event(
     4018, "target_paused", logging.INFO, "a target accepts no connections and is paused"
 )
--- a/guavawalk/exception.py
+++ b/guavawalk/exception.py
@@ -187,7 +187,17 @@
 
 
 class TargetConnectError(TargetError):
-    """No connection to the target was made; it received nothing of the request."""
+    """No connection to the target was made; it received nothing of the request.
+
+    Parameters
+    ----------
+    is_refused : bool, optional
+        Whether the target's machine refused the connection.
+    """
+
+    def __init__(self, problem: str, is_refused: bool = False) -> None:
+        super().__init__(problem)
+        self.is_refused = is_refused
 
 
 class TargetLost(TargetError):
--- a/guavawalk/process/gateway/targets.py
+++ b/guavawalk/process/gateway/targets.py
@@ -42,6 +42,8 @@
         self.is_loaded = False
         self.revision = 0
         self._targets: dict[str, TrackedTarget] = {}
+        # Id of the target that was registered last at each address.
+        self._ids_by_address: dict[str, str] = {}
         self._sent_parts: deque[tuple[str, str]] = deque(maxlen=MAX_CACHED_PARTS)
 
     def __iter__(self) -> Iterator[TrackedTarget]:
@@ -56,6 +58,20 @@
         """Return a target; None if it is not known."""
         return self._targets.get(target_id)
 
+    def replaced_by(self, registration: Registration) -> list[TrackedTarget]:
+        """Return the targets that a registration shows to have ended.
+
+        These are an earlier start under its id, and an earlier one at its address.
+        """
+        known = self._targets.get(registration.target_id)
+        if known is not None:
+            return [known] if _is_new_start(known.registration, registration) else []
+        before = self._targets.get(self._ids_by_address.get(registration.address, ""))
+        if before is None or before.registration.address != registration.address:
+            return []
+        is_later = 0 < before.registration.started_at_ms < registration.started_at_ms
+        return [before] if is_later else []
+
     def put(self, registration: Registration) -> bool:
         """Add or update a target; return whether its registration is new or has changed.
 
@@ -67,6 +83,7 @@
         known = self._targets.get(target_id)
         if known is None or _is_new_start(known.registration, registration):
             self._targets[target_id] = TrackedTarget(registration)
+            self._ids_by_address[registration.address] = target_id
             return True
         changed = known.registration != registration
         known.registration = registration
@@ -88,7 +105,7 @@
         if has_lapsed and not known.registration.draining:
             known.usable_until_s = min(known.usable_until_s, now_s + self._lapsed_use_s)
         else:
-            del self._targets[target_id]
+            self._delete(target_id)
         return True
 
     def listed(self, now_s: float) -> ListedTargets:
@@ -105,9 +122,14 @@
         """Remove the targets that are no longer usable; return their ids."""
         expired = [key for key, known in self._targets.items() if known.usable_until_s <= now_s]
         for key in expired:
-            del self._targets[key]
+            self._delete(key)
         return expired
 
+    def _delete(self, target_id: str) -> None:
+        address = self._targets.pop(target_id).registration.address
+        if self._ids_by_address.get(address) == target_id:
+            del self._ids_by_address[address]
+
     def ids(self) -> frozenset[str]:
         """Return the ids of all targets."""
         return frozenset(self._targets)
--- a/guavawalk/process/observe/names.py
+++ b/guavawalk/process/observe/names.py
@@ -85,6 +85,12 @@
         "gateway",
         "answers of targets cut off since their head, framing, event or body exceeds a limit",
     ),
+    MetricName(
+        "target_ends_total{evidence}",
+        "count",
+        "gateway",
+        "evidence that a target ended: `refused`, `restarted` or `lapsed`",
+    ),
     MetricName(
         "sends_broken_total",
         "count",
