Suspicions hold times: a completion clears earlier deaths only, wherever they are told

A request that had completed once was cleared for 600 s, whatever peers told later. Deaths have moments now, told as ages. Where several suspects may run at a target, two deaths block a request only if they came soon after its run had begun there and no other request was in flight at both; three deaths block it always. Before, any two blocked, and calls that merely ran beside it were refused with it.

--- a/guavawalk/process/suspects.py
+++ b/guavawalk/process/suspects.py
@@ -1,85 +1,177 @@
 """Tracks requests that were in flight when targets died, to block those that crash targets.
 
-A request is identified by its fingerprint. Suspicions are exchanged between processes in messages
-that are sent for other purposes.
+A request is identified by its fingerprint. Suspicions are exchanged between processes: entries and
+sidecars send pairs of a fingerprint and a target in messages that are sent for other purposes,
+gateways send `SuspicionNews`.
 """
 
+import math
 from collections import OrderedDict
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 from typing import NamedTuple
 
 import xxhash
 
 from guavawalk.process.clock import Clock
 
-__all__ = ["SuspectTable", "Suspicion", "create_suspect_table"]
+__all__ = ["SuspectTable", "Suspicion", "SuspicionNews", "TargetDeath", "create_suspect_table"]
 
 MAX_SUSPECTS = 4_096
 SUSPECT_RETENTION_S = 600.0
-# A request is blocked once this many distinct targets have died with it in flight.
+# A request is blocked once this many distinct targets died soon after it had begun to run there.
 BLOCKING_TARGET_COUNT = 2
-MAX_TARGETS_PER_SUSPECT = 4
+# A request is blocked once this many distinct targets died with it in flight, whatever else ran.
+CERTAIN_TARGET_COUNT = 3
+# Most targets that are kept for one request; the oldest are dropped first.
+MAX_TARGETS_PER_SUSPECT = 8
 # Maximum number of pairs of a fingerprint and a target hash in one message to a peer.
 MAX_SHARED_PAIRS = 16
+# Time after a request has completed within which pairs from peers may still name deaths before it,
+# in seconds.
+PAIR_DELAY_S = 10.0
+# Time after a second death within which peers may still tell of other requests that were in flight
+# at both, in seconds.
+SETTLE_S = 0.25
+# Age up to which a single death is worth repeating to peers, in seconds.
+SINGLE_DEATH_NEWS_S = 10.0
 # Hashes keep 63 bits, so that they fit a signed 64-bit field.
 _MASK = (1 << 63) - 1
 
 
+class TargetDeath(NamedTuple):
+    """The death of one target with a request in flight.
+
+    Attributes
+    ----------
+    target : int
+        Hash of the name of the target, or of its start.
+    at_s : float
+        When the request was cut off there, in seconds on this process's monotonic clock.
+    is_early : bool
+        Whether the request had just begun to run there, or may not have.
+    """
+
+    target: int
+    at_s: float
+    is_early: bool
+
+
 class Suspicion(NamedTuple):
     """Target deaths that are linked to one fingerprint.
 
     Attributes
     ----------
-    targets : tuple of int
-        Hashes of the distinct targets that died with the request in flight; empty once the
-        request has completed.
+    deaths : tuple of TargetDeath
+        The distinct targets that died with the request in flight, those before its completion
+        included.
+    completed_s : float
+        When the request last completed, in seconds on this process's monotonic clock; minus
+        infinity if it has not. Earlier deaths do not count.
     updated_s : float
-        Time at which a death or the completion was last recorded, in seconds on this process's
-        monotonic clock.
+        When a death or the completion was last recorded, on the same clock.
     """
 
-    targets: tuple[int, ...]
-    updated_s: float
+    deaths: tuple[TargetDeath, ...] = ()
+    completed_s: float = -math.inf
+    updated_s: float = 0.0
+
+    @property
+    def counted_deaths(self) -> tuple[TargetDeath, ...]:
+        """Deaths since the last completion."""
+        return tuple(death for death in self.deaths if death.at_s > self.completed_s)
+
+
+class SuspicionNews(NamedTuple):
+    """A suspicion as one process tells it to another, with ages in place of times.
+
+    Attributes
+    ----------
+    deaths : tuple of (int, int, bool)
+        Hash of the target, age in milliseconds and `TargetDeath.is_early`.
+    completed_age_ms : int
+        Time since the request last completed; -1 if it has not.
+    """
+
+    fingerprint: int
+    deaths: tuple[tuple[int, int, bool], ...]
+    completed_age_ms: int = -1
 
 
 class SuspectTable:
     """Suspicions held by one process.
 
+    Parameters
+    ----------
+    runs_one_suspect : bool
+        Whether a target runs one suspect at a time, as behind a sidecar. Only one suspect is in
+        flight then when a second target dies. Otherwise several requests may have been in flight at
+        the same two deaths: they are not blocked until a third death or a completion tells which of
+        them crashed the targets.
+
     Notes
     -----
-    A sidecar runs one suspect at a time. So only one suspect is in flight when a second target
-    dies, and requests that merely ran concurrently with the crashing one are not blocked.
     The least recently updated suspicion is evicted when the table is full, and each expires
     `SUSPECT_RETENTION_S` after its last update.
     """
 
-    def __init__(self, clock: Clock, max_suspects: int) -> None:
+    def __init__(self, clock: Clock, max_suspects: int, runs_one_suspect: bool) -> None:
         self._clock = clock
         self._max_suspects = max_suspects
+        self._runs_one_suspect = runs_one_suspect
         self._suspicions: OrderedDict[int, Suspicion] = OrderedDict()
 
-    def record_target_death(self, fingerprint: int, target_name: str) -> None:
-        """Record that a target died with a request in flight; fingerprint 0 is ignored."""
-        if fingerprint:
-            self._add(fingerprint, _hash_target(target_name))
+    def record_target_death(
+        self,
+        fingerprint: int,
+        target_name: str,
+        at_s: float | None = None,
+        is_early: bool = True,
+    ) -> bool:
+        """Record that a target died with a request in flight; fingerprint 0 is ignored.
 
-    def record_completed(self, fingerprint: int) -> None:
-        """Clear a suspect that completed.
+        Parameters
+        ----------
+        target_name : str
+            Name of the target, or of its start if that is known.
+        at_s : float, optional
+            When the request was cut off, on this process's monotonic clock; None for now.
+        is_early : bool, optional
+            Whether the request had just begun to run there, or may not have.
 
-        The cleared entry is kept, so that reports from peers do not make it a suspect again; a
-        target death recorded in this process does.
+        Returns
+        -------
+        bool
+            Whether the death was not known.
         """
-        if fingerprint in self._suspicions:
-            del self._suspicions[fingerprint]
-            self._suspicions[fingerprint] = Suspicion((), self._clock.now_s())
+        if not fingerprint:
+            return False
+        if at_s is None:
+            completed_s = self._suspicions.get(fingerprint, Suspicion()).completed_s
+            at_s = max(self._clock.now_s(), math.nextafter(completed_s, math.inf))
+        death = TargetDeath(_hash_target(target_name), at_s, is_early)
+        return self._add(fingerprint, death, is_own=True)
+
+    def record_completed(self, fingerprint: int) -> bool:
+        """Clear a suspect that completed; return whether it was one.
+
+        The entry is kept, so that what peers tell of earlier deaths does not make it a suspect
+        again.
+        """
+        suspicion = self._suspicions.get(fingerprint)
+        if suspicion is None or not suspicion.counted_deaths:
+            return False
+        now_s = self._clock.now_s()
+        self._put(fingerprint, suspicion._replace(completed_s=now_s))
+        return True
 
     def merge(self, pairs: Iterable[int]) -> None:
         """Add the suspicions of a peer: fingerprints and target hashes, alternating."""
         numbers = tuple(pairs)
+        now_s = self._clock.now_s()
         for fingerprint, target in zip(numbers[::2], numbers[1::2]):
             suspicion = self._suspicions.get(fingerprint)
-            if suspicion is None or (suspicion.targets and target not in suspicion.targets):
-                self._add(fingerprint, target)
+            if suspicion is None or now_s - suspicion.completed_s > PAIR_DELAY_S:
+                self._add(fingerprint, TargetDeath(target, now_s, True))
 
     def newest_pairs(self) -> tuple[int, ...]:
         """Return the newest suspicions to send to a peer.
@@ -92,28 +184,94 @@
         self._expire()
         pairs: list[int] = []
         for fingerprint in reversed(self._suspicions):
-            for target in self._suspicions[fingerprint].targets:
-                pairs += (fingerprint, target)
+            for death in self._suspicions[fingerprint].counted_deaths:
+                pairs += (fingerprint, death.target)
             if len(pairs) >= 2 * MAX_SHARED_PAIRS:
                 break
         return tuple(pairs[: 2 * MAX_SHARED_PAIRS])
 
+    def news_of(self, fingerprint: int) -> SuspicionNews | None:
+        """Return what is known of a fingerprint, for a peer; None if nothing is."""
+        suspicion = self._suspicions.get(fingerprint)
+        if suspicion is None:
+            return None
+        now_s = self._clock.now_s()
+        deaths = tuple(
+            (death.target, _age_ms(now_s, death.at_s), death.is_early) for death in suspicion.deaths
+        )
+        has_completed = suspicion.completed_s > -math.inf
+        completed_age_ms = _age_ms(now_s, suspicion.completed_s) if has_completed else -1
+        return SuspicionNews(fingerprint, deaths, completed_age_ms)
+
+    def merge_news(self, news: Iterable[SuspicionNews]) -> list[int]:
+        """Add what a peer knows; return the fingerprints of which it told something new."""
+        now_s = self._clock.now_s()
+        changed = []
+        for told in news:
+            is_new = False
+            for target, age_ms, is_early in told.deaths[:MAX_TARGETS_PER_SUSPECT]:
+                death = TargetDeath(target, now_s - _age_s(age_ms), is_early)
+                is_new |= self._add(told.fingerprint, death)
+            if told.completed_age_ms >= 0:
+                completed_s = now_s - _age_s(told.completed_age_ms)
+                is_new |= self._complete(told.fingerprint, completed_s)
+            if is_new:
+                changed.append(told.fingerprint)
+        return changed
+
+    def most_suspected(self, limit: int) -> list[int]:
+        """Return the fingerprints that peers have to know of, those with the most deaths first.
+
+        These are the requests with two counted deaths or more, and those with a recent one.
+        """
+        self._expire()
+        oldest_s = self._clock.now_s() - SINGLE_DEATH_NEWS_S
+        counts = {}
+        for fingerprint, suspicion in self._suspicions.items():
+            deaths = suspicion.counted_deaths
+            if len(deaths) >= BLOCKING_TARGET_COUNT or (deaths and deaths[0].at_s > oldest_s):
+                counts[fingerprint] = len(deaths)
+        return sorted(counts, key=counts.__getitem__, reverse=True)[:limit]
+
     def is_suspect(self, fingerprint: int) -> bool:
         """Return whether a target died with a request in flight that has not completed since."""
-        self._expire()
-        suspicion = self._suspicions.get(fingerprint)
-        return suspicion is not None and bool(suspicion.targets)
+        return bool(self._counted_deaths(fingerprint))
 
     def is_blocked(self, fingerprint: int) -> bool:
-        """Return whether `BLOCKING_TARGET_COUNT` distinct targets died with a request in flight."""
-        self._expire()
-        suspicion = self._suspicions.get(fingerprint)
-        return suspicion is not None and len(suspicion.targets) >= BLOCKING_TARGET_COUNT
+        """Return whether a request is known to crash targets.
+
+        It is if `CERTAIN_TARGET_COUNT` distinct targets died with it in flight since it last
+        completed, or `BLOCKING_TARGET_COUNT` of them soon after it had begun to run there, and
+        `settles_in_s` is 0.
+        """
+        deaths = self._counted_deaths(fingerprint)
+        if len(deaths) >= CERTAIN_TARGET_COUNT:
+            return True
+        early = {death.target for death in deaths if death.is_early}
+        if len(early) < BLOCKING_TARGET_COUNT or self.settles_in_s(fingerprint):
+            return False
+        return self._runs_one_suspect or not any(self._others_with(fingerprint, early))
+
+    def settles_in_s(self, fingerprint: int) -> float:
+        """Return the time until it is known whether a request with two deaths is blocked.
+
+        Returns
+        -------
+        float
+            In seconds; 0 if that is known, or the request has fewer deaths or more.
+        """
+        suspicion = self._suspicions.get(fingerprint, Suspicion())
+        deaths = suspicion.counted_deaths
+        if self._runs_one_suspect or len(deaths) != BLOCKING_TARGET_COUNT:
+            return 0.0
+        if not all(death.is_early for death in deaths):
+            return 0.0
+        return max(suspicion.updated_s + SETTLE_S - self._clock.now_s(), 0.0)
 
     def was_in_flight_at_death(self, fingerprint: int, target_name: str) -> bool:
         """Return whether the named target died with a request in flight."""
-        suspicion = self._suspicions.get(fingerprint)
-        return suspicion is not None and _hash_target(target_name) in suspicion.targets
+        target = _hash_target(target_name)
+        return any(death.target == target for death in self._counted_deaths(fingerprint))
 
     def clear(self, fingerprint: int) -> bool:
         """Remove a request from this table; return False if it was not in it."""
@@ -123,12 +281,49 @@
         """Return the number of entries, completed requests included."""
         return len(self._suspicions)
 
-    def _add(self, fingerprint: int, target: int) -> None:
-        suspicion = self._suspicions.pop(fingerprint, Suspicion((), 0.0))
-        targets = suspicion.targets
-        if target not in targets and len(targets) < MAX_TARGETS_PER_SUSPECT:
-            targets = (*targets, target)
-        self._suspicions[fingerprint] = Suspicion(targets, self._clock.now_s())
+    def _counted_deaths(self, fingerprint: int) -> tuple[TargetDeath, ...]:
+        self._expire()
+        return self._suspicions.get(fingerprint, Suspicion()).counted_deaths
+
+    def _others_with(self, fingerprint: int, targets: set[int]) -> Iterator[int]:
+        """Yield the other requests that were as early at the deaths of the same targets."""
+        for other, suspicion in self._suspicions.items():
+            early = {death.target for death in suspicion.counted_deaths if death.is_early}
+            if other != fingerprint and early >= targets:
+                yield other
+
+    def _add(self, fingerprint: int, death: TargetDeath, is_own: bool = False) -> bool:
+        suspicion = self._suspicions.get(fingerprint, Suspicion())
+        deaths = {known.target: known for known in suspicion.deaths}
+        before = deaths.get(death.target)
+        is_new = before is None or (is_own and death.at_s > before.at_s)
+        if before is not None:
+            # A peer that was suspended tells ages that are too small: the earlier time is right.
+            at_s = death.at_s if is_new else min(death.at_s, before.at_s)
+            is_new |= death.is_early and not before.is_early
+            death = TargetDeath(death.target, at_s, death.is_early or before.is_early)
+        deaths[death.target] = death
+        kept = tuple(deaths.values())[-MAX_TARGETS_PER_SUSPECT:]
+        if is_new:
+            self._put(fingerprint, suspicion._replace(deaths=kept))
+        else:
+            self._suspicions[fingerprint] = suspicion._replace(deaths=kept)
+        return is_new
+
+    def _complete(self, fingerprint: int, completed_s: float) -> bool:
+        """Clear a suspect that completed at a peer; return whether that clears any death here."""
+        suspicion = self._suspicions.get(fingerprint)
+        if suspicion is None or completed_s <= suspicion.completed_s:
+            return False
+        cleared = suspicion._replace(completed_s=completed_s)
+        is_new = len(cleared.counted_deaths) < len(suspicion.counted_deaths)
+        if is_new:
+            self._put(fingerprint, cleared)
+        return is_new
+
+    def _put(self, fingerprint: int, suspicion: Suspicion) -> None:
+        self._suspicions[fingerprint] = suspicion._replace(updated_s=self._clock.now_s())
+        self._suspicions.move_to_end(fingerprint)
         if len(self._suspicions) > self._max_suspects:
             self._suspicions.popitem(last=False)
 
@@ -145,6 +340,16 @@
     return xxhash.xxh3_64_intdigest(name.encode()) & _MASK
 
 
-def create_suspect_table(clock: Clock, max_suspects: int = MAX_SUSPECTS) -> SuspectTable:
+def _age_ms(now_s: float, at_s: float) -> int:
+    return max(int((now_s - at_s) * 1000), 0)
+
+
+def _age_s(age_ms: int) -> float:
+    return min(max(age_ms / 1000, 0.0), SUSPECT_RETENTION_S)
+
+
+def create_suspect_table(
+    clock: Clock, max_suspects: int = MAX_SUSPECTS, runs_one_suspect: bool = True
+) -> SuspectTable:
     """Create an empty table of at most `max_suspects` entries."""
-    return SuspectTable(clock, max_suspects)
+    return SuspectTable(clock, max_suspects, runs_one_suspect)
--- a/tests/process/test_suspects.py
+++ b/tests/process/test_suspects.py
@@ -8,7 +8,13 @@
 from guavawalk.codes import ResultCode
 from guavawalk.exception import RequestError
 from guavawalk.process.sidecar.admission import admit_offer
-from guavawalk.process.suspects import SUSPECT_RETENTION_S, SuspectTable, create_suspect_table
+from guavawalk.process.suspects import (
+    PAIR_DELAY_S,
+    SETTLE_S,
+    SUSPECT_RETENTION_S,
+    SuspectTable,
+    create_suspect_table,
+)
 from guavawalk.tools.fleet import run_fleet
 from guavawalk.tools.plan import asante_plan
 from tests.process.sidecar.test_admission_overload import make_offer, with_sidecar
@@ -58,6 +64,140 @@
         assert all(peer.is_blocked(f) == table.is_blocked(f) for f in newest)
 
 
+class TestTablesOfGateways:
+    """Several suspects may run at a target at a time."""
+
+    def make_tables(self, count=2):
+        clock = FixedClock()
+        return clock, [create_suspect_table(clock, runs_one_suspect=False) for _ in range(count)]
+
+    def tell(self, sender, receiver, *fingerprints):
+        return receiver.merge_news([sender.news_of(fingerprint) for fingerprint in fingerprints])
+
+    def test_two_early_deaths_block_once_peers_could_have_told_of_others(self):
+        clock, (table,) = self.make_tables(1)
+        table.record_target_death(7, "a")
+        table.record_target_death(7, "b")
+        assert not table.is_blocked(7) and table.settles_in_s(7) == SETTLE_S
+        clock.at_s = SETTLE_S
+        assert table.is_blocked(7) and table.settles_in_s(7) == 0.0
+
+    def test_third_death_blocks_at_once_also_in_the_middle_of_runs(self):
+        _, (table,) = self.make_tables(1)
+        for target in "ab":
+            table.record_target_death(7, target, is_early=False)
+        assert not table.is_blocked(7) and not table.settles_in_s(7)
+        table.record_target_death(7, "c", is_early=False)
+        assert table.is_blocked(7)
+
+    def test_requests_in_flight_at_the_same_two_deaths_wait_for_the_third(self):
+        clock, (table,) = self.make_tables(1)
+        for target in "ab":
+            table.record_target_death(7, target)
+            table.record_target_death(8, target)
+        clock.at_s = 1.0
+        assert not table.is_blocked(7) and not table.is_blocked(8)
+        table.record_target_death(7, "c")
+        assert table.is_blocked(7) and not table.is_blocked(8)
+
+    def test_completion_of_one_of_two_tells_which_request_crashes_targets(self):
+        clock, (table, peer) = self.make_tables()
+        for target in "ab":
+            table.record_target_death(7, target)
+            table.record_target_death(8, target)
+        clock.at_s = 1.0
+        self.tell(table, peer, 7, 8)
+        peer.record_completed(8)
+        clock.at_s = 2.0
+        assert self.tell(peer, table, 8) == [8]
+        assert table.is_blocked(7) and not table.is_suspect(8)
+
+    def test_death_after_a_completion_counts_whoever_tells_of_it(self):
+        clock, (table, peer) = self.make_tables()
+        table.record_target_death(7, "a")
+        clock.at_s = 1.0
+        table.record_completed(7)
+        clock.at_s = 2.0
+        peer.record_target_death(7, "b")
+        peer.record_target_death(7, "c")
+        clock.at_s = 3.0
+        assert self.tell(peer, table, 7) == [7]
+        clock.at_s = 4.0
+        assert table.is_blocked(7)
+
+    def test_completed_request_is_no_suspect_where_it_was_not_known(self):
+        clock, (table, peer) = self.make_tables()
+        table.record_target_death(7, "a")
+        clock.at_s = 1.0
+        table.record_completed(7)
+        self.tell(table, peer, 7)
+        assert not peer.is_suspect(7)
+
+    def test_death_before_a_completion_does_not_count_however_late_it_is_told(self):
+        clock, (table, peer) = self.make_tables()
+        peer.record_target_death(7, "a")
+        peer.record_target_death(7, "b")
+        clock.at_s = 1.0
+        table.record_target_death(7, "c")
+        clock.at_s = 2.0
+        table.record_completed(7)
+        clock.at_s = 300.0
+        self.tell(peer, table, 7)
+        assert not table.is_suspect(7)
+
+    def test_news_that_is_known_is_not_new(self):
+        clock, (table, peer) = self.make_tables()
+        table.record_target_death(7, "a")
+        assert self.tell(table, peer, 7) == [7]
+        clock.at_s = 5.0
+        assert self.tell(table, peer, 7) == self.tell(peer, table, 7) == []
+
+    def test_request_with_most_deaths_is_told_first_among_many(self):
+        clock, (table,) = self.make_tables(1)
+        for target in "ab":
+            table.record_target_death(7, target)
+        for fingerprint in range(100, 200):
+            table.record_target_death(fingerprint, "c")
+        assert table.most_suspected(16)[0] == 7
+        clock.at_s = 60.0
+        assert table.most_suspected(16) == [7]
+
+    @given(
+        st.lists(
+            st.tuples(
+                st.integers(0, 2),
+                st.sampled_from(["death", "completed", "tell"]),
+                st.integers(1, 4),
+                st.sampled_from("abcd"),
+                st.floats(0.0, 2.0),
+            ),
+            max_size=40,
+        )
+    )
+    def test_tables_agree_once_all_have_told_all(self, steps):
+        clock, tables = self.make_tables(3)
+        for number, step, fingerprint, target, pause_s in steps:
+            clock.at_s += 0.01 + pause_s
+            table = tables[number]
+            if step == "death":
+                table.record_target_death(fingerprint, target)
+            elif step == "completed":
+                table.record_completed(fingerprint)
+            elif table.news_of(fingerprint):
+                self.tell(table, tables[number - 1], fingerprint)
+        clock.at_s += 1.0
+        known = {fingerprint for _, _, fingerprint, _, _ in steps}
+        for _ in range(2):
+            for sender in tables:
+                for receiver in tables:
+                    news = filter(None, map(sender.news_of, known))
+                    receiver.merge_news(list(news))
+        clock.at_s += 1.0
+        for fingerprint in known:
+            assert len({table.is_blocked(fingerprint) for table in tables}) == 1
+            assert len({table.is_suspect(fingerprint) for table in tables}) == 1
+
+
 async def resend_crashing(fleet, times, beside=0):
     """Send the crashing request several times, each with `beside` other concurrent requests."""
     plan = fleet.plan
@@ -134,6 +274,15 @@
         table.record_target_death(7, "b")
         assert table.is_suspect(7)
 
+    def test_pairs_from_peers_count_again_some_time_after_a_completion(self):
+        clock = FixedClock()
+        table = create_suspect_table(clock)
+        table.record_target_death(7, "a")
+        table.record_completed(7)
+        clock.at_s = PAIR_DELAY_S + 1
+        table.merge((7, 12, 7, 13))
+        assert table.is_blocked(7)
+
 
 class TestIsolation:
     def test_sidecar_accepts_one_suspect_at_a_time(self):
