Suspicions spread as news of their own, also to gateways that start later

Each report carried the 16 newest pairs: calls that were in flight beside the guilty one displaced it, and a gateway that started late refused it 2 s after it was ready. News is sent three times at once, passed on by the gateways that receive summaries, repeated by number of deaths, and told to a gateway when it is first heard. It has a datagram of its own, which gateways of the version before reject and log.

--- a/guavawalk/connection/tasks/gossip.py
+++ b/guavawalk/connection/tasks/gossip.py
@@ -17,8 +17,9 @@
 from anyio.abc import UDPSocket
 
 from guavawalk import events
-from guavawalk.connection.address import split_address
 from guavawalk.connection.http_client import create_http_client
+from guavawalk.connection.tasks.crash_news import apply_crash_news
+from guavawalk.connection.tasks.datagrams import send_datagram
 from guavawalk.connection.tasks.follow_registry import apply_routes, apply_target_list
 from guavawalk.exception import TargetError
 from guavawalk.process.gateway.centres import (
@@ -27,6 +28,7 @@
     decode_summary,
     encode_summary,
 )
+from guavawalk.process.gateway.crash_news import CRASH_NEWS_TAG
 from guavawalk.process.gateway.loads import measure_load, sum_loads
 from guavawalk.process.gateway.pages import ROUTES_PATH, TARGETS_PATH
 from guavawalk.process.gateway.reports import PeerReport, decode_report, encode_report
@@ -95,7 +97,6 @@
         target_loads=tuple(load for load in loads if load.running or load.failed),
         admitted=gateway.quotas.admitted.changed_since(since_change),
         sent_parts=gateway.targets.pop_sent_parts(MAX_REPORTED_PARTS),
-        suspects=gateway.suspects.newest_pairs(),
         addresses=() if since_change else gateway.peers.named_addresses(),
         data_centre=gateway.settings.data_centre,
         is_registry_failing=gateway.duty.is_failing(),
@@ -129,7 +130,6 @@
         target_loads=sum_loads((*own.target_loads, *gateway.peers.target_loads())),
         admitted=gateway.quotas.admitted_in_centre.changed_since(since_change),
         sent_parts=gateway.peers.pop_summary_parts(MAX_SUMMARY_PARTS),
-        suspects=gateway.suspects.newest_pairs(),
         contacts=gateway.peers.uncovered_contacts(),
     )
 
@@ -176,7 +176,7 @@
         await self._send(encode_summary(summary), addresses)
 
     async def _send(self, data: bytes, addresses: Iterable[str]) -> None:
-        await _send_to(self._gateway, self._socket, data, addresses)
+        await send_datagram(self._gateway, self._socket, data, addresses)
 
 
 async def send_reports(gateway: Gateway, socket: UDPSocket, incarnation: int) -> None:
@@ -214,18 +214,6 @@
     return random.uniform(0.8, 1.2) * every_s
 
 
-async def _send_to(
-    gateway: Gateway, socket: UDPSocket, data: bytes, addresses: Iterable[str]
-) -> None:
-    # Reports and forwarded summaries are sent by two tasks; the socket serves one at a time.
-    async with gateway.peers.send_lock:
-        for address in addresses:
-            try:
-                await socket.sendto(data, *split_address(address))
-            except OSError as error:
-                gateway.log.emit(events.PEER_UNREACHABLE, peer=address, reason=str(error))
-
-
 async def receive_reports(gateway: Gateway, socket: UDPSocket) -> None:
     """Apply the reports and summaries of other gateways until cancelled.
 
@@ -249,11 +237,14 @@
         tasks.start_soon(fetch_newer)
         async for data, (host, port) in socket:
             try:
+                if data.startswith(CRASH_NEWS_TAG):
+                    apply_crash_news(gateway, data)
+                    continue
                 if data.startswith(SUMMARY_TAG):
                     news = decode_summary(data)
                     is_new = _apply_summary(gateway, news)
                     if is_new and news.relay == f"{host}:{port}":
-                        await _send_to(gateway, socket, data, gateway.peers.local_addresses())
+                        await send_datagram(gateway, socket, data, gateway.peers.local_addresses())
                 else:
                     news = decode_report(data)
                     _apply_report(gateway, news)
@@ -274,8 +265,8 @@
             incarnation=report.incarnation,
             routes_version=report.routes_version,
         )
+        gateway.crash_news.greet(report.address)
     gateway.dispatcher.dispatch_all()
-    gateway.suspects.merge(report.suspects)
     if report.data_centre == gateway.settings.data_centre:
         gateway.peers.add_addresses(report.addresses)
 
@@ -295,8 +286,8 @@
             incarnation=summary.incarnation,
             routes_version=summary.routes_version,
         )
+        gateway.crash_news.greet(summary.relay)
     gateway.dispatcher.dispatch_all()
-    gateway.suspects.merge(summary.suspects)
     gateway.peers.add_addresses(summary.contacts)
     return True
 
--- a/guavawalk/events.py
+++ b/guavawalk/events.py
@@ -86,6 +86,10 @@
     2016, "call_suspected", logging.WARNING, "a target died while a call was in flight there"
 )
 
+CALL_BLOCKED = _event(
+    2018, "call_blocked", logging.WARNING, "a request is refused here since it ends targets"
+)
+
 CALL_SILENT = _event(2017, "call_silent", logging.INFO, "a target has sent nothing for too long")
 
 OFFER_NOT_RUN = _event(2070, "offer_not_run", logging.INFO, "a target did not run an offer")
--- a/guavawalk/process/gateway/centres.py
+++ b/guavawalk/process/gateway/centres.py
@@ -75,7 +75,7 @@
     sent_parts : tuple of (str, str)
         Pairs of a target's id and the id of a prompt part sent there since the previous summary.
     suspects : tuple of int
-        Suspected crashes of targets by requests, as `SuspectTable.newest_pairs` returns them.
+        Not used any more; it keeps the place of the fields behind it. See `CrashNews`.
     contacts : tuple of str
         Gateways of other data centres that reported to this one and are in no summary. They may
         not have found the gateways beside them yet.
--- /dev/null
+++ b/guavawalk/process/gateway/crash_news.py
@@ -0,0 +1,133 @@
+"""Queues what a gateway has to tell others of requests that crash targets, and its encoding."""
+
+from collections.abc import Iterable
+from typing import NamedTuple
+
+import anyio
+import msgspec
+import msgspec.msgpack
+
+from guavawalk.process.suspects import SuspicionNews
+
+__all__ = [
+    "CRASH_NEWS_TAG",
+    "MAX_SUSPICIONS",
+    "CrashNews",
+    "CrashNewsQueue",
+    "create_crash_news_queue",
+    "decode_crash_news",
+    "encode_crash_news",
+]
+
+# First bytes of the datagram. It begins like a summary, which gateways of earlier versions reject.
+CRASH_NEWS_TAG = b"\xc1\xc1"
+# Number of times that each piece of news is sent: datagrams get lost.
+SENDS = 3
+# Most fingerprints that are queued; the oldest are dropped first.
+MAX_QUEUED = 1_024
+# Most suspicions in one datagram, so that it usually fits one packet.
+MAX_SUSPICIONS = 24
+
+
+class CrashNews(NamedTuple):
+    """Suspicions that one gateway tells others.
+
+    Attributes
+    ----------
+    data_centre : str
+        Data centre of the sender.
+    """
+
+    data_centre: str
+    suspicions: tuple[SuspicionNews, ...]
+
+
+class _Queued:
+    def __init__(self, is_for_all: bool) -> None:
+        self.sends_left = SENDS
+        self.is_for_all = is_for_all
+
+
+class CrashNewsQueue:
+    """News that has not been sent often enough yet.
+
+    Attributes
+    ----------
+    arrived : anyio.Event
+        Set when there is news, or a gateway to greet; `take` replaces it.
+    """
+
+    def __init__(self) -> None:
+        self.arrived = anyio.Event()
+        self._queued: dict[int, _Queued] = {}
+        self._greeted: set[str] = set()
+
+    def __len__(self) -> int:
+        """Return the number of fingerprints that are to be sent."""
+        return len(self._queued)
+
+    def add(self, fingerprints: Iterable[int], is_for_all: bool = True) -> None:
+        """Queue news of fingerprints.
+
+        Parameters
+        ----------
+        is_for_all : bool, optional
+            Whether to tell other data centres; False for news that came from one.
+        """
+        for fingerprint in fingerprints:
+            before = self._queued.pop(fingerprint, None)
+            is_queued_for_all = before is not None and before.is_for_all
+            self._queued[fingerprint] = _Queued(is_for_all or is_queued_for_all)
+            if len(self._queued) > MAX_QUEUED:
+                del self._queued[next(iter(self._queued))]
+            self.arrived.set()
+
+    def greet(self, address: str) -> None:
+        """Have all that matters sent to a gateway that may know nothing."""
+        self._greeted.add(address)
+        self.arrived.set()
+
+    def take(self) -> tuple[list[int], list[int], set[str]]:
+        """Return what to send now, the newest first.
+
+        Returns
+        -------
+        tuple
+            Fingerprints for all gateways, those for the data centre only, and the addresses of the
+            gateways to greet.
+        """
+        self.arrived = anyio.Event()
+        greeted, self._greeted = self._greeted, set()
+        batch = list(reversed(self._queued))[:MAX_SUSPICIONS]
+        for_all = [fingerprint for fingerprint in batch if self._queued[fingerprint].is_for_all]
+        for_centre = [fingerprint for fingerprint in batch if fingerprint not in for_all]
+        for fingerprint in batch:
+            self._queued[fingerprint].sends_left -= 1
+            if not self._queued[fingerprint].sends_left:
+                del self._queued[fingerprint]
+        return for_all, for_centre, greeted
+
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(CrashNews)
+
+
+def encode_crash_news(news: CrashNews) -> bytes:
+    """Return news as one datagram."""
+    return CRASH_NEWS_TAG + _encoder.encode(news)
+
+
+def decode_crash_news(data: bytes) -> CrashNews:
+    """Return the news of a datagram that begins with `CRASH_NEWS_TAG`.
+
+    Raises
+    ------
+    msgspec.DecodeError
+        If the datagram holds no news.
+    """
+    return _decoder.decode(data[len(CRASH_NEWS_TAG) :])
+
+
+def create_crash_news_queue() -> CrashNewsQueue:
+    """Create a queue without news."""
+    return CrashNewsQueue()
--- a/guavawalk/process/gateway/peers.py
+++ b/guavawalk/process/gateway/peers.py
@@ -145,7 +145,7 @@
         self.news.set()
 
     def apply_report(self, report: PeerReport, now_s: float) -> bool:
-        """Apply a report; return whether it makes its gateway live.
+        """Apply a report; return whether it makes its gateway live, or is the first of its start.
 
         Notes
         -----
@@ -164,6 +164,7 @@
             peer = self._peers[report.address] = _Peer(report, now_s)
         elif not is_later(report, peer.report):
             return False
+        is_new_start = report.incarnation != peer.report.incarnation
         was_failing = peer.report.is_registry_failing
         if peer.is_live:
             subtract_loads(peer.added_loads)
@@ -179,7 +180,7 @@
         self.add_summary_parts(report.sent_parts)
         if was_serving != peer.is_serving or was_failing != report.is_registry_failing:
             self._record_change()
-        return peer.is_serving and not was_serving
+        return peer.is_serving and (not was_serving or is_new_start)
 
     def add_contact(self, address: str, now_s: float) -> None:
         """Record that a gateway of another data centre was heard, and may be in no summary."""
--- a/guavawalk/process/gateway/reports.py
+++ b/guavawalk/process/gateway/reports.py
@@ -36,7 +36,7 @@
     sent_parts : tuple of (str, str)
         Pairs of a target's id and the id of a prompt part sent there since the previous report.
     suspects : tuple of int
-        Suspected crashes of targets by requests, as `SuspectTable.newest_pairs` returns them.
+        Not used any more; it keeps the place of the fields behind it. See `CrashNews`.
     addresses : tuple of str
         Gateways whose reports it receives; empty in reports that hold only changes of `admitted`.
     data_centre : str
--- a/guavawalk/process/gateway/state.py
+++ b/guavawalk/process/gateway/state.py
@@ -9,6 +9,7 @@
 from guavawalk.process.gateway.callers import CallerTracker, create_caller_tracker
 from guavawalk.process.gateway.centres import create_centre_table
 from guavawalk.process.gateway.connections import ConnectionPool, create_connection_pool
+from guavawalk.process.gateway.crash_news import CrashNewsQueue, create_crash_news_queue
 from guavawalk.process.gateway.dispatch import Dispatcher, create_dispatcher
 from guavawalk.process.gateway.peers import PeerTable, create_peer_table
 from guavawalk.process.gateway.quota import QuotaWindows, create_quota_windows
@@ -50,6 +51,7 @@
     retries: RetryWindows
     quotas: QuotaWindows
     suspects: SuspectTable
+    crash_news: CrashNewsQueue
     peers: PeerTable
     duty: WatchDuty
     callers: CallerTracker
@@ -91,7 +93,8 @@
         buffers=create_buffer_budget(),
         retries=create_retry_windows(bounds),
         quotas=quotas,
-        suspects=create_suspect_table(clock),
+        suspects=create_suspect_table(clock, runs_one_suspect=False),
+        crash_news=create_crash_news_queue(),
         peers=peers,
         duty=create_watch_duty(peers, clock),
         callers=create_caller_tracker(),
--- a/tests/connection/tasks/test_gossip.py
+++ b/tests/connection/tasks/test_gossip.py
@@ -1,5 +1,6 @@
 import anyio
 
+from guavawalk.connection.tasks.crash_news import send_crash_news
 from guavawalk.connection.tasks.gossip import make_report, receive_reports, send_reports
 from guavawalk.connection.tasks.serve_probe import serve_pages
 from guavawalk.process.gateway.pages import peer_pages
@@ -34,6 +35,7 @@
 
     tasks.start_soon(listener.serve, serve)
     tasks.start_soon(receive_reports, story.gateway, socket)
+    tasks.start_soon(send_crash_news, story.gateway, socket)
     tasks.start_soon(send_reports, story.gateway, socket, port)
     return story
 
