Each gateway finds out itself whether a target that cut off a call has ended

A call was suspected only if the same gateway happened to be refused a connection to the target within 1.5 s: of 29 targets that one request ended none was noticed. A call that was cut off now has its target checked by a connection, which is kept for later calls. A later start, or a lapsed entry, is evidence too, also for calls that were given up there. Bytes of other calls show that the target lives.

--- a/guavawalk/connection/tasks/attempt_call.py
+++ b/guavawalk/connection/tasks/attempt_call.py
@@ -10,6 +10,7 @@
 from guavawalk import events
 from guavawalk.connection.caller_answer import CallerAnswer
 from guavawalk.connection.tasks.call_progress import Progress
+from guavawalk.connection.tasks.check_target import check_target
 from guavawalk.connection.tasks.target_exchange import TargetExchange
 from guavawalk.exception import TargetError
 from guavawalk.process.gateway.dispatch import Reservation
@@ -64,10 +65,16 @@
     """
     try:
         end = await _Attempt(gateway, call, exchange, progress, answer).run()
+    except BaseException:
+        exchange.record_abandoned()
+        raise
+    else:
         exchange.record_end(end)
-        return end
     finally:
         await exchange.close()
+    if end.result is AttemptResult.LOST:
+        await check_target(gateway, exchange.target)
+    return end
 
 
 class _Attempt:
@@ -158,6 +165,7 @@
         now_s = self._gateway.clock.now_s()
         self._progress.record_events(now_s)
         target, running_call = self._exchange.target, self._exchange.running_call
+        target.record_life(running_call, now_s)
         if not running_call.first_event_at_s:
             self._record_first_event()
             target.record_first_event(running_call, now_s)
@@ -261,6 +269,9 @@
                 other_end = AttemptEnd(AttemptResult.UNNEEDED)
             elif other_end is None:
                 progress.successor = other
+        except BaseException:
+            other.record_abandoned()
+            raise
         finally:
             if progress.successor is not other:
                 await other.close()
@@ -274,7 +285,12 @@
     def _reserve_next(self) -> Reservation | None:
         """Reserve a slot at another target, paid from the retry budget; None if there is none."""
         gateway, call, progress = self._gateway, self._call, self._progress
-        reservation = gateway.dispatcher.try_reserve(call, progress.tried_ids)
+        reservation = None
+        suspects = gateway.suspects
+        if not suspects.is_blocked(call.fingerprint) and not suspects.settles_in_s(
+            call.fingerprint
+        ):
+            reservation = gateway.dispatcher.try_reserve(call, progress.tried_ids)
         now_s = gateway.clock.now_s()
         if reservation is not None and not gateway.retries.try_spend(
             call.service, gateway.peers.count(), now_s
--- a/guavawalk/connection/tasks/target_exchange.py
+++ b/guavawalk/connection/tasks/target_exchange.py
@@ -23,7 +23,8 @@
 from guavawalk.platform.requests import decode_answer, encode_target_headers, is_misdirected
 from guavawalk.process.gateway.connections import TargetConnection
 from guavawalk.process.gateway.dispatch import Reservation
-from guavawalk.process.gateway.target_end import record_connect_failure
+from guavawalk.process.gateway.target_end import record_connect_failure, record_cut_call
+from guavawalk.process.gateway.tracked_target import CutCall
 from guavawalk.request.call import Call
 from guavawalk.request.event_stream import EVENT_END, MAX_EVENT_BYTES
 from guavawalk.request.repeat import AttemptEnd, AttemptResult
@@ -197,7 +198,9 @@
         for _ in range(MAX_SURPLUS_ANSWERS):
             fields = decode_answer(await self.reader.read_head())
             if self._is_own(fields):
-                self.target.record_answer_start(self._gateway.clock.now_s())
+                now_s = self._gateway.clock.now_s()
+                self.target.record_answer_start(now_s)
+                self.target.record_life(self.running_call, now_s)
                 return fields
             self._gateway.metrics.count("surplus_answers_total")
             self._has_surplus = True
@@ -265,6 +268,8 @@
         """Record what the end of an attempt shows about the target."""
         gateway, target, result = self._gateway, self.target, end.result
         now_s = gateway.clock.now_s()
+        if result in (AttemptResult.UNNEEDED, AttemptResult.SILENT, AttemptResult.LOST):
+            self._record_cut(was_closed=result is AttemptResult.LOST)
         if result is AttemptResult.UNNEEDED:
             return
         if result is AttemptResult.UNREACHED:
@@ -278,10 +283,20 @@
             target.usable_until_s = now_s
         else:
             target.failures.record(True, now_s)
-        if result is AttemptResult.LOST:
-            target.record_truncated_answer(self._call.fingerprint, now_s)
-        elif result is AttemptResult.DELIVERED:
-            gateway.suspects.record_completed(self._call.fingerprint)
+        fingerprint = self._call.fingerprint
+        if result is AttemptResult.DELIVERED and gateway.suspects.record_completed(fingerprint):
+            gateway.crash_news.add((fingerprint,))
+
+    def record_abandoned(self) -> None:
+        """Record that the call was cancelled, so that its end at the target is not known."""
+        if self.is_sent:
+            self._record_cut(was_closed=False)
+
+    def _record_cut(self, was_closed: bool) -> None:
+        now_s = self._gateway.clock.now_s()
+        is_early = self.running_call.is_early(now_s)
+        cut = CutCall(self._call.fingerprint, now_s, is_early, was_closed)
+        record_cut_call(self._gateway, self.target, cut)
 
     def log_end(self, end: AttemptEnd, next_step: str, may_retry: bool) -> None:
         """Log how the attempt ended, and what the gateway does next with the call."""
--- a/guavawalk/process/gateway/target_end.py
+++ b/guavawalk/process/gateway/target_end.py
@@ -9,9 +9,9 @@
 
 if TYPE_CHECKING:
     from guavawalk.process.gateway.state import Gateway
-    from guavawalk.process.gateway.tracked_target import TrackedTarget
+    from guavawalk.process.gateway.tracked_target import CutCall, TrackedTarget
 
-__all__ = ["EndEvidence", "record_connect_failure", "record_target_end"]
+__all__ = ["EndEvidence", "record_connect_failure", "record_cut_call", "record_target_end"]
 
 
 class EndEvidence(Enum):
@@ -45,30 +45,59 @@
             silent_ms=int((now_s - target.last_answer_s) * 1000) if target.last_answer_s else None,
             is_refused=is_refused,
         )
-    suspects = target.pop_crash_suspects(now_s)
-    _suspect(gateway, target, suspects)
     if is_refused:
+        target.record_refusal(now_s)
         record_target_end(gateway, target, EndEvidence.REFUSED)
 
 
 def record_target_end(gateway: Gateway, target: TrackedTarget, evidence: EndEvidence) -> None:
-    """Log and count evidence that a target has ended."""
+    """Record evidence that a target has ended; suspect the calls that were cut off there.
+
+    Notes
+    -----
+    A target that does not answer or whose entry has lapsed may live behind a broken link: calls
+    that this gateway gave up there are suspected only once the target has started again.
+    """
+    now_s = gateway.clock.now_s()
+    has_restarted = evidence is EndEvidence.RESTARTED
+    cut_calls = target.pop_cut_calls(now_s, must_be_closed=not has_restarted)
+    registration = target.registration
     gateway.metrics.count("target_ends_total", evidence=evidence.value)
     gateway.log.emit(
         events.TARGET_ENDED,
-        target=target.registration.target_id,
+        target=registration.target_id,
         evidence=evidence.value,
         running=target.running,
+        cut_calls=len(cut_calls),
+    )
+    for cut in cut_calls:
+        _suspect_call(gateway, target, cut)
+
+
+def _suspect_call(gateway: Gateway, target: TrackedTarget, cut: CutCall) -> None:
+    """Record a call that was cut off by the end of a target."""
+    registration, suspects = target.registration, gateway.suspects
+    fingerprint = cut.fingerprint
+    if not suspects.record_target_death(
+        fingerprint, registration.start_name, cut.cut_s, cut.is_early
+    ):
+        return
+    gateway.crash_news.add((fingerprint,))
+    gateway.log.emit(
+        events.CALL_SUSPECTED,
+        target=registration.target_id,
+        fingerprint=fingerprint,
+        is_early=cut.is_early,
+        blocked=suspects.is_blocked(fingerprint),
     )
 
 
-def _suspect(gateway: Gateway, target: TrackedTarget, fingerprints: tuple[int, ...]) -> None:
-    target_id = target.registration.target_id
-    for fingerprint in fingerprints:
-        gateway.suspects.record_target_death(fingerprint, target_id)
-        gateway.log.emit(
-            events.CALL_SUSPECTED,
-            target=target_id,
-            fingerprint=fingerprint,
-            blocked=gateway.suspects.is_blocked(fingerprint),
-        )
+def record_cut_call(gateway: Gateway, target: TrackedTarget, cut: CutCall) -> None:
+    """Record a call that was cut off at a target, unless the target was leaving."""
+    registration = target.registration
+    if registration.draining or gateway.targets.get(registration.target_id) is not target:
+        return
+    if cut.was_closed and target.has_just_refused(cut.cut_s):
+        _suspect_call(gateway, target, cut)
+    else:
+        target.record_cut_call(cut)
--- a/guavawalk/process/gateway/tracked_target.py
+++ b/guavawalk/process/gateway/tracked_target.py
@@ -3,12 +3,15 @@
 import math
 from collections import OrderedDict, deque
 from collections.abc import Iterable
+from typing import NamedTuple
+
+import anyio
 
 from guavawalk.process.gateway.decay import DecayingShare, MovingAverage
 from guavawalk.request.call import Call, PromptPart
 from guavawalk.version.registrations import Registration
 
-__all__ = ["MAX_CACHED_PARTS", "RunningCall", "TrackedTarget"]
+__all__ = ["MAX_CACHED_PARTS", "CutCall", "RunningCall", "TrackedTarget"]
 
 # Age at which a failure has half its weight, in seconds; short, so that a target that has failed
 # gets calls again soon.
@@ -22,15 +25,23 @@
 ANSWER_WEIGHT = 0.1
 # Initial average time to an answer of a plain service, in seconds.
 INITIAL_ANSWER_S = 0.05
-# Time after an answer was cut off, in seconds, within which a refused connection makes the call
-# suspected of having crashed the target.
-CRASH_EVIDENCE_S = 1.5
+# Age up to which a call that was cut off is kept as one that the target may have died of, in
+# seconds: longer than a target takes to start again and register.
+CUT_CALL_RETENTION_S = 30.0
+# Time after a call was cut off within which bytes may arrive that were sent before, in seconds.
+LATE_BYTES_S = 0.1
+# Shortest time in which a target starts again, in seconds.
+MIN_RESTART_S = 1.0
+# Time after its first event for which a run counts as having just begun, in seconds.
+EARLY_RUN_S = 0.25
+# Time after a refused connection within which another one would be refused too, in seconds.
+REFUSED_FOR_S = 0.1
 # Pause before a target that accepted no connection is tried again, in seconds. It doubles with each
 # failed trial, up to a maximum well below the time in which a crashed target usually restarts.
 MIN_PAUSE_S = 0.15
 MAX_PAUSE_S = 0.8
-# Most calls with truncated answers that are kept for each target; more than a target has slots.
-MAX_TRUNCATED_CALLS = 64
+# Most calls that were cut off that are kept for each target; more than a target has slots.
+MAX_CUT_CALLS = 64
 # Most prompt parts that are assumed to be in a target's cache, and most sent parts that wait for
 # the next reports; the oldest are dropped first.
 MAX_CACHED_PARTS = 512
@@ -38,6 +49,25 @@
 CACHED_FOR_S = 30.0
 
 
+class CutCall(NamedTuple):
+    """A call whose attempt ended without a complete answer.
+
+    Attributes
+    ----------
+    cut_s : float
+        When it ended, on the process's monotonic clock.
+    is_early : bool
+        Whether its run had just begun, or may not have.
+    was_closed : bool
+        Whether the connection ended; False if this gateway gave it up.
+    """
+
+    fingerprint: int
+    cut_s: float
+    is_early: bool
+    was_closed: bool
+
+
 class RunningCall:
     """One call of this gateway at a target. Times are on the process's monotonic clock.
 
@@ -65,6 +95,10 @@
         self.pace_since_s = 0.0
         self.events = 0
 
+    def is_early(self, now_s: float) -> bool:
+        """Return whether the run has just begun, as far as its events show."""
+        return not self.first_event_at_s or now_s - self.first_event_at_s < EARLY_RUN_S
+
 
 class TrackedTarget:
     """A registered target with what gateways have observed of it.
@@ -109,8 +143,11 @@
         # Failed and all ended attempts of the other gateways, weighted by age, in tenths.
         self._peer_failed = 0
         self._peer_ended = 0
-        # Moments and fingerprints of calls whose answers were cut off.
-        self._truncated_calls: deque[tuple[float, int]] = deque(maxlen=MAX_TRUNCATED_CALLS)
+        # Calls that were cut off since the target last showed that it lives.
+        self._cut_calls: deque[CutCall] = deque(maxlen=MAX_CUT_CALLS)
+        self._refused_s = -math.inf
+        # Set when a check whether the target has ended is over; None if none is under way.
+        self.end_check: anyio.Event | None = None
         # When each prompt part was last sent, the oldest first.
         self._cached_parts: OrderedDict[str, float] = OrderedDict()
 
@@ -183,30 +220,57 @@
         """
         return now_s >= self.paused_until_s and not (self._pause_s and self.calls)
 
+    def record_refusal(self, now_s: float) -> None:
+        """Record that it refused a connection."""
+        self._refused_s = now_s
+
+    def has_just_refused(self, now_s: float) -> bool:
+        """Return whether it refused a connection a moment ago."""
+        return now_s - self._refused_s < REFUSED_FOR_S
+
     def record_answer_start(self, now_s: float) -> None:
         """Record that an answer to a call has begun."""
         self.last_answer_s = now_s
         self._pause_s = 0.0
 
-    def record_truncated_answer(self, fingerprint: int, now_s: float) -> None:
-        """Record a call whose answer was cut off: the target may have crashed on it."""
-        self._truncated_calls.append((now_s, fingerprint))
+    def record_life(self, running_call: RunningCall, now_s: float) -> None:
+        """Record that bytes for a call have arrived: calls cut off before did not end the target.
 
-    def pop_crash_suspects(self, now_s: float) -> tuple[int, ...]:
-        """Remove all truncated calls; return those suspected of having crashed the target.
+        Notes
+        -----
+        A call that was sent after another was cut off may be answered by a later start of the
+        target.
+        """
+        if not self._cut_calls:
+            return
+        sent_s = running_call.started_at_s
 
-        Returns
-        -------
-        tuple of int
-            Fingerprints of calls that were cut off less than `CRASH_EVIDENCE_S` ago.
+        def is_refuted(cut: CutCall) -> bool:
+            age_s = now_s - cut.cut_s
+            return age_s > LATE_BYTES_S and (sent_s < cut.cut_s or age_s < MIN_RESTART_S)
+
+        kept = [cut for cut in self._cut_calls if not is_refuted(cut)]
+        self._cut_calls = deque(kept, MAX_CUT_CALLS)
+
+    def record_cut_call(self, cut: CutCall) -> None:
+        """Record a call that was cut off: the target may have died of it."""
+        self._cut_calls.append(cut)
+
+    def pop_cut_calls(self, now_s: float, must_be_closed: bool) -> tuple[CutCall, ...]:
+        """Remove and return the calls that were in flight when the target died.
+
+        Parameters
+        ----------
+        must_be_closed : bool
+            Whether to return only those whose connections ended.
         """
-        suspects = {
-            fingerprint
-            for at_s, fingerprint in self._truncated_calls
-            if now_s - at_s < CRASH_EVIDENCE_S
-        }
-        self._truncated_calls.clear()
-        return tuple(suspects)
+        popped = tuple(
+            cut
+            for cut in self._cut_calls
+            if now_s - cut.cut_s < CUT_CALL_RETENTION_S and (cut.was_closed or not must_be_closed)
+        )
+        self._cut_calls.clear()
+        return popped
 
     def overdue_calls(self, now_s: float) -> int:
         """Return the number of calls whose first event is overdue."""
--- a/guavawalk/version/registrations.py
+++ b/guavawalk/version/registrations.py
@@ -35,6 +35,11 @@
     warmup_left_s: float = 0.0
     started_at_ms: int = 0
 
+    @property
+    def start_name(self) -> str:
+        """Name of this start of the target; of all its starts if their times are not stated."""
+        return f"{self.target_id}/{self.started_at_ms}"
+
 
 class ListedTargets(NamedTuple):
     """All registrations that one process knows.
