A request that ends its targets is refused wherever it is under way

It was looked up at its admission only: not after a wait in the queue, before a second attempt, beside a silent target or before a stream is resumed.

--- a/guavawalk/connection/tasks/forward_call.py
+++ b/guavawalk/connection/tasks/forward_call.py
@@ -106,12 +106,19 @@
     exchange: TargetExchange | None = None
     while True:
         if exchange is None:
+            if settles_in_s := gateway.suspects.settles_in_s(call.fingerprint):
+                await anyio.sleep(settles_in_s)
             try:
                 reservation = await gateway.dispatcher.reserve(
                     call, progress.tried_ids, answer.has_begun
                 )
             except RequestError as error:
                 return await _answer_failure(gateway, call, progress, answer, error)
+            # The request may have ended a target while this call waited.
+            if gateway.suspects.is_blocked(call.fingerprint):
+                gateway.dispatcher.release(reservation)
+                error = RequestError(ResultCode.CRASH_SUSPECT)
+                return await _answer_failure(gateway, call, progress, answer, error)
             exchange = TargetExchange(gateway, call, reservation, progress)
         end = await attempt_call(gateway, call, exchange, progress, answer)
         if (successor := progress.pop_successor()) is not None:
@@ -139,9 +146,11 @@
 def _may_retry(gateway: Gateway, call: Call, progress: Progress, result: AttemptResult) -> bool:
     """Return whether time and the retry budget allow another attempt; spend from the budget.
 
-    Nothing is spent if no target has got the call yet.
+    Nothing is spent if no target has got the call yet. A call that ends its targets gets none.
     """
     now_s = gateway.clock.now_s()
+    if gateway.suspects.is_blocked(call.fingerprint):
+        return False
     if result is AttemptResult.DELIVERED or call.deadline_s - now_s < MIN_ATTEMPT_S:
         return False
     if not progress.sent_count:
