One odd item from outside is skipped, and the rest stays in use

Operators' report: another writer's entry, deeply nested or with a number too large, ended the processes that read the list, or they stopped following it.

Each decoder at a boundary now turns any error into its own, and checks bounds: the registry's items and values one by one, configurations, peers' datagrams and pages by types with bounds, headers of callers and targets, addresses before a connection.

Two round-trip tests used the address a:1, which is not IP:port; now 10.0.0.1:1.

--- a/guavawalk/connection/streams.py
+++ b/guavawalk/connection/streams.py
@@ -52,20 +52,21 @@
     Raises
     ------
     TargetConnectError
-        If no connection is made within `timeout_s`, or no file descriptor is left; nothing has been
-        sent then.
+        If no connection is made within `timeout_s`, no file descriptor is left or the address is
+        none; nothing has been sent then.
     """
-    host, port = split_address(address)
     try:
+        host, port = split_address(address)
         raw = socket.socket(socket.AF_INET6 if ":" in host else socket.AF_INET)
-    except OSError as error:
-        raise TargetConnectError(f"{address}: {error.strerror}") from error
+    except (OSError, ValueError) as error:
+        raise TargetConnectError(f"{address:.80}: {error}") from error
     try:
         await _connect(raw, host, port, timeout_s)
         stream = await SocketStream.from_socket(raw)
         enable_dead_peer_detection(stream)
-    except (OSError, TimeoutError, ValueError) as error:
-        # `from_socket` raises ValueError if the peer has already reset the connection.
+    except (OSError, TimeoutError, ValueError, OverflowError) as error:
+        # `from_socket` raises ValueError if the peer has already reset the connection; a port out
+        # of range raises OverflowError.
         raw.close()
         is_refused = isinstance(error, ConnectionRefusedError)
         raise TargetConnectError(f"{address}: {type(error).__name__}", is_refused) from error
--- a/guavawalk/connection/tasks/datagrams.py
+++ b/guavawalk/connection/tasks/datagrams.py
@@ -25,5 +25,5 @@
         for address in addresses:
             try:
                 await socket.sendto(data, *split_address(address))
-            except OSError as error:
+            except (OSError, ValueError, OverflowError) as error:
                 gateway.log.emit(events.PEER_UNREACHABLE, peer=address, reason=str(error))
--- a/guavawalk/connection/tasks/follow_registry.py
+++ b/guavawalk/connection/tasks/follow_registry.py
@@ -126,6 +126,7 @@
             health.record_success()
             as_of = update.as_of
             for problem in update.problems:
+                gateway.metrics.count("registry_entries_invalid_total", what="routes")
                 gateway.log.emit(events.ROUTES_INVALID, reason=problem, revision=update.as_of)
             if update.table is not None:
                 apply_routes(gateway, update.table, "registry")
@@ -224,6 +225,7 @@
     targets = gateway.targets
     now_s = gateway.clock.now_s()
     for problem in update.problems:
+        gateway.metrics.count("registry_entries_invalid_total", what="targets")
         gateway.log.emit(events.REGISTRATION_INVALID, reason=problem, revision=update.as_of)
     changed = [registration for registration in update.registered if _put(gateway, registration)]
     for registration in changed:
--- a/guavawalk/connection/tasks/gossip.py
+++ b/guavawalk/connection/tasks/gossip.py
@@ -21,7 +21,7 @@
 from guavawalk.connection.tasks.crash_news import apply_crash_news
 from guavawalk.connection.tasks.datagrams import send_datagram
 from guavawalk.connection.tasks.follow_registry import apply_routes, apply_target_list
-from guavawalk.exception import TargetError
+from guavawalk.exception import RegistrationInvalid, TargetError
 from guavawalk.process.gateway.centres import (
     SUMMARY_TAG,
     CentreSummary,
@@ -30,9 +30,8 @@
 )
 from guavawalk.process.gateway.crash_news import CRASH_NEWS_TAG
 from guavawalk.process.gateway.loads import measure_load, sum_loads
-from guavawalk.process.gateway.pages import ROUTES_PATH, TARGETS_PATH
+from guavawalk.process.gateway.pages import ROUTES_PATH, TARGETS_PATH, decode_target_list
 from guavawalk.process.gateway.reports import PeerReport, decode_report, encode_report
-from guavawalk.version.registrations import ListedTargets
 from guavawalk.version.routes import RouteTable
 
 if TYPE_CHECKING:
@@ -229,8 +228,9 @@
             is_ahead = anyio.Event()
             try:
                 await _fetch_newer(gateway)
-            except msgspec.DecodeError as error:
-                gateway.log.emit(events.LINK_REJECTED, peer="", reason=f"{error}"[:200])
+            except Exception as error:
+                # A page that can't be used must not end the task that receives reports.
+                _reject(gateway, "", error)
             await anyio.sleep(FETCH_PAUSE_S)
 
     async with anyio.create_task_group() as tasks:
@@ -248,15 +248,20 @@
                 else:
                     news = decode_report(data)
                     _apply_report(gateway, news)
-            except msgspec.DecodeError as error:
-                gateway.log.emit(
-                    events.LINK_REJECTED, peer=f"{host}:{port}", reason=f"{error}"[:200]
-                )
+            except Exception as error:
+                # Nor must a datagram, whatever it holds.
+                _reject(gateway, f"{host}:{port}", error)
                 continue
             if _is_ahead(gateway, news):
                 is_ahead.set()
 
 
+def _reject(gateway: Gateway, peer: str, error: Exception) -> None:
+    gateway.metrics.count("peer_messages_rejected_total")
+    reason = f"{type(error).__name__}: {error}"[:200]
+    gateway.log.emit(events.LINK_REJECTED, peer=peer, reason=reason)
+
+
 def _apply_report(gateway: Gateway, report: PeerReport) -> None:
     if gateway.peers.apply_report(report, gateway.clock.now_s()):
         gateway.log.emit(
@@ -318,7 +323,9 @@
     if source.number > targets.revision:
         body = await _fetch(gateway, source.address, TARGETS_PATH)
         if body is not None:
-            listed = msgspec.msgpack.decode(body, type=ListedTargets)
+            listed, problems = decode_target_list(body)
+            for problem in problems:
+                _reject(gateway, source.address, RegistrationInvalid("", problem))
             await apply_target_list(gateway, listed, source.address)
 
 
--- a/guavawalk/platform/configuration.py
+++ b/guavawalk/platform/configuration.py
@@ -3,8 +3,8 @@
 from collections.abc import Iterable
 from typing import Any
 
-import msgspec
 import msgspec.json
+import msgspec.msgpack
 
 from guavawalk.exception import ConfigurationError
 from guavawalk.version.routes import (
@@ -40,12 +40,9 @@
         If the content is not JSON, or a required field is missing or has a wrong type or value. Its
         `path` names the part of the document, `$` for the whole.
     """
-    try:
-        document = msgspec.json.decode(content)
-    except msgspec.DecodeError as error:
-        raise ConfigurationError("$", str(error)) from error
     section = "$"
     try:
+        document = msgspec.json.decode(content)
         section = "version"
         version = int(document["version"])
         section = "routes"
@@ -57,9 +54,14 @@
         section = "tenants"
         tenants = document.get("tenants")
         by_key = None if tenants is None else _workspaces_by_key(tenants)
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
-        raise ConfigurationError(section, f"{type(error).__name__}: {error}") from error
-    return build_route_table(version, routes, services, limits, by_key)
+        section = "$"
+        table = build_route_table(version, routes, services, limits, by_key)
+        # Other gateways get it in this form; a number may be too large for it.
+        msgspec.msgpack.encode(table)
+    except Exception as error:
+        # No kind of error may end the task that reads configurations.
+        raise ConfigurationError(section, f"{type(error).__name__}: {error}"[:200]) from error
+    return table
 
 
 def _route(row: dict[str, Any]) -> Route:
--- a/guavawalk/platform/requests.py
+++ b/guavawalk/platform/requests.py
@@ -30,6 +30,10 @@
 BEARER_PREFIX = "bearer "
 MISDIRECTED_STATUS = 421
 UNAVAILABLE_STATUS = 503
+# Largest number of tokens, seconds or milliseconds that is read from a header; a larger one means
+# as much to a scheduler. Its digits, with leading zeros, are read up to `MAX_DIGITS`.
+MAX_NUMBER = 10**9
+MAX_DIGITS = 100
 # Statuses that promise a caller that its request has not run.
 NOT_RUN_STATUSES = (429, UNAVAILABLE_STATUS)
 
@@ -135,7 +139,7 @@
         timeout_ms = int(value)
     except ValueError as error:
         raise HttpInvalid(400, f"deadline: found {value!r:.40}, allowed is an integer") from error
-    return max(timeout_ms, 0) / 1000
+    return min(max(timeout_ms, 0), MAX_NUMBER) / 1000
 
 
 def _token_counts(value: str) -> tuple[int, int]:
@@ -144,15 +148,21 @@
         return 0, 0
     try:
         prompt, _, output = value.partition(",")
-        return max(int(prompt), 0), max(int(output or 0), 0)
+        prompt_tokens, output_tokens = int(prompt), int(output or 0)
     except ValueError as error:
         raise HttpInvalid(
             400, f"token counts: found {value!r:.40}, allowed are two integers"
         ) from error
+    return min(max(prompt_tokens, 0), MAX_NUMBER), min(max(output_tokens, 0), MAX_NUMBER)
 
 
 def _length_hint(value: str) -> int:
-    return int(value) if value.isdecimal() else 0
+    return _bounded(value) if value.isdecimal() else 0
+
+
+def _bounded(digits: str) -> int:
+    """Return the number of some digits, `MAX_NUMBER` if it is larger."""
+    return MAX_NUMBER if len(digits) > MAX_DIGITS else min(int(digits), MAX_NUMBER)
 
 
 def _prompt_parts(value: str) -> tuple[PromptPart, ...]:
@@ -161,7 +171,7 @@
         part_id, _, tokens = item.strip().partition(":")
         if not tokens.isdecimal():
             raise HttpInvalid(400, f"prompt parts: found {value!r:.80}, allowed is id:tokens")
-        parts.append(PromptPart(part_id, int(tokens)))
+        parts.append(PromptPart(part_id, _bounded(tokens)))
     return tuple(parts)
 
 
@@ -264,5 +274,5 @@
     for item in value.split(b","):
         name, _, seconds = item.strip().partition(b"=")
         if name.lower() == b"timeout" and seconds.isdigit():
-            return float(seconds)
+            return float(_bounded(seconds.decode("latin-1")))
     return None
--- a/guavawalk/process/gateway/centres.py
+++ b/guavawalk/process/gateway/centres.py
@@ -10,6 +10,7 @@
 
 import msgspec.msgpack
 
+from guavawalk.bounded import Address, Amount, Number
 from guavawalk.process.gateway.loads import (
     AddedLoads,
     TargetLoad,
@@ -82,18 +83,18 @@
     """
 
     data_centre: str
-    relay: str
-    incarnation: int
-    sequence: int
-    routes_version: int = 0
-    targets_revision: int = 0
-    live: tuple[str, ...] = ()
-    silent: int = 0
+    relay: Address
+    incarnation: Number
+    sequence: Number
+    routes_version: Number = 0
+    targets_revision: Number = 0
+    live: tuple[Address, ...] = ()
+    silent: Number = 0
     target_loads: tuple[TargetLoad, ...] = ()
-    admitted: dict[str, float] = {}
+    admitted: dict[str, Amount] = {}
     sent_parts: tuple[tuple[str, str], ...] = ()
     suspects: tuple[int, ...] = ()
-    contacts: tuple[str, ...] = ()
+    contacts: tuple[Address, ...] = ()
 
 
 _encoder = msgspec.msgpack.Encoder()
@@ -111,7 +112,7 @@
     Raises
     ------
     msgspec.DecodeError
-        If the datagram holds no summary.
+        If the datagram holds no summary, or a value out of bounds.
     """
     return _decoder.decode(data[len(SUMMARY_TAG) :])
 
--- a/guavawalk/process/gateway/loads.py
+++ b/guavawalk/process/gateway/loads.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
+from guavawalk.bounded import Count
 from guavawalk.process.gateway.targets import TargetTable
 from guavawalk.process.gateway.tracked_target import TrackedTarget
 from guavawalk.request.call import PromptPart
@@ -36,11 +37,11 @@
     """
 
     target_id: str
-    running: int
-    prefill_tokens: int
-    slowness_percent: int = 0
-    failed: int = 0
-    ended: int = 0
+    running: Count
+    prefill_tokens: Count
+    slowness_percent: Count = 0
+    failed: Count = 0
+    ended: Count = 0
 
 
 # Loads that count at targets, each with its target.
--- a/guavawalk/process/gateway/pages.py
+++ b/guavawalk/process/gateway/pages.py
@@ -1,19 +1,24 @@
 """Pages that a gateway serves over HTTP: readiness, metrics, and state that its peers fetch."""
 
 from collections.abc import Callable
+from typing import NamedTuple
 
+import msgspec
 import msgspec.msgpack
 
+from guavawalk.bounded import Amount, Number
 from guavawalk.connection.tasks.serve_probe import PageAnswer
 from guavawalk.platform.settings import READINESS_PATH
 from guavawalk.process.gateway.gauges import register_gauges
 from guavawalk.process.gateway.state import Gateway
+from guavawalk.version.registrations import ListedTargets, Registration
 
 __all__ = [
     "METRICS_PATH",
     "ROUTES_PATH",
     "TARGETS_PATH",
     "Pages",
+    "decode_target_list",
     "metric_pages",
     "peer_pages",
     "readiness_pages",
@@ -29,6 +34,14 @@
 UNREADY_STATUS = 503
 
 
+class _RawTargets(NamedTuple):
+    """A page of `ListedTargets` whose registrations are not decoded yet."""
+
+    revision: Number
+    registrations: tuple[msgspec.Raw, ...]
+    lapsing: tuple[tuple[str, Amount], ...] = ()
+
+
 def readiness_pages(gateway: Gateway) -> Pages:
     """Return the page for the load balancer: 200 if new connections are accepted, else 503."""
 
@@ -56,3 +69,21 @@
         )
 
     return {ROUTES_PATH.encode(): routes, TARGETS_PATH.encode(): targets}
+
+
+def decode_target_list(body: bytes) -> tuple[ListedTargets, list[str]]:
+    """Return the registrations on another gateway's page, and the problems of those left out.
+
+    Raises
+    ------
+    msgspec.DecodeError
+        If the body holds no list of registrations.
+    """
+    raw = msgspec.msgpack.decode(body, type=_RawTargets)
+    registrations, problems = [], []
+    for encoded in raw.registrations:
+        try:
+            registrations.append(msgspec.msgpack.decode(encoded, type=Registration))
+        except msgspec.DecodeError as error:
+            problems.append(str(error)[:200])
+    return ListedTargets(raw.revision, tuple(registrations), raw.lapsing), problems
--- a/guavawalk/process/gateway/reports.py
+++ b/guavawalk/process/gateway/reports.py
@@ -5,6 +5,7 @@
 import msgspec
 import msgspec.msgpack
 
+from guavawalk.bounded import Address, Amount, Number
 from guavawalk.process.gateway.loads import TargetLoad
 
 __all__ = ["PeerReport", "decode_report", "encode_report", "is_later"]
@@ -45,18 +46,18 @@
         Whether the registry does not answer it.
     """
 
-    address: str
-    incarnation: int
-    sequence: int
-    age_s: float = 0.0
-    routes_version: int = 0
-    targets_revision: int = 0
+    address: Address
+    incarnation: Number
+    sequence: Number
+    age_s: Amount = 0.0
+    routes_version: Number = 0
+    targets_revision: Number = 0
     is_leaving: bool = False
     target_loads: tuple[TargetLoad, ...] = ()
-    admitted: dict[str, float] = {}
+    admitted: dict[str, Amount] = {}
     sent_parts: tuple[tuple[str, str], ...] = ()
     suspects: tuple[int, ...] = ()
-    addresses: tuple[str, ...] = ()
+    addresses: tuple[Address, ...] = ()
     data_centre: str = ""
     is_registry_failing: bool = False
 
@@ -76,7 +77,7 @@
     Raises
     ------
     msgspec.DecodeError
-        If the datagram holds no report.
+        If the datagram holds no report, or a value out of bounds.
     """
     return _decoder.decode(data)
 
--- a/guavawalk/process/observe/names.py
+++ b/guavawalk/process/observe/names.py
@@ -91,6 +91,18 @@
         "gateway",
         "evidence that a target ended: `refused`, `restarted` or `lapsed`",
     ),
+    MetricName(
+        "peer_messages_rejected_total",
+        "count",
+        "gateway",
+        "datagrams and pages of other gateways that can't be used",
+    ),
+    MetricName(
+        "registry_entries_invalid_total{what}",
+        "count",
+        "gateway",
+        "routes and registrations in the registry that can't be used, each time they are read",
+    ),
     MetricName(
         "sends_broken_total",
         "count",
--- a/guavawalk/version/registrations.py
+++ b/guavawalk/version/registrations.py
@@ -2,6 +2,8 @@
 
 from typing import NamedTuple
 
+from guavawalk.bounded import Address, Amount, Count, Name, Number
+
 __all__ = ["ListedTargets", "Registration"]
 
 
@@ -26,14 +28,14 @@
         Unix time of its start, in milliseconds; 0 if not stated.
     """
 
-    target_id: str
-    service: str
-    address: str
-    data_centre: str
-    slots: int
+    target_id: Name
+    service: Name
+    address: Address
+    data_centre: Name
+    slots: Count
     draining: bool = False
-    warmup_left_s: float = 0.0
-    started_at_ms: int = 0
+    warmup_left_s: Amount = 0.0
+    started_at_ms: Number = 0
 
     @property
     def start_name(self) -> str:
--- a/tests/process/gateway/test_centres.py
+++ b/tests/process/gateway/test_centres.py
@@ -119,7 +119,9 @@
 class TestSummaryCodec:
     def test_round_trip(self):
         loads = (TargetLoad("i", 1, 2, 150),)
-        summary = CentreSummary("b", "a:1", 5, 2, 7, 9, ("a:1",), 1, loads, {"w": 3.0})
+        summary = CentreSummary(
+            "b", "10.0.0.1:1", 5, 2, 7, 9, ("10.0.0.1:1",), 1, loads, {"w": 3.0}
+        )
         assert decode_summary(encode_summary(summary)) == summary
 
     @given(st.binary(max_size=200))
--- a/tests/process/gateway/test_peers.py
+++ b/tests/process/gateway/test_peers.py
@@ -269,7 +269,7 @@
 class TestReportCodec:
     def test_round_trip(self):
         loads = (TargetLoad("i", 1, 2),)
-        report = PeerReport("a:1", 5, 2, 1.5, 7, 9, target_loads=loads, admitted={"w": 3.0})
+        report = PeerReport("10.0.0.1:1", 5, 2, 1.5, 7, 9, target_loads=loads, admitted={"w": 3.0})
         assert decode_report(encode_report(report)) == report
 
     @pytest.mark.parametrize("data", [b"", b"\x93\x01\x02\x03", b"no report", b"\xdd\xff\xff\xff"])
