A refusal counts only if it is the answer to this very request

It could happen here, for idempotent calls: a refusal without an id on a connection in use again was taken as a proof that the call had not run, and the caller was told so while the target ran it; so was one to an earlier request of the same id. Non-idempotent calls never use such a connection. A refusal without an id there now leaves open whether the call ran, and a request is not sent on a connection that carried its id.

--- a/guavawalk/connection/__init__.py
+++ b/guavawalk/connection/__init__.py
@@ -69,6 +69,7 @@
     "request_reader": ["ReceivedRequest", "RequestReader"],
     "response_reader": ["BodyFraming", "ResponseHead", "ResponseReader"],
     "streams": [
+        "CONNECT_TIMEOUT_S",
         "STREAM_ERRORS",
         "close_stream",
         "has_input",
--- a/guavawalk/connection/streams.py
+++ b/guavawalk/connection/streams.py
@@ -12,6 +12,7 @@
 from guavawalk.exception import TargetConnectError
 
 __all__ = [
+    "CONNECT_TIMEOUT_S",
     "STREAM_ERRORS",
     "close_stream",
     "enable_dead_peer_detection",
--- a/guavawalk/connection/tasks/check_target.py
+++ b/guavawalk/connection/tasks/check_target.py
@@ -6,9 +6,7 @@
 
 import anyio
 
-from guavawalk.connection.streams import open_stream
 from guavawalk.exception import TargetConnectError
-from guavawalk.process.gateway.connections import TargetConnection
 from guavawalk.process.gateway.target_end import record_connect_failure
 
 if TYPE_CHECKING:
@@ -36,13 +34,13 @@
     target.end_check = anyio.Event()
     registration = target.registration
     try:
-        gateway.connections.opened += 1
-        stream = await open_stream(registration.address, CHECK_TIMEOUT_S)
+        connection = await gateway.connections.open(
+            registration.target_id, registration.address, CHECK_TIMEOUT_S
+        )
     except TargetConnectError as error:
         if error.is_refused:
             record_connect_failure(gateway, target, is_refused=True)
     else:
-        connection = TargetConnection(registration.target_id, stream)
         await gateway.connections.release(connection, None, gateway.clock.now_s())
     finally:
         target.end_check.set()
--- a/guavawalk/connection/tasks/target_exchange.py
+++ b/guavawalk/connection/tasks/target_exchange.py
@@ -117,6 +117,13 @@
         self._connection = await gateway.connections.acquire(
             target_id, self.target.registration.address, max_idle_s, gateway.clock.now_s()
         )
+        if call.fields.request_id in self._connection.request_ids:
+            # An answer to the earlier request of the same id could not be told from its own.
+            await self._connection.aclose()
+            self._connection = await gateway.connections.open(
+                target_id, self.target.registration.address
+            )
+        self._connection.request_ids.append(call.fields.request_id)
         progress.record_sent()
         gateway.targets.record_sent_parts(target_id, call.fields.prompt_parts)
         now_s = gateway.clock.now_s()
@@ -203,16 +210,17 @@
                 self.target.record_life(self.running_call, now_s)
                 return fields
             self._gateway.metrics.count("surplus_answers_total")
+            if fields.is_not_run and not fields.request_id:
+                raise TargetLost("a refusal without an id may be of an earlier request")
             self._has_surplus = True
             await self.reader.read_body(MAX_SURPLUS_BYTES)
         raise TargetLost("received only answers to other requests")
 
     def _is_own(self, fields: AnswerFields) -> bool:
         # On a connection that an earlier request was sent on, an answer without an id may be a
-        # second answer to that one. Only idempotent calls are sent on such a connection, so that a
-        # rejection may be taken as their own: it delivers nothing.
+        # second answer to that one. A refusal would be taken as a proof that this one has not run.
         if not fields.request_id:
-            return not self._connection.is_reused or fields.is_not_run
+            return not self._connection.is_reused
         return fields.request_id == self._call.fields.request_id
 
     async def take_over(self) -> None:
--- a/guavawalk/process/gateway/connections.py
+++ b/guavawalk/process/gateway/connections.py
@@ -5,7 +5,12 @@
 from anyio.abc import ByteStream
 
 from guavawalk.connection.response_reader import ResponseReader
-from guavawalk.connection.streams import has_input, open_stream, reset_stream
+from guavawalk.connection.streams import (
+    CONNECT_TIMEOUT_S,
+    has_input,
+    open_stream,
+    reset_stream,
+)
 
 __all__ = ["ConnectionPool", "TargetConnection", "create_connection_pool"]
 
@@ -17,6 +22,8 @@
 # Most idle connections that are kept for one target. A target limits the number of its connections,
 # and the other gateways need some of them.
 MAX_IDLE_PER_TARGET = 8
+# Number of the last requests on a connection whose ids are kept: a late answer is to one of them.
+MAX_REQUEST_IDS = 16
 
 
 class TargetConnection:
@@ -30,6 +37,8 @@
         Idle time after which it is not reused, in seconds.
     is_reused : bool
         Whether an earlier request was sent on it.
+    request_ids : deque of str
+        Ids of the last requests that were sent on it.
     """
 
     def __init__(self, target_id: str, stream: ByteStream) -> None:
@@ -39,6 +48,7 @@
         self.idle_since_s = 0.0
         self.idle_limit_s = DEFAULT_IDLE_S
         self.is_reused = False
+        self.request_ids: deque[str] = deque(maxlen=MAX_REQUEST_IDS)
 
     async def aclose(self) -> None:
         """Reset the connection, which cancels a request that runs at the target."""
@@ -89,8 +99,20 @@
                 connection.is_reused = True
                 return connection
             await connection.aclose()
+        return await self.open(target_id, address)
+
+    async def open(
+        self, target_id: str, address: str, timeout_s: float = CONNECT_TIMEOUT_S
+    ) -> TargetConnection:
+        """Open a connection to a target.
+
+        Raises
+        ------
+        TargetConnectError
+            If the target does not accept it within `timeout_s` seconds.
+        """
         self.opened += 1
-        return TargetConnection(target_id, await open_stream(address))
+        return TargetConnection(target_id, await open_stream(address, timeout_s))
 
     async def release(
         self, connection: TargetConnection, stated_idle_s: float | None, now_s: float
--- a/tests/connection/tasks/test_serve_caller.py
+++ b/tests/connection/tasks/test_serve_caller.py
@@ -1,5 +1,6 @@
 import errno
 import socket
+from collections import defaultdict
 from functools import partial
 from types import SimpleNamespace
 
@@ -90,6 +91,14 @@
         await anyio.sleep(0.2)
 
 
+def refusal_of(request, has_id):
+    """Return the answer by which a full target refuses a request."""
+    headers = [(b"Not-Executed", b"1")]
+    if has_id:
+        headers.append((b"Request-Id", dict(request.headers)[b"Request-Id"]))
+    return encode_response(503, headers)
+
+
 class TestLateAnswers:
     """Second answers to an earlier request, on a connection that is in use again."""
 
@@ -122,6 +131,52 @@
             (200, b"served 2"),
         ]
 
+    @pytest.mark.parametrize("has_id", [True, False])
+    @pytest.mark.parametrize("route", [SAFE, RESUMABLE])
+    def test_repeated_refusal_does_not_say_that_a_running_request_has_not_run(self, route, has_id):
+        async def script(target, stream, request):
+            if request.body == b"1":
+                await stream.send(refusal_of(request, has_id=True))
+            else:
+                await stream.send(refusal_of(target.received[0], has_id))
+                await anyio.sleep(0.1)
+                answer = answer_stream if route is RESUMABLE else answer_plain
+                await answer(target, stream, request)
+
+        async def run():
+            harness = GatewayHarness(route)
+            target = StandInTarget(script)
+            async with harness.running(target, service=route.services[0].service):
+                caller = await harness.caller()
+                answers = [
+                    await caller.ask(body=body, request_id=b"r" + body) for body in (b"1", b"2")
+                ]
+            return [answer[0] for answer in answers], harness.gateway.connections.opened
+
+        (first, second), opened = run_with_timeout(run)
+        assert first == 503
+        assert second == 200 if has_id else second not in (429, 503)
+
+    def test_refusal_of_a_request_with_the_same_id_is_not_taken_for_that_of_the_next(self):
+        async def script(target, stream, request):
+            if len(target.received) == 1:
+                await stream.send(refusal_of(request, has_id=True))
+            else:
+                if dict(request.headers)[b"Request-Id"] in target.ids_by_stream[stream]:
+                    await stream.send(refusal_of(request, has_id=True))
+                await answer_plain(target, stream, request)
+            target.ids_by_stream[stream].add(dict(request.headers)[b"Request-Id"])
+
+        async def run():
+            harness = GatewayHarness(SAFE)
+            target = StandInTarget(script)
+            target.ids_by_stream = defaultdict(set)
+            async with harness.running(target):
+                caller = await harness.caller()
+                return [(await caller.ask(request_id=b"r1"))[0] for _ in range(2)]
+
+        assert run_with_timeout(run) == [503, 200]
+
     def test_connection_with_the_beginning_of_a_second_answer_is_not_used_again(self):
         async def script(target, stream, request):
             await answer_plain(target, stream, request)
