Tests: an error of the next target is no part of a begun stream

The caller gets the events up to the break, and a connection that closes without the stream's end. No code was changed for them.

--- a/tests/connection/tasks/test_serve_caller.py
+++ b/tests/connection/tasks/test_serve_caller.py
@@ -822,3 +822,95 @@
 
         monkeypatch.setattr(RequestReader, "wait_closed", never)
         assert run_with_timeout(run).code() == "CALLER_LEFT"
+
+
+ERROR_TEXT = b"id: 3\ndata: no such thing\n\n"
+
+
+def error_answers():
+    """Return answers that are no continuation of a stream, by what they are."""
+
+    def of(status, *headers, body=ERROR_TEXT, is_signed=True):
+        def encode(request):
+            signed = signed_headers(request) if is_signed else ()
+            return encode_response(status, (*signed, *headers), body)
+
+        return encode
+
+    def chunked(request):
+        head = encode_response_head(500, signed_headers(request), CHUNKED)
+        return head + encode_chunk(ERROR_TEXT) + LAST_CHUNK
+
+    def until_close(request):
+        return b"HTTP/1.1 500 Oops\r\nConnection: close\r\n\r\n" + ERROR_TEXT
+
+    return {
+        "error": of(500),
+        "error of a proxy": of(502, is_signed=False),
+        "not found": of(404),
+        "redirect": of(302, (b"Location", b"/")),
+        "full": of(503, (b"Not-Executed", b"1")),
+        "deadline": of(504),
+        "misdirected": of(421, is_signed=False),
+        "unsigned success": of(200, is_signed=False),
+        "encoded success": of(200, (b"Content-Encoding", b"gzip")),
+        "chunks": chunked,
+        "until close": until_close,
+        "no HTTP": lambda request: ERROR_TEXT,
+        "nothing": lambda request: b"",
+    }
+
+
+class TestErrorWithinStream:
+    """The next target answers with an error after a stream has begun and broken off."""
+
+    def relayed(self, encode, pieces, first_script):
+        """Return the events that the caller got, whether the stream ended, and the log."""
+
+        async def answer_error(target, stream, request):
+            data = encode(request)
+            size = max(-(-len(data) // pieces), 1)
+            for start in range(0, len(data), size):
+                await stream.send(data[start : start + size])
+                await anyio.sleep(0.01)
+            raise EndConnection
+
+        async def script(target, stream, request):
+            if b"Last-Event-Id" in dict(request.headers):
+                await answer_error(target, stream, request)
+            await first_script(target, stream, request)
+
+        async def run():
+            harness = GatewayHarness(RESUMABLE)
+            targets = [StandInTarget(script), StandInTarget(script)]
+            async with harness.running(*targets, service="model"):
+                caller = await harness.caller()
+                await caller.send()
+                events, has_ended = b"", True
+                head = await caller.reader.read_head()
+                try:
+                    while part := await caller.reader.read_part():
+                        events += part
+                except TargetLost:
+                    has_ended = False
+            received = sum(len(target.received) for target in targets)
+            return head.status, events, has_ended, received
+
+        return run_with_timeout(run)
+
+    @pytest.mark.parametrize("pieces", (1, 7))
+    @pytest.mark.parametrize("name", error_answers())
+    def test_error_of_the_next_target_is_no_part_of_the_stream(self, name, pieces):
+        found = self.relayed(error_answers()[name], pieces, break_stream)
+        assert found == (200, event(1) + event(2), False, 2)
+
+    async def stall(target, stream, request):
+        """Send two events, and then nothing."""
+        await stream.send(encode_response_head(200, signed_headers(request), CHUNKED))
+        await stream.send(encode_chunk(event(1) + event(2)))
+        await stay_silent(target, stream, request)
+
+    @pytest.mark.parametrize("name", ("error", "full", "unsigned success", "no HTTP", "chunks"))
+    def test_error_beside_a_silent_target_is_no_part_of_the_stream(self, name):
+        found = self.relayed(error_answers()[name], 1, TestErrorWithinStream.stall)
+        assert found[:3] == (200, event(1) + event(2), False)
