A connection that broke for silence is no sign of a target's end

Keep-alive probes without an answer end calls at a target that went dark or was cut off: its machine says nothing, so it is not asked again, and the calls are suspected only once the target has started again.

--- a/guavawalk/connection/response_reader.py
+++ b/guavawalk/connection/response_reader.py
@@ -159,9 +159,9 @@
         except anyio.EndOfStream:
             return False
         except STREAM_ERRORS as error:
-            raise TargetLost(
-                f"connection broken: {type(error.__cause__ or error).__name__}"
-            ) from error
+            cause = error.__cause__ or error
+            is_silent = isinstance(cause, TimeoutError)
+            raise TargetLost(f"connection broken: {type(cause).__name__}", is_silent) from error
         self._overhead_bytes += len(data)
         try:
             self._parser.feed_data(data)
--- a/guavawalk/connection/tasks/attempt_call.py
+++ b/guavawalk/connection/tasks/attempt_call.py
@@ -72,7 +72,7 @@
         exchange.record_end(end)
     finally:
         await exchange.close()
-    if end.result is AttemptResult.LOST:
+    if exchange.was_closed:
         await check_target(gateway, exchange.target)
     return end
 
--- a/guavawalk/connection/tasks/target_exchange.py
+++ b/guavawalk/connection/tasks/target_exchange.py
@@ -64,6 +64,8 @@
     ----------
     fields : AnswerFields, optional
         Decoded head of the answer; None before it has arrived.
+    was_closed : bool
+        Whether the answer ended before it was complete, other than by the target's silence.
     """
 
     def __init__(
@@ -73,6 +75,7 @@
         self.target = reservation.target
         self.running_call = reservation.running
         self.fields: AnswerFields | None = None
+        self.was_closed = False
         self._gateway = gateway
         self._call = call
         self._reservation = reservation
@@ -268,6 +271,7 @@
                 result = AttemptResult.FAILED
             case _:
                 result = AttemptResult.LOST
+                self.was_closed = not (isinstance(error, TargetLost) and error.is_silent)
         if isinstance(error, AnswerOverLimit):
             self._gateway.metrics.count("answers_over_limit_total")
         return AttemptEnd(result, str(error))
@@ -277,7 +281,7 @@
         gateway, target, result = self._gateway, self.target, end.result
         now_s = gateway.clock.now_s()
         if result in (AttemptResult.UNNEEDED, AttemptResult.SILENT, AttemptResult.LOST):
-            self._record_cut(was_closed=result is AttemptResult.LOST)
+            self._record_cut(self.was_closed)
         if result is AttemptResult.UNNEEDED:
             return
         if result is AttemptResult.UNREACHED:
--- a/guavawalk/exception.py
+++ b/guavawalk/exception.py
@@ -201,7 +201,17 @@
 
 
 class TargetLost(TargetError):
-    """No complete answer arrived on the connection to the target; the request may have run."""
+    """No complete answer arrived on the connection to the target; the request may have run.
+
+    Parameters
+    ----------
+    is_silent : bool, optional
+        Whether the connection was given up because the target's machine acknowledged nothing.
+    """
+
+    def __init__(self, problem: str, is_silent: bool = False) -> None:
+        super().__init__(problem)
+        self.is_silent = is_silent
 
 
 class TargetRejected(TargetError):
