--- a/tests/connection/tasks/test_crashing_requests.py
+++ b/tests/connection/tasks/test_crashing_requests.py
@@ -43,6 +43,21 @@
         await rng.choice(fleet.targets).reset_connections()
 
 
+async def crash_targets(fleet, rng):
+    """End several targets at once, though no request is to blame."""
+    while True:
+        await anyio.sleep(rng.uniform(1.0, 2.0))
+        for target in rng.sample(fleet.targets, 3):
+            if target.is_listening:
+                await target.crash()
+
+
+async def disturb_in_all_ways(fleet, rng):
+    async with anyio.create_task_group() as tasks:
+        for disturb in (replace_gateways, reset_connections, crash_targets):
+            tasks.start_soon(disturb, fleet, rng)
+
+
 def play(seed, disturb=None, seconds=6.0, every_s=0.12, callers=12, **options):
     """Send the bad request again and again beside sound ones; return the fleet after it."""
 
@@ -87,6 +102,10 @@
     def test_is_not_sent_on_at_gateways_that_start_later(self):
         assert_refused_in_time(play(4, replace_gateways))
 
+    @pytest.mark.parametrize("seed", (7, 8))
+    def test_is_not_sent_on_while_all_that_overlaps(self, seed):
+        assert_refused_in_time(play(seed, disturb_in_all_ways, 8.0, 0.3, gateways=4, targets=12))
+
     @pytest.mark.parametrize("seed", (5, 6))
     def test_is_not_sent_on_among_many_gateways(self, seed):
         assert_refused_in_time(play(seed, gateways=6, targets=16))
