--- a/guavawalk/process/gateway/dispatch.py
+++ b/guavawalk/process/gateway/dispatch.py
@@ -5,9 +5,8 @@
 frees a slot or adds a target calls `dispatch_ready` or `dispatch_all`; nothing polls.
 """
 
-from collections import deque
 from collections.abc import Collection, Iterable, Iterator, Sequence
-from typing import NamedTuple, Protocol
+from typing import Protocol
 
 import anyio
 
@@ -15,10 +14,9 @@
 from guavawalk.exception import RequestError
 from guavawalk.process.clock import Clock
 from guavawalk.process.gateway.targets import TargetTable
-from guavawalk.process.gateway.tracked_target import RunningCall, TrackedTarget
+from guavawalk.process.gateway.waiting import Reservation, ServiceQueue, Waiter
 from guavawalk.request.call import Call
 from guavawalk.request.target_choice import (
-    TargetChoice,
     TargetSnapshot,
     choose_target,
     unfinished_share,
@@ -42,8 +40,6 @@
 # Risk of missing the deadline, from 0 to 1, above which a target gets a call only if no other has a
 # lower risk: an answer that is cut off at the deadline would waste its slot.
 MAX_UNFINISHED_RISK = 0.5
-# Factor on the expected time to a first event: while targets are busy, it takes longer.
-FIRST_EVENT_MARGIN = 1.3
 # Longest wait in the queue, in seconds: few callers still wait for answers that begin later, or for
 # streams that pause for longer.
 MAX_WAIT_S = 2.0
@@ -52,9 +48,6 @@
 # Share of the time from its arrival to its deadline for which a call may wait in the queue, unless
 # it resumes a stream.
 MAX_WAIT_SHARE = 0.5
-# Span over which the calls that leave a queue for a target are counted to estimate the wait, in
-# seconds.
-DEPARTURE_SPAN_S = 1.0
 # Bounds of the time after which a refused caller may retry, in seconds.
 MIN_RETRY_S = 0.3
 MAX_RETRY_S = 3.0
@@ -76,61 +69,6 @@
         ...
 
 
-class Reservation(NamedTuple):
-    """A slot at a target, held until `Dispatcher.release`."""
-
-    choice: TargetChoice
-    target: TrackedTarget
-    running: RunningCall
-
-
-class _Waiter:
-    def __init__(
-        self,
-        call: Call,
-        tried_ids: Collection[str],
-        is_resumed: bool,
-        first_event_s: float = 0.0,
-    ) -> None:
-        self.call = call
-        self.tried_ids = tried_ids
-        self.is_resumed = is_resumed
-        # Latest moment to dispatch the call so that its first event is expected to be on time.
-        self.timely_until_s = call.latency_goal_at_s - FIRST_EVENT_MARGIN * first_event_s
-        self.reservation: Reservation | None = None
-        self.ready = anyio.Event()
-
-    def order(self, now_s: float) -> tuple[bool, bool, int, int, float]:
-        """Return the sort key: resumed streams, then calls that can be on time, then urgency.
-
-        Urgency is the rank of the call, then that of its route, then the earlier latency goal.
-        """
-        call = self.call
-        return (
-            not self.is_resumed,
-            self.is_late(now_s),
-            call.rank,
-            call.route.rank,
-            call.latency_goal_at_s,
-        )
-
-    def is_late(self, now_s: float) -> bool:
-        """Return whether the first event is expected to be late; False for a resumed stream."""
-        return not self.is_resumed and now_s >= self.timely_until_s
-
-
-class _ServiceQueue:
-    def __init__(self) -> None:
-        self.waiters: list[_Waiter] = []
-        self.departures: deque[float] = deque()
-
-    def departure_rate(self, now_s: float) -> float:
-        """Return the calls per second that got a slot during the last `DEPARTURE_SPAN_S`."""
-        while self.departures and self.departures[0] < now_s - DEPARTURE_SPAN_S:
-            self.departures.popleft()
-        return len(self.departures) / DEPARTURE_SPAN_S
-
-
 class Dispatcher:
     """Reserves slots at targets for calls, and queues the calls that wait for one, by service."""
 
@@ -145,7 +83,7 @@
         self._gateways = gateways
         self._local_data_centre = local_data_centre
         self._clock = clock
-        self._queues: dict[str, _ServiceQueue] = {}
+        self._queues: dict[str, ServiceQueue] = {}
 
     def waiting(self) -> dict[str, int]:
         """Return the number of waiting calls by service."""
@@ -171,14 +109,14 @@
             become free within the longest wait, or none did. A resumed call is refused only after
             the longest wait.
         """
-        queue = self._queues.setdefault(call.service, _ServiceQueue())
+        queue = self._queues.setdefault(call.service, ServiceQueue())
         now_s = self._clock.now_s()
         snapshots = list(self._snapshots(call, tried_ids, now_s))
         # Where a stream's target leaves, the one that replaces it may register any moment.
         first_event_s = 0.0
         if snapshots or not is_resumed:
             first_event_s = self._best_first_event_s(call, snapshots, now_s)
-        waiter = _Waiter(call, tried_ids, is_resumed, first_event_s)
+        waiter = Waiter(call, tried_ids, is_resumed, first_event_s)
         ahead = self._count_ahead(queue, waiter, now_s)
         if not ahead:
             reservation = self._try_reserve(queue, waiter, snapshots, now_s)
@@ -199,10 +137,10 @@
         The call is treated as a resumed stream: waiting calls do not go first, and it may use slots
         that late calls have to leave free.
         """
-        queue = self._queues.setdefault(call.service, _ServiceQueue())
+        queue = self._queues.setdefault(call.service, ServiceQueue())
         now_s = self._clock.now_s()
         snapshots = list(self._snapshots(call, tried_ids, now_s))
-        return self._try_reserve(queue, _Waiter(call, tried_ids, True), snapshots, now_s)
+        return self._try_reserve(queue, Waiter(call, tried_ids, True), snapshots, now_s)
 
     def cut_off_risk(self, call: Call, ends_s: float) -> float:
         """Return the risk, from 0 to 1, that a call sent now is still running at `ends_s`.
@@ -261,7 +199,7 @@
         for service in self._queues:
             self.dispatch_ready(service)
 
-    async def _wait(self, queue: _ServiceQueue, waiter: _Waiter, max_wait_s: float) -> Reservation:
+    async def _wait(self, queue: ServiceQueue, waiter: Waiter, max_wait_s: float) -> Reservation:
         queue.waiters.append(waiter)
         try:
             with anyio.move_on_after(max_wait_s):
@@ -286,14 +224,14 @@
         reservation.target.end(reservation.running)
         self.dispatch_ready(reservation.target.registration.service)
 
-    def _count_ahead(self, queue: _ServiceQueue, waiter: _Waiter, now_s: float) -> int:
+    def _count_ahead(self, queue: ServiceQueue, waiter: Waiter, now_s: float) -> int:
         own = waiter.order(now_s)
         return sum(other.order(now_s) <= own for other in queue.waiters)
 
     def _try_reserve(
         self,
-        queue: _ServiceQueue,
-        waiter: _Waiter,
+        queue: ServiceQueue,
+        waiter: Waiter,
         snapshots: Sequence[TargetSnapshot],
         now_s: float,
     ) -> Reservation | None:
@@ -358,7 +296,7 @@
         is_engine = service is not None and service.engine is not None
         return self._targets.snapshots(call, is_engine, tried_ids, now_s)
 
-    def _refusal(self, queue: _ServiceQueue, now_s: float) -> RequestError:
+    def _refusal(self, queue: ServiceQueue, now_s: float) -> RequestError:
         backlog_s = len(queue.waiters) / max(queue.departure_rate(now_s), 1.0)
         retry_s = min(max(backlog_s, MIN_RETRY_S), MAX_RETRY_S)
         return RequestError(
