--- a/guavawalk/process/suspects.py
+++ b/guavawalk/process/suspects.py
@@ -32,6 +32,9 @@
 # Time after a second death within which peers may still tell of other requests that were in flight
 # at both, in seconds.
 SETTLE_S = 0.25
+# Time within which the ends of several targets have a common cause, in seconds, unless one request
+# was in flight at all of them.
+COMMON_CAUSE_S = 0.3
 # Age up to which a single death is worth repeating to peers, in seconds.
 SINGLE_DEATH_NEWS_S = 10.0
 # Hashes keep 63 bits, so that they fit a signed 64-bit field.
@@ -241,8 +244,8 @@
         """Return whether a request is known to crash targets.
 
         It is if `CERTAIN_TARGET_COUNT` distinct targets died with it in flight since it last
-        completed, or `BLOCKING_TARGET_COUNT` of them soon after it had begun to run there, and
-        `settles_in_s` is 0.
+        completed, or `BLOCKING_TARGET_COUNT` of them soon after it had begun to run there, while
+        no others died, and `settles_in_s` is 0.
         """
         deaths = self._counted_deaths(fingerprint)
         if len(deaths) >= CERTAIN_TARGET_COUNT:
@@ -250,6 +253,8 @@
         early = {death.target for death in deaths if death.is_early}
         if len(early) < BLOCKING_TARGET_COUNT or self.settles_in_s(fingerprint):
             return False
+        if any(self._has_common_cause(death, deaths) for death in deaths):
+            return False
         return self._runs_one_suspect or not any(self._others_with(fingerprint, early))
 
     def settles_in_s(self, fingerprint: int) -> float:
@@ -285,6 +290,17 @@
         self._expire()
         return self._suspicions.get(fingerprint, Suspicion()).counted_deaths
 
+    def _has_common_cause(self, death: TargetDeath, deaths: tuple[TargetDeath, ...]) -> bool:
+        """Return whether a target died at that moment without the request, so for another cause."""
+        if self._runs_one_suspect:
+            return False
+        own = {known.target for known in deaths}
+        return any(
+            other.target not in own and abs(other.at_s - death.at_s) < COMMON_CAUSE_S
+            for suspicion in self._suspicions.values()
+            for other in suspicion.deaths
+        )
+
     def _others_with(self, fingerprint: int, targets: set[int]) -> Iterator[int]:
         """Yield the other requests that were as early at the deaths of the same targets."""
         for other, suspicion in self._suspicions.items():
--- a/tests/process/test_suspects.py
+++ b/tests/process/test_suspects.py
@@ -100,6 +100,24 @@
         table.record_target_death(7, "c")
         assert table.is_blocked(7) and not table.is_blocked(8)
 
+    def test_targets_that_die_together_do_not_block_a_request_that_was_at_one_of_them(self):
+        clock, (table,) = self.make_tables(1)
+        for at_s, target, other in ((0.0, "a", "b"), (5.0, "c", "d")):
+            table.record_target_death(7, target, at_s)
+            table.record_target_death(8, other, at_s + 0.1)
+        clock.at_s = 9.0
+        assert not table.is_blocked(7) and not table.is_blocked(8)
+        table.record_target_death(7, "e")
+        assert table.is_blocked(7) and not table.is_blocked(8)
+
+    def test_targets_that_die_one_after_the_other_of_one_request_block_it(self):
+        clock, (table,) = self.make_tables(1)
+        for at_s, target in ((0.0, "a"), (0.1, "b")):
+            for fingerprint in (7, 100 + ord(target)):
+                table.record_target_death(fingerprint, target, at_s)
+        clock.at_s = 9.0
+        assert table.is_blocked(7)
+
     def test_completion_of_one_of_two_tells_which_request_crashes_targets(self):
         clock, (table, peer) = self.make_tables()
         for target in "ab":
