Targets that say that they leave, or that they want quiet, are believed

A leaving target gets no more calls, second attempts or resumed streams, whatever the registry says, until a later start of it; its idle connections close. A quiet one gets none for the stated time, at most 300 s; calls wait for the first that wants calls again, or are refused with that time.

--- a/guavawalk/connection/tasks/target_exchange.py
+++ b/guavawalk/connection/tasks/target_exchange.py
@@ -24,6 +24,7 @@
 from guavawalk.process.gateway.connections import TargetConnection
 from guavawalk.process.gateway.dispatch import Reservation
 from guavawalk.process.gateway.target_end import record_connect_failure, record_cut_call
+from guavawalk.process.gateway.target_statements import record_statements
 from guavawalk.process.gateway.tracked_target import CutCall
 from guavawalk.request.call import Call
 from guavawalk.request.event_stream import EVENT_END, MAX_EVENT_BYTES
@@ -207,6 +208,7 @@
         """Return the head of the answer to this request, skipping answers to other requests."""
         for _ in range(MAX_SURPLUS_ANSWERS):
             fields = decode_answer(await self.reader.read_head())
+            await self._record_statements(fields)
             if self._is_own(fields):
                 now_s = self._gateway.clock.now_s()
                 self.target.record_answer_start(now_s)
@@ -219,6 +221,13 @@
             await self.reader.read_body(MAX_SURPLUS_BYTES)
         raise TargetLost("received only answers to other requests")
 
+    async def _record_statements(self, fields: AnswerFields) -> None:
+        gateway, target = self._gateway, self.target
+        was_leaving = target.is_leaving
+        record_statements(gateway, target, fields, self._call.fields.request_id)
+        if target.is_leaving and not was_leaving:
+            await gateway.connections.discard_target(self.choice.target_id)
+
     def _is_own(self, fields: AnswerFields) -> bool:
         # On a connection that an earlier request was sent on, an answer without an id may be a
         # second answer to that one. A refusal would be taken as a proof that this one has not run.
@@ -345,6 +354,7 @@
             and not reader.must_close
             and not self._has_surplus
             and fields.keep_alive
+            and not self.target.is_leaving
         ):
             now_s = self._gateway.clock.now_s()
             await self._gateway.connections.release(connection, fields.idle_s, now_s)
--- a/guavawalk/events.py
+++ b/guavawalk/events.py
@@ -137,6 +137,10 @@
     4017, "targets_fetched", logging.INFO, "newer registrations were fetched from another gateway"
 )
 TARGET_ENDED = _event(4019, "target_ended", logging.INFO, "there is evidence that a target ended")
+TARGET_LEAVES = _event(4020, "target_leaves", logging.INFO, "a target says that it leaves")
+TARGET_QUIET = _event(
+    4021, "target_quiet", logging.INFO, "a target wants no calls from this gateway for some time"
+)
 TARGET_PAUSED = _event(
     4018, "target_paused", logging.INFO, "a target accepts no connections and is paused"
 )
--- a/guavawalk/platform/requests.py
+++ b/guavawalk/platform/requests.py
@@ -3,6 +3,7 @@
 The names of headers and the meanings of statuses are those of the platform.
 """
 
+import re
 from collections.abc import Iterable, Sequence
 
 from guavawalk.codes import CodeClass, ResultCode, code_class, describe_code
@@ -27,9 +28,15 @@
 LAST_EVENT_ID = b"Last-Event-Id"
 RETRY_AFTER = b"Retry-After"
 SERVER_STAMP = b"server-stamp"
+LEAVING = b"server-leaving"
+LEAVING_VALUE = b"1"
 BEARER_PREFIX = "bearer "
 MISDIRECTED_STATUS = 421
 UNAVAILABLE_STATUS = 503
+# Longest time for which a target is left quiet, in seconds. A target that wants longer is to leave;
+# a longer time is taken for a fault, and for this one.
+MAX_QUIET_S = 300.0
+_SECONDS = re.compile(rb"\d{1,9}(\.\d{1,9})?")
 # Largest number of tokens, seconds or milliseconds that is read from a header; a larger one means
 # as much to a scheduler. Its digits, with leading zeros, are read up to `MAX_DIGITS`.
 MAX_NUMBER = 10**9
@@ -235,13 +242,16 @@
     Notes
     -----
     An answer with a content encoding doesn't count as stamped: an encoded body is not the one that
-    the target signed.
+    the target signed. A target leaves if any of its headers says so with the value 1; other values
+    and trailers say nothing. Of several times in which it wants to be quiet the longest counts.
     """
     forwarded: list[Header] = []
     request_id = ""
     is_not_run = is_misdirected(head.status)
     is_stamped = is_encoded = False
     idle_s: float | None = None
+    is_leaving = is_quiet_invalid = False
+    quiet_s: float | None = None
     connection_options = _connection_options(head.headers)
     for name, value in head.headers:
         lower = name.lower()
@@ -256,6 +266,13 @@
             is_encoded = value.strip().lower() != b"identity"
         elif lower == b"keep-alive":
             idle_s = _idle_timeout_s(value)
+        elif lower == LEAVING:
+            is_leaving |= value.strip() == LEAVING_VALUE
+        elif lower == b"retry-after" and head.status == UNAVAILABLE_STATUS:
+            stated_s = _quiet_s(value)
+            is_quiet_invalid |= stated_s is None or stated_s > MAX_QUIET_S
+            if stated_s is not None:
+                quiet_s = max(min(stated_s, MAX_QUIET_S), quiet_s or 0.0)
         if lower not in HOP_BY_HOP and lower not in connection_options:
             forwarded.append((name, value))
     return AnswerFields(
@@ -266,9 +283,17 @@
         idle_s=idle_s,
         keep_alive=head.keep_alive,
         forwarded_headers=tuple(forwarded),
+        is_leaving=is_leaving and not is_misdirected(head.status),
+        quiet_s=quiet_s,
+        is_quiet_invalid=is_quiet_invalid,
     )
 
 
+def _quiet_s(value: bytes) -> float | None:
+    """Return the seconds in a `Retry-After` header; None if it holds no number from 0."""
+    return float(value) if _SECONDS.fullmatch(value.strip()) else None
+
+
 def _idle_timeout_s(value: bytes) -> float | None:
     """Return the time-out that a `Keep-Alive` header states, in seconds; None if it states none."""
     for item in value.split(b","):
--- a/guavawalk/process/gateway/dispatch.py
+++ b/guavawalk/process/gateway/dispatch.py
@@ -5,6 +5,7 @@
 frees a slot or adds a target calls `dispatch_ready` or `dispatch_all`; nothing polls.
 """
 
+import math
 from collections.abc import Collection, Iterable, Iterator, Sequence
 from typing import Protocol
 
@@ -14,7 +15,12 @@
 from guavawalk.exception import RequestError
 from guavawalk.process.clock import Clock
 from guavawalk.process.gateway.targets import TargetTable
-from guavawalk.process.gateway.waiting import Reservation, ServiceQueue, Waiter
+from guavawalk.process.gateway.waiting import (
+    DEPARTURE_SPAN_S,
+    Reservation,
+    ServiceQueue,
+    Waiter,
+)
 from guavawalk.request.call import Call
 from guavawalk.request.target_choice import (
     TargetSnapshot,
@@ -48,6 +54,11 @@
 # Share of the time from its arrival to its deadline for which a call may wait in the queue, unless
 # it resumes a stream.
 MAX_WAIT_SHARE = 0.5
+# Time for which a call is assumed to hold a slot of an engine while the rate of departures says
+# nothing, in seconds.
+ENGINE_SLOT_TIME_S = 1.0
+# Shortest time for which a call is assumed to hold a slot, in seconds.
+MIN_SLOT_TIME_S = 0.001
 # Bounds of the time after which a refused caller may retry, in seconds.
 MIN_RETRY_S = 0.3
 MAX_RETRY_S = 3.0
@@ -123,10 +134,16 @@
             if reservation is not None:
                 return reservation
         max_wait_s = _max_wait_s(call, is_resumed, now_s)
+        quiet_s = self._quiet_s(snapshots, now_s)
+        if quiet_s:
+            queue.quiet_until_s = max(queue.quiet_until_s, now_s + quiet_s)
         rate = queue.departure_rate(now_s)
+        if now_s < queue.quiet_until_s + DEPARTURE_SPAN_S:
+            # Calls could not leave the queue lately, whatever its targets can serve.
+            rate = max(rate, sum(map(_service_rate, snapshots)))
         is_hopeless = bool(ahead) and not is_resumed and ahead > rate * max_wait_s
-        if max_wait_s <= 0.0 or is_hopeless:
-            raise self._refusal(queue, now_s)
+        if max_wait_s <= 0.0 or is_hopeless or (quiet_s >= max_wait_s and not is_resumed):
+            raise self._refusal(queue, now_s, quiet_s)
         return await self._wait(queue, waiter, max_wait_s)
 
     def try_reserve(self, call: Call, tried_ids: Collection[str]) -> Reservation | None:
@@ -201,9 +218,15 @@
 
     async def _wait(self, queue: ServiceQueue, waiter: Waiter, max_wait_s: float) -> Reservation:
         queue.waiters.append(waiter)
+        until_s = self._clock.now_s() + max_wait_s
         try:
-            with anyio.move_on_after(max_wait_s):
-                await waiter.ready.wait()
+            while waiter.reservation is None and self._clock.now_s() < until_s:
+                now_s = self._clock.now_s()
+                quiet_ends_s = self._next_quiet_end_s(waiter, now_s)
+                with anyio.move_on_after(min(until_s, quiet_ends_s) - now_s):
+                    await waiter.ready.wait()
+                if self._clock.now_s() >= quiet_ends_s:
+                    self.dispatch_ready(waiter.call.service)
         except BaseException:
             # The wait was cancelled, perhaps just after a slot had been reserved.
             if waiter.reservation is not None:
@@ -214,9 +237,10 @@
                 queue.waiters.remove(waiter)
         if waiter.reservation is None:
             now_s = self._clock.now_s()
-            if not any(self._snapshots(waiter.call, waiter.tried_ids, now_s)):
+            snapshots = list(self._snapshots(waiter.call, waiter.tried_ids, now_s))
+            if not snapshots:
                 raise RequestError(ResultCode.NO_TARGET)
-            raise self._refusal(queue, now_s)
+            raise self._refusal(queue, now_s, self._quiet_s(snapshots, now_s))
         return waiter.reservation
 
     def release(self, reservation: Reservation) -> None:
@@ -296,9 +320,20 @@
         is_engine = service is not None and service.engine is not None
         return self._targets.snapshots(call, is_engine, tried_ids, now_s)
 
-    def _refusal(self, queue: ServiceQueue, now_s: float) -> RequestError:
+    def _quiet_s(self, snapshots: Iterable[TargetSnapshot], now_s: float) -> float:
+        """Return the time until the first of some targets wants calls again; 0 if one does now."""
+        ends_s = (self._targets.get(snapshot.target_id).quiet_until_s for snapshot in snapshots)
+        return max(min(ends_s, default=now_s) - now_s, 0.0)
+
+    def _next_quiet_end_s(self, waiter: Waiter, now_s: float) -> float:
+        """Return when the next target wants calls again; infinity if none is quiet."""
+        snapshots = self._snapshots(waiter.call, waiter.tried_ids, now_s)
+        ends_s = (self._targets.get(snapshot.target_id).quiet_until_s for snapshot in snapshots)
+        return min((end_s for end_s in ends_s if end_s > now_s), default=math.inf)
+
+    def _refusal(self, queue: ServiceQueue, now_s: float, quiet_s: float = 0.0) -> RequestError:
         backlog_s = len(queue.waiters) / max(queue.departure_rate(now_s), 1.0)
-        retry_s = min(max(backlog_s, MIN_RETRY_S), MAX_RETRY_S)
+        retry_s = max(min(max(backlog_s, MIN_RETRY_S), MAX_RETRY_S), quiet_s)
         return RequestError(
             ResultCode.QUEUE_FULL,
             f"{len(queue.waiters)} wait",
@@ -306,6 +341,12 @@
         )
 
 
+def _service_rate(snapshot: TargetSnapshot) -> float:
+    """Return the calls per second that a target can serve, by what is known of its answers."""
+    slot_time_s = ENGINE_SLOT_TIME_S if snapshot.is_engine else snapshot.answer_s
+    return snapshot.slots / max(slot_time_s, MIN_SLOT_TIME_S)
+
+
 def _distant_reserve(gateways: SharingGateways) -> float:
     """Return the share of slots that is kept free at targets in other data centres."""
     others = gateways.count() - max(gateways.local_count(), FEW_GATEWAYS)
--- a/guavawalk/process/gateway/targets.py
+++ b/guavawalk/process/gateway/targets.py
@@ -1,7 +1,7 @@
 """Tracks the registered targets."""
 
 import math
-from collections import deque
+from collections import OrderedDict, deque
 from collections.abc import Iterable, Iterator
 
 from guavawalk.process.gateway.tracked_target import MAX_CACHED_PARTS, TrackedTarget
@@ -19,6 +19,8 @@
 # Shortest prompt part that is reported to the other gateways, in tokens. To process a shorter one
 # again costs a target less than the report would cost.
 MIN_REPORTED_PART_TOKENS = 512
+# Most removed targets whose statements are kept; the oldest are dropped first.
+MAX_REMOVED = 1_024
 
 
 class TargetTable:
@@ -42,6 +44,9 @@
         self.is_loaded = False
         self.revision = 0
         self._targets: dict[str, TrackedTarget] = {}
+        # What removed targets have stated of themselves, by their starts: whether they leave, and
+        # until when they want quiet. An old registration may come once more.
+        self._removed: OrderedDict[str, tuple[bool, float]] = OrderedDict()
         # Id of the target that was registered last at each address.
         self._ids_by_address: dict[str, str] = {}
         self._sent_parts: deque[tuple[str, str]] = deque(maxlen=MAX_CACHED_PARTS)
@@ -82,8 +87,11 @@
         target_id = registration.target_id
         known = self._targets.get(target_id)
         if known is None or _is_new_start(known.registration, registration):
-            self._targets[target_id] = TrackedTarget(registration)
+            target = self._targets[target_id] = TrackedTarget(registration)
             self._ids_by_address[registration.address] = target_id
+            if known is None:
+                statements = self._removed.pop(registration.start_name, (False, 0.0))
+                target.is_leaving, target.quiet_until_s = statements
             return True
         changed = known.registration != registration
         known.registration = registration
@@ -126,7 +134,13 @@
         return expired
 
     def _delete(self, target_id: str) -> None:
-        address = self._targets.pop(target_id).registration.address
+        target = self._targets.pop(target_id)
+        if target.is_leaving or target.quiet_until_s:
+            statements = target.is_leaving, target.quiet_until_s
+            self._removed[target.registration.start_name] = statements
+            if len(self._removed) > MAX_REMOVED:
+                self._removed.popitem(last=False)
+        address = target.registration.address
         if self._ids_by_address.get(address) == target_id:
             del self._ids_by_address[address]
 
@@ -164,6 +178,7 @@
                 or registration.draining
                 or registration.target_id in tried_ids
                 or target.usable_until_s <= now_s
+                or target.is_leaving
             ):
                 continue
             yield TargetSnapshot(
--- a/guavawalk/process/gateway/tracked_target.py
+++ b/guavawalk/process/gateway/tracked_target.py
@@ -122,6 +122,10 @@
         Moment from which it gets no calls and may be removed; infinity while it is registered.
     last_answer_s : float
         When an answer to a call of this gateway last began; 0 before any.
+    is_leaving : bool
+        Whether it has said in an answer that it leaves; it gets no more calls then.
+    quiet_until_s : float
+        End of the time in which it wants no calls from this gateway; 0 if it has stated none.
     paused_until_s : float
         End of the pause in which it is sent no call, after it accepted no connection; 0 before any.
     """
@@ -137,6 +141,8 @@
         self.failures = DecayingShare(FAILURE_HALF_LIFE_S, FAILURE_PRIOR)
         self.usable_until_s = float("inf")
         self.last_answer_s = 0.0
+        self.is_leaving = False
+        self.quiet_until_s = 0.0
         self.paused_until_s = 0.0
         # Length of the last pause, in seconds; 0 once an answer has begun since.
         self._pause_s = 0.0
@@ -216,9 +222,12 @@
     def accepts_calls(self, now_s: float) -> bool:
         """Return whether a call may be sent now.
 
-        False during a pause. After it calls are sent one at a time, until an answer has begun.
+        False during a pause, and while the target wants to be quiet. After a pause calls are sent
+        one at a time, until an answer has begun.
         """
-        return now_s >= self.paused_until_s and not (self._pause_s and self.calls)
+        if now_s < max(self.paused_until_s, self.quiet_until_s):
+            return False
+        return not (self._pause_s and self.calls)
 
     def record_refusal(self, now_s: float) -> None:
         """Record that it refused a connection."""
--- a/guavawalk/process/gateway/waiting.py
+++ b/guavawalk/process/gateway/waiting.py
@@ -10,7 +10,7 @@
 from guavawalk.request.call import Call
 from guavawalk.request.target_choice import TargetChoice
 
-__all__ = ["Reservation", "ServiceQueue", "Waiter"]
+__all__ = ["DEPARTURE_SPAN_S", "Reservation", "ServiceQueue", "Waiter"]
 
 # Factor on the expected time to a first event: while targets are busy, it takes longer.
 FIRST_EVENT_MARGIN = 1.3
@@ -78,6 +78,8 @@
     def __init__(self) -> None:
         self.waiters: list[Waiter] = []
         self.departures: deque[float] = deque()
+        # Until when all targets wanted to be quiet; 0 before any time.
+        self.quiet_until_s = 0.0
 
     def departure_rate(self, now_s: float) -> float:
         """Return the calls per second that got a slot during the last `DEPARTURE_SPAN_S`."""
--- a/guavawalk/process/observe/names.py
+++ b/guavawalk/process/observe/names.py
@@ -85,6 +85,19 @@
         "gateway",
         "answers of targets cut off since their head, framing, event or body exceeds a limit",
     ),
+    MetricName("target_leaves_total", "count", "gateway", "targets that said that they leave"),
+    MetricName(
+        "target_quiets_total",
+        "count",
+        "gateway",
+        "answers in which a target asked for no calls for some time",
+    ),
+    MetricName(
+        "target_quiet_invalid_total",
+        "count",
+        "gateway",
+        "answers in which that time could not be read, or was excessive",
+    ),
     MetricName(
         "target_ends_total{evidence}",
         "count",
--- a/guavawalk/request/target_answer.py
+++ b/guavawalk/request/target_answer.py
@@ -23,6 +23,13 @@
         Time that the target keeps an idle connection open, in seconds; None if not stated.
     keep_alive : bool
         Whether the connection can be used for another request.
+    is_leaving : bool
+        Whether the target states that it leaves and wants no more requests.
+    quiet_s : float, optional
+        Time for which the target wants no requests from this gateway, in seconds; None if it
+        states none.
+    is_quiet_invalid : bool
+        Whether it states such a time in a form that can't be read, or an excessive one.
     forwarded_headers : tuple of (bytes, bytes)
         Headers that are sent on to the caller.
     """
@@ -33,4 +40,7 @@
     is_stamped: bool = False
     idle_s: float | None = None
     keep_alive: bool = False
+    is_leaving: bool = False
+    quiet_s: float | None = None
+    is_quiet_invalid: bool = False
     forwarded_headers: tuple[tuple[bytes, bytes], ...] = ()
--- a/soak/scenario.py
+++ b/soak/scenario.py
@@ -5,6 +5,7 @@
 import signal
 import tempfile
 import time
+from collections import Counter
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 from typing import NamedTuple
@@ -85,6 +86,8 @@
         self.version = 5
         self.links: list[Proxy] = []
         self.targets: dict = {}
+        # Number of starts of each target: one that has drained is a new start.
+        self.starts: Counter[str] = Counter()
         # Every third scenario does only planned work (restarts, reloads, route changes and target
         # drains), which must interrupt no request.
         self.planned_only = seed % 3 == 0
@@ -123,6 +126,7 @@
         await link.serve(tasks)
         self.links.append(link)
         self.targets[target_id] = (target, service, link.address)
+        self.starts[target_id] = 1
         self.store.put(f"servers/{target_id}", registration(service, link.address))
 
     async def run_faults(self, started_s: float) -> None:
@@ -207,10 +211,15 @@
 
     async def _drain_target(self) -> None:
         target_id = self.rng.choice(list(self.targets))
-        _, service, address = self.targets[target_id]
-        self.store.put(f"servers/{target_id}", registration(service, address, "draining"))
+        target, service, address = self.targets[target_id]
+        target.is_leaving = True
+        starts = self.starts[target_id]
+        self.store.put(f"servers/{target_id}", registration(service, address, "draining", starts))
         await anyio.sleep(self.rng.uniform(0.3, 1.5))
-        self.store.put(f"servers/{target_id}", registration(service, address))
+        self.starts[target_id] += 1
+        target.is_leaving = False
+        started = registration(service, address, starts=self.starts[target_id])
+        self.store.put(f"servers/{target_id}", started)
 
     async def _fail_target(self) -> None:
         target, _, _ = self.rng.choice(list(self.targets.values()))
--- a/soak/workload.py
+++ b/soak/workload.py
@@ -18,7 +18,6 @@
     Caller,
     EndConnection,
     StandInTarget,
-    answer_not_run,
     event,
     signed_headers,
 )
@@ -47,6 +46,9 @@
 BUSY_REJECTED_SHARE = 0.4
 BUSY_PAUSED_SHARE = 0.4
 BUSY_PAUSE_S = 1.1
+# Share of the rejections of a busy target that ask for quiet, and for how long, in seconds.
+BUSY_QUIET_SHARE = 0.3
+BUSY_QUIET = b"0.2"
 ANSWER_TIMEOUT_S = 6.0
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 
@@ -76,8 +78,8 @@
     }
 
 
-def registration(service: str, address: str, state: str = "ready") -> dict:
-    """Return a target's registration document."""
+def registration(service: str, address: str, state: str = "ready", starts: int = 1) -> dict:
+    """Return the registration document of a target that has started `starts` times."""
     return {
         "service": service,
         "address": address,
@@ -85,6 +87,7 @@
         "capacity": 6,
         "state": state,
         "sequence": 1,
+        "born": 1_000_000 + starts,
     }
 
 
@@ -180,7 +183,8 @@
     Its `shed_share` is the share of requests that it rejects as not run. Its `fail_share` is the
     share of runs that end without an answer; a stream may also be closed after each event, with
     probability `fail_share / EVENT_COUNT`. Both shares are 0 at first. While it `is_busy`, it
-    rejects some requests as full, and pauses in some runs before the answer or within a stream.
+    rejects some requests as full, some of these with a time in which it wants quiet, and pauses in
+    some runs before the answer or within a stream. While it `is_leaving`, its answers say so.
     """
 
     async def run(target, stream, request):
@@ -190,8 +194,10 @@
             return
         rejected_share = BUSY_REJECTED_SHARE if target.is_busy else 0.0
         if rng.random() < max(target.shed_share, rejected_share):
-            await answer_not_run(target, stream, request)
+            quiet = ((b"Retry-After", BUSY_QUIET),) if rng.random() < BUSY_QUIET_SHARE else ()
+            await stream.send(encode_response(503, ((b"Not-Executed", b"1"), *quiet)))
             return
+        leaving = ((b"Server-Leaving", b"1"),) if target.is_leaving else ()
         request_id = headers[b"Request-Id"].decode()
         last = int(headers.get(b"Last-Event-Id", b"0"))
         recorder.record_run(request_id, request.target.decode(), bool(last))
@@ -210,10 +216,12 @@
             raise EndConnection
         if ROUTES[route][0] != "streaming":
             await stream.send(
-                encode_response(200, signed_headers(request), expected_body(request_id, route))
+                encode_response(
+                    200, signed_headers(request, *leaving), expected_body(request_id, route)
+                )
             )
             return
-        await stream.send(encode_response_head(200, signed_headers(request), CHUNKED))
+        await stream.send(encode_response_head(200, signed_headers(request, *leaving), CHUNKED))
         for number in range(last + 1, EVENT_COUNT + 1):
             if number == pause_before:
                 await anyio.sleep(BUSY_PAUSE_S)
@@ -225,7 +233,7 @@
 
     target = StandInTarget(run)
     target.shed_share = target.fail_share = 0.0
-    target.is_busy = False
+    target.is_busy = target.is_leaving = False
     return target
 
 
