--- a/guavawalk/connection/tasks/crash_news.py
+++ b/guavawalk/connection/tasks/crash_news.py
@@ -1,7 +1,8 @@
-"""Tells other gateways which requests may crash targets, and hears it from them.
+"""Exchanges suspicions of requests that may crash targets with other gateways.
 
-News goes to the gateways of the same data centre, and to those that receive the summaries in the
-others, which pass it on. What matters most is repeated, for gateways that start or were cut off.
+News goes to the gateways of the same data centre, and to the receivers of summaries in the others,
+which forward it. The requests with the most deaths are repeated at intervals, for gateways that
+start or were cut off.
 """
 
 from __future__ import annotations
@@ -32,14 +33,14 @@
 COLLECT_S = 0.01
 # Time between two sends of the same news, in seconds.
 REPEAT_EVERY_S = 0.25
-# Time after which what matters most is sent to all again, in seconds, for each gateway of the data
-# centre beyond a few; well below the time in which gateways have to know of a third crash.
+# Time between two repetitions of the requests with the most deaths, in seconds: the larger of a
+# minimum and a time for each gateway of the data centre, so that the traffic grows linearly.
 MIN_FULL_EVERY_S = 1.2
 FULL_EVERY_PER_GATEWAY_S = 0.2
 
 
 async def send_crash_news(gateway: Gateway, socket: UDPSocket) -> None:
-    """Send news, and at intervals all that matters, until cancelled."""
+    """Send news, and at intervals the requests with the most deaths, until cancelled."""
     news, peers, now_s = gateway.crash_news, gateway.peers, gateway.clock.now_s
     next_full_s = now_s()
     while True:
@@ -70,7 +71,7 @@
 
 
 def apply_crash_news(gateway: Gateway, data: bytes) -> None:
-    """Apply a datagram of news; pass on what is new and comes from another data centre.
+    """Apply a datagram of news; forward what is new and comes from another data centre.
 
     Raises
     ------
--- a/guavawalk/connection/tasks/target_exchange.py
+++ b/guavawalk/connection/tasks/target_exchange.py
@@ -119,15 +119,12 @@
         progress.tried_ids.append(target_id)
         max_idle_s = MAX_IDLE_IDEMPOTENT_S if call.route.is_idempotent else MAX_IDLE_UNSAFE_S
         self._connection = await gateway.connections.acquire(
-            target_id, self.target.registration.address, max_idle_s, gateway.clock.now_s()
+            target_id,
+            self.target.registration.address,
+            max_idle_s,
+            gateway.clock.now_s(),
+            call.fields.request_id,
         )
-        if call.fields.request_id in self._connection.request_ids:
-            # An answer to the earlier request of the same id could not be told from its own.
-            await self._connection.aclose()
-            self._connection = await gateway.connections.open(
-                target_id, self.target.registration.address
-            )
-        self._connection.request_ids.append(call.fields.request_id)
         progress.record_sent()
         gateway.targets.record_sent_parts(target_id, call.fields.prompt_parts)
         now_s = gateway.clock.now_s()
--- a/guavawalk/process/gateway/connections.py
+++ b/guavawalk/process/gateway/connections.py
@@ -69,12 +69,18 @@
         self._idle: dict[str, deque[TargetConnection]] = {}
 
     async def acquire(
-        self, target_id: str, address: str, max_idle_s: float, now_s: float
+        self,
+        target_id: str,
+        address: str,
+        max_idle_s: float,
+        now_s: float,
+        request_id: str,
     ) -> TargetConnection:
-        """Return an idle connection to a target, or a new one.
+        """Return an idle connection to a target, or a new one, for a request.
 
-        Idle connections are closed instead if they are too old, or if the target has closed them or
-        sent bytes on them.
+        Idle connections are closed instead if they are too old, if the target has closed them or
+        sent bytes on them, or if a request of the same id was sent on them: an answer to that one
+        could not be told from the answer to this one.
 
         Parameters
         ----------
@@ -93,13 +99,18 @@
         while idle:
             connection = idle.pop()
             idle_s = now_s - connection.idle_since_s
-            if idle_s < min(max_idle_s, connection.idle_limit_s) and not has_input(
-                connection.stream
+            if (
+                idle_s < min(max_idle_s, connection.idle_limit_s)
+                and request_id not in connection.request_ids
+                and not has_input(connection.stream)
             ):
                 connection.is_reused = True
-                return connection
+                break
             await connection.aclose()
-        return await self.open(target_id, address)
+        else:
+            connection = await self.open(target_id, address)
+        connection.request_ids.append(request_id)
+        return connection
 
     async def open(
         self, target_id: str, address: str, timeout_s: float = CONNECT_TIMEOUT_S
--- a/guavawalk/process/gateway/crash_news.py
+++ b/guavawalk/process/gateway/crash_news.py
@@ -1,4 +1,4 @@
-"""Queues what a gateway has to tell others of requests that crash targets, and its encoding."""
+"""Queues news of requests that may crash targets for other gateways, and encodes it."""
 
 from collections.abc import Iterable
 from typing import NamedTuple
@@ -30,7 +30,7 @@
 
 
 class CrashNews(NamedTuple):
-    """Suspicions that one gateway tells others.
+    """Suspicions that one gateway sends to others.
 
     Attributes
     ----------
@@ -72,7 +72,7 @@
         Parameters
         ----------
         is_for_all : bool, optional
-            Whether to tell other data centres; False for news that came from one.
+            Whether to send it to other data centres; False for news that came from one.
         """
         for fingerprint in fingerprints:
             before = self._queued.pop(fingerprint, None)
@@ -83,7 +83,7 @@
             self.arrived.set()
 
     def greet(self, address: str) -> None:
-        """Have all that matters sent to a gateway that may know nothing."""
+        """Have the requests with the most deaths sent to a gateway that may know nothing."""
         self._greeted.add(address)
         self.arrived.set()
 
--- a/guavawalk/process/gateway/dispatch.py
+++ b/guavawalk/process/gateway/dispatch.py
@@ -139,7 +139,7 @@
             queue.quiet_until_s = max(queue.quiet_until_s, now_s + quiet_s)
         rate = queue.departure_rate(now_s)
         if now_s < queue.quiet_until_s + DEPARTURE_SPAN_S:
-            # Calls could not leave the queue lately, whatever its targets can serve.
+            # No call could leave the queue, so the rate of departures is no estimate.
             rate = max(rate, sum(map(_service_rate, snapshots)))
         is_hopeless = bool(ahead) and not is_resumed and ahead > rate * max_wait_s
         if max_wait_s <= 0.0 or is_hopeless or (quiet_s >= max_wait_s and not is_resumed):
--- a/guavawalk/process/suspects.py
+++ b/guavawalk/process/suspects.py
@@ -35,7 +35,7 @@
 # Time within which the ends of several targets have a common cause, in seconds, unless one request
 # was in flight at all of them.
 COMMON_CAUSE_S = 0.3
-# Age up to which a single death is worth repeating to peers, in seconds.
+# Age up to which a single death is repeated to peers, in seconds.
 SINGLE_DEATH_NEWS_S = 10.0
 # Hashes keep 63 bits, so that they fit a signed 64-bit field.
 _MASK = (1 << 63) - 1
@@ -85,7 +85,7 @@
 
 
 class SuspicionNews(NamedTuple):
-    """A suspicion as one process tells it to another, with ages in place of times.
+    """A suspicion as it is sent to another process, with ages in place of times.
 
     Attributes
     ----------
@@ -207,19 +207,19 @@
         return SuspicionNews(fingerprint, deaths, completed_age_ms)
 
     def merge_news(self, news: Iterable[SuspicionNews]) -> list[int]:
-        """Add what a peer knows; return the fingerprints of which it told something new."""
+        """Add what a peer knows; return the fingerprints of which something was new."""
         now_s = self._clock.now_s()
         changed = []
-        for told in news:
+        for received in news:
             is_new = False
-            for target, age_ms, is_early in told.deaths[:MAX_TARGETS_PER_SUSPECT]:
+            for target, age_ms, is_early in received.deaths[:MAX_TARGETS_PER_SUSPECT]:
                 death = TargetDeath(target, now_s - _age_s(age_ms), is_early)
-                is_new |= self._add(told.fingerprint, death)
-            if told.completed_age_ms >= 0:
-                completed_s = now_s - _age_s(told.completed_age_ms)
-                is_new |= self._complete(told.fingerprint, completed_s)
+                is_new |= self._add(received.fingerprint, death)
+            if received.completed_age_ms >= 0:
+                completed_s = now_s - _age_s(received.completed_age_ms)
+                is_new |= self._complete(received.fingerprint, completed_s)
             if is_new:
-                changed.append(told.fingerprint)
+                changed.append(received.fingerprint)
         return changed
 
     def most_suspected(self, limit: int) -> list[int]:
@@ -314,7 +314,7 @@
         before = deaths.get(death.target)
         is_new = before is None or (is_own and death.at_s > before.at_s)
         if before is not None:
-            # A peer that was suspended tells ages that are too small: the earlier time is right.
+            # Ages from a peer that was suspended are too small: the earlier time is right.
             at_s = death.at_s if is_new else min(death.at_s, before.at_s)
             is_new |= death.is_early and not before.is_early
             death = TargetDeath(death.target, at_s, death.is_early or before.is_early)
--- a/guavawalk/version/registrations.py
+++ b/guavawalk/version/registrations.py
@@ -2,7 +2,7 @@
 
 from typing import NamedTuple
 
-from guavawalk.bounded import Address, Amount, Count, Name, Number
+from guavawalk.bounded import Address, Amount, Count, Name, Number, TargetId
 
 __all__ = ["ListedTargets", "Registration"]
 
@@ -28,7 +28,7 @@
         Unix time of its start, in milliseconds; 0 if not stated.
     """
 
-    target_id: Name
+    target_id: TargetId
     service: Name
     address: Address
     data_centre: Name
