--- a/tests/crash_fleet.py
+++ b/tests/crash_fleet.py
@@ -212,14 +212,14 @@
             now_s = story.gateway.clock.now_s()
             story.gateway.targets.remove(target_id, now_s, False)
 
-    async def ask(self, number, body, request_id):
+    async def ask(self, number, body, request_id, headers=()):
         """Send one request to a gateway; return its status, or None if it got no whole answer."""
         host, port = self.gateways[number].address.split(":")
         try:
             async with await anyio.connect_tcp(host, int(port)) as stream:
                 with anyio.fail_after(4):
                     answer = await Caller(stream).ask(
-                        path=b"/x/1", body=body, request_id=request_id, headers=()
+                        path=b"/x/1", body=body, request_id=request_id, headers=headers
                     )
                 return answer[0]
         except (TargetLost, TimeoutError, OSError, anyio.BrokenResourceError, anyio.EndOfStream):
