A target that has drained and is replaced at its address has not crashed

Calls that this gateway had given up there before were suspected once the next target registered at the address: the planned end of one counted as a death. The test failed before.

--- a/guavawalk/connection/tasks/follow_registry.py
+++ b/guavawalk/connection/tasks/follow_registry.py
@@ -253,7 +253,8 @@
 def _put(gateway: Gateway, registration: Registration) -> bool:
     """Add or update a target; return whether its registration is new or has changed."""
     for ended in gateway.targets.replaced_by(registration):
-        record_target_end(gateway, ended, EndEvidence.RESTARTED)
+        if not ended.registration.draining:
+            record_target_end(gateway, ended, EndEvidence.RESTARTED)
     return gateway.targets.put(registration)
 
 
--- a/tests/connection/tasks/test_crashing_requests.py
+++ b/tests/connection/tasks/test_crashing_requests.py
@@ -182,8 +182,8 @@
 
 
 class TestEvidence:
-    def suspected(self, change, was_closed=True):
-        """Return whether a call that was cut off is suspected after a change of the registry."""
+    def suspected(self, change, was_closed=True, *later_changes):
+        """Return whether a call that was cut off is suspected after changes of the registry."""
 
         async def run():
             story = GatewayHarness(SAFE)
@@ -192,8 +192,9 @@
             target = story.gateway.targets.get("i-1")
             now_s = story.gateway.clock.now_s()
             target.record_cut_call(CutCall(5, now_s, True, was_closed))
-            registrations = change(first)
-            await apply_target_list(story.gateway, ListedTargets(9, registrations), "peer")
+            for revision, one_change in enumerate((change, *later_changes), 9):
+                listed = ListedTargets(revision, one_change(first))
+                await apply_target_list(story.gateway, listed, "peer")
             return story.gateway.suspects.is_suspect(5)
 
         return run_with_timeout(run)
@@ -209,6 +210,15 @@
         assert self.suspected(lambda first: ())
         assert not self.suspected(lambda first: (), was_closed=False)
 
+    def test_target_that_is_replaced_after_it_has_drained_has_not_crashed(self):
+        later = {"target_id": "i-2", "started_at_ms": 2}
+        for was_closed in (True, False):
+            assert not self.suspected(
+                lambda first: (first._replace(draining=True),),
+                was_closed,
+                lambda first: (first._replace(draining=True), first._replace(**later)),
+            )
+
     def test_target_that_leaves_or_is_registered_again_has_not_ended(self):
         assert not self.suspected(lambda first: (first._replace(slots=9),))
         assert not self.suspected(lambda first: (first._replace(draining=True),))
