--- a/guavawalk/connection/tasks/target_exchange.py
+++ b/guavawalk/connection/tasks/target_exchange.py
@@ -313,7 +313,8 @@
     def _record_cut(self, was_closed: bool) -> None:
         now_s = self._gateway.clock.now_s()
         is_early = self.running_call.is_early(now_s)
-        cut = CutCall(self._call.fingerprint, now_s, is_early, was_closed)
+        call = self._call
+        cut = CutCall(call.fingerprint, now_s, is_early, was_closed, call.fields.shared_part_ids)
         record_cut_call(self._gateway, self.target, cut)
 
     def log_end(self, end: AttemptEnd, next_step: str, may_retry: bool) -> None:
--- a/guavawalk/process/gateway/crash_news.py
+++ b/guavawalk/process/gateway/crash_news.py
@@ -55,10 +55,13 @@
     ----------
     arrived : anyio.Event
         Set when there is news, or a gateway to greet; `take` replaces it.
+    dropped : int
+        Number of fingerprints that were displaced by newer ones before they were sent often enough.
     """
 
     def __init__(self) -> None:
         self.arrived = anyio.Event()
+        self.dropped = 0
         self._queued: dict[int, _Queued] = {}
         self._greeted: set[str] = set()
 
@@ -80,6 +83,7 @@
             self._queued[fingerprint] = _Queued(is_for_all or is_queued_for_all)
             if len(self._queued) > MAX_QUEUED:
                 del self._queued[next(iter(self._queued))]
+                self.dropped += 1
             self.arrived.set()
 
     def greet(self, address: str) -> None:
--- a/guavawalk/process/gateway/gauges.py
+++ b/guavawalk/process/gateway/gauges.py
@@ -34,6 +34,8 @@
     metrics.gauge("repeats_left", lambda: _remaining_repeats(gateway))
     metrics.gauge("connections_opened", lambda: {(): gateway.connections.opened})
     metrics.gauge("crash_suspects", lambda: {(): len(gateway.suspects)})
+    metrics.gauge("crash_news_queued", lambda: {(): len(gateway.crash_news)})
+    metrics.gauge("crash_news_dropped", lambda: {(): gateway.crash_news.dropped})
     metrics.gauge("log_lines_dropped", lambda: {(): gateway.log.dropped})
     metrics.gauge("peak_memory_bytes", _peak_memory_bytes)
     metrics.gauge("processor_seconds", _processor_s)
--- a/guavawalk/process/gateway/target_end.py
+++ b/guavawalk/process/gateway/target_end.py
@@ -13,6 +13,9 @@
 
 __all__ = ["EndEvidence", "record_connect_failure", "record_cut_call", "record_target_end"]
 
+# Most ids of prompt parts in one log line.
+MAX_LOGGED_PARTS = 8
+
 
 class EndEvidence(Enum):
     """What shows that a target has ended.
@@ -87,6 +90,7 @@
         events.CALL_SUSPECTED,
         target=registration.target_id,
         fingerprint=fingerprint,
+        parts=cut.part_ids[:MAX_LOGGED_PARTS],
         is_early=cut.is_early,
         blocked=suspects.is_blocked(fingerprint),
     )
--- a/guavawalk/process/gateway/tracked_target.py
+++ b/guavawalk/process/gateway/tracked_target.py
@@ -60,12 +60,15 @@
         Whether its run had just begun, or may not have.
     was_closed : bool
         Whether the connection ended; False if this gateway gave it up.
+    part_ids : tuple of str
+        Ids of the parts of its prompt that other prompts may share.
     """
 
     fingerprint: int
     cut_s: float
     is_early: bool
     was_closed: bool
+    part_ids: tuple[str, ...] = ()
 
 
 class RunningCall:
--- a/guavawalk/process/observe/names.py
+++ b/guavawalk/process/observe/names.py
@@ -205,6 +205,15 @@
         "connections_opened", "gauge", "gateway", "connections opened to targets since the start"
     ),
     MetricName("crash_suspects", "gauge", "gateway", "calls that were in flight when targets died"),
+    MetricName(
+        "crash_news_queued", "gauge", "gateway", "suspects of which other gateways are still told"
+    ),
+    MetricName(
+        "crash_news_dropped",
+        "gauge",
+        "gateway",
+        "suspects displaced by newer ones before others were told, since the start",
+    ),
     MetricName("log_lines_dropped", "gauge", "gateway", "log lines dropped since the start"),
     MetricName(
         "peak_memory_bytes", "gauge", "gateway", "largest resident memory of the process so far"
--- a/guavawalk/request/call.py
+++ b/guavawalk/request/call.py
@@ -6,6 +6,10 @@
 
 __all__ = ["Call", "CallFields", "PromptPart"]
 
+# Most leading parts of a prompt that count as shared; a longer prompt's other parts are too rarely
+# sent again.
+MAX_SHARED_PARTS = 64
+
 
 class PromptPart(NamedTuple):
     """A segment of a prompt's prefix, which other prompts may share.
@@ -62,6 +66,11 @@
     last_event_id: str = ""
     forwarded_headers: tuple[tuple[bytes, bytes], ...] = ()
 
+    @property
+    def shared_part_ids(self) -> tuple[str, ...]:
+        """Ids of the prompt's parts that other prompts may share: all but the last."""
+        return tuple(part.part_id for part in self.prompt_parts[:-1][:MAX_SHARED_PARTS])
+
 
 class Call(NamedTuple):
     """An admitted request with its route, workspace and service.
