--- a/tests/crash_fleet.py
+++ b/tests/crash_fleet.py
@@ -2,6 +2,7 @@
 
 import socket
 import struct
+from collections import Counter, defaultdict
 from contextlib import asynccontextmanager
 from functools import partial
 
@@ -17,9 +18,15 @@
 from tests.gateway_calls import RESUMABLE, make_registration
 from tests.gateway_standins import GatewayHarness
 
-__all__ = ["BAD_BODY", "CrashFleet", "CrashingTarget", "running_fleet"]
+__all__ = ["BAD_BODY", "BAD_PART", "CrashFleet", "CrashingTarget", "running_fleet"]
 
 BAD_BODY = b"ends each target that begins to run it"
+# A part of a prompt that ends each target that begins to write an answer on it.
+BAD_PART = b"bad"
+# First parts of prompts: the first one stands before `BAD_PART` too.
+FIRST_PARTS = (b"first", b"other")
+# Time between the begin of such an answer and the target's end, in seconds.
+BAD_RUN_S = 0.1
 SOUND_EVENTS = 10
 EVENT_INTERVAL_S = 0.03
 
@@ -93,8 +100,17 @@
             self.bad_runs_s.append(anyio.current_time())
             await self.crash()
             raise EndConnection
+        bad_parts = self._fleet.bad_parts & set(_shared_parts(request))
         await anyio.sleep(EVENT_INTERVAL_S)
         await stream.send(encode_response_head(200, signed_headers(request), CHUNKED))
+        if bad_parts:
+            for part in bad_parts:
+                self._fleet.part_runs_s[part].append(anyio.current_time())
+            await stream.send(encode_chunk(event(1)))
+            await anyio.sleep(BAD_RUN_S)
+            if self.is_listening:
+                await self.crash()
+            raise EndConnection
         first = int(dict(request.headers).get(b"Last-Event-Id", b"0")) + 1
         for number in range(first, SOUND_EVENTS + 1):
             await stream.send(encode_chunk(event(number)))
@@ -151,6 +167,12 @@
         self.targets = []
         self.logs = []
         self.served_sound = 0
+        self.bad_parts = {BAD_PART}
+        # When runs of a bad part began, by part, on the event loop's clock.
+        self.part_runs_s = defaultdict(list)
+        # Sound requests, and those served at the first attempt, by the first part of their prompt.
+        self.sent_by_part = Counter()
+        self.served_by_part = Counter()
         self._registrations = {}
 
     async def start(self, gateways=3, targets=10):
@@ -235,18 +257,34 @@
             self.tasks.start_soon(self.ask, gateway, BAD_BODY, b"bad%d" % number)
             await anyio.sleep(every_s * rng.uniform(0.5, 1.5))
 
+    async def send_bad_parts(self, rng, seconds, every_s, part=BAD_PART, others=FIRST_PARTS[:1]):
+        """Send requests that have one part in common, each to a random gateway."""
+        until_s = anyio.current_time() + seconds
+        number = 0
+        while anyio.current_time() < until_s:
+            number += 1
+            own = b"%s-%d" % (part, number)
+            headers = (_prompt_prefix(rng.choice(others), part, b"third", own),)
+            gateway = rng.randrange(len(self.gateways))
+            self.tasks.start_soon(self.ask, gateway, own, own, headers)
+            await anyio.sleep(every_s * rng.uniform(0.5, 1.5))
+
     async def send_sound(self, rng, stop, client):
         """Send sound requests, one after another, each of them again if it is not served."""
         number = 0
+        first = FIRST_PARTS[client % len(FIRST_PARTS)]
         while not stop.is_set():
             number += 1
             body = b"sound %d %d" % (client, number)
+            headers = (_prompt_prefix(first, b"mid%d" % client, b"third", body),)
+            self.sent_by_part[first] += 1
             for attempt in range(2):
                 gateway = rng.randrange(len(self.gateways))
                 request_id = b"s%d-%d-%d" % (client, number, attempt)
-                status = await self.ask(gateway, body, request_id)
+                status = await self.ask(gateway, body, request_id, headers)
                 if status == 200:
                     self.served_sound += 1
+                    self.served_by_part[first] += not attempt
                     break
 
     @property
@@ -263,6 +301,17 @@
         return sorted(at_s for target in self.targets for at_s in target.bad_runs_s)
 
 
+def _prompt_prefix(*parts):
+    value = b",".join(b"%s:60" % part.replace(b" ", b"-") for part in parts)
+    return b"Prompt-Prefix", value
+
+
+def _shared_parts(request):
+    """Return the ids of the parts of a request's prompt but the last."""
+    value = dict(request.headers).get(b"Prompt-Prefix", b"")
+    return [part.partition(b":")[0] for part in value.split(b",")[:-1]]
+
+
 async def _bind_both():
     for _ in range(20):
         datagrams = await anyio.create_udp_socket(local_host="127.0.0.1", local_port=0)
