--- a/guavawalk/connection/tasks/attempt_call.py
+++ b/guavawalk/connection/tasks/attempt_call.py
@@ -13,6 +13,7 @@
 from guavawalk.connection.tasks.check_target import check_target
 from guavawalk.connection.tasks.target_exchange import TargetExchange
 from guavawalk.exception import TargetError
+from guavawalk.process.gateway.crash_refusal import ends_targets, record_outlived
 from guavawalk.process.gateway.dispatch import Reservation
 from guavawalk.request.call import Call
 from guavawalk.request.engine_time import nominal_event_gap_s
@@ -170,6 +171,8 @@
             self._record_first_event()
             target.record_first_event(running_call, now_s)
             return
+        if running_call.record_events(now_s):
+            record_outlived(self._gateway, self._call, running_call.started_at_s)
         running_call.events += count
         if running_call.events >= EVENTS_PER_PACE_SAMPLE:
             pace_s = (now_s - running_call.pace_since_s) / running_call.events
@@ -286,10 +289,8 @@
         """Reserve a slot at another target, paid from the retry budget; None if there is none."""
         gateway, call, progress = self._gateway, self._call, self._progress
         reservation = None
-        suspects = gateway.suspects
-        if not suspects.is_blocked(call.fingerprint) and not suspects.settles_in_s(
-            call.fingerprint
-        ):
+        settles_in_s = gateway.suspects.settles_in_s(call.fingerprint)
+        if not call.is_trial and not settles_in_s and not ends_targets(gateway, call):
             reservation = gateway.dispatcher.try_reserve(call, progress.tried_ids)
         now_s = gateway.clock.now_s()
         if reservation is not None and not gateway.retries.try_spend(
--- a/guavawalk/connection/tasks/forward_call.py
+++ b/guavawalk/connection/tasks/forward_call.py
@@ -14,6 +14,7 @@
 from guavawalk.connection.tasks.target_exchange import TargetExchange
 from guavawalk.exception import CallerGone, RequestError
 from guavawalk.platform.requests import encode_retry_after, encode_status
+from guavawalk.process.gateway.crash_refusal import ends_targets
 from guavawalk.process.supervise import log_failure
 from guavawalk.request.call import Call
 from guavawalk.request.repeat import AttemptResult, StepKind, decide_next
@@ -115,7 +116,7 @@
             except RequestError as error:
                 return await _answer_failure(gateway, call, progress, answer, error)
             # The request may have ended a target while this call waited.
-            if gateway.suspects.is_blocked(call.fingerprint):
+            if ends_targets(gateway, call):
                 gateway.dispatcher.release(reservation)
                 error = RequestError(ResultCode.CRASH_SUSPECT)
                 return await _answer_failure(gateway, call, progress, answer, error)
@@ -146,10 +147,11 @@
 def _may_retry(gateway: Gateway, call: Call, progress: Progress, result: AttemptResult) -> bool:
     """Return whether time and the retry budget allow another attempt; spend from the budget.
 
-    Nothing is spent if no target has got the call yet. A call that ends its targets gets none.
+    Nothing is spent if no target has got the call yet. A call that ends its targets gets none, nor
+    does one that ran to show whether it does.
     """
     now_s = gateway.clock.now_s()
-    if gateway.suspects.is_blocked(call.fingerprint):
+    if ends_targets(gateway, call) or (call.is_trial and progress.has_run):
         return False
     if result is AttemptResult.DELIVERED or call.deadline_s - now_s < MIN_ATTEMPT_S:
         return False
--- a/guavawalk/connection/tasks/gossip.py
+++ b/guavawalk/connection/tasks/gossip.py
@@ -18,7 +18,7 @@
 
 from guavawalk import events
 from guavawalk.connection.http_client import create_http_client
-from guavawalk.connection.tasks.crash_news import apply_crash_news
+from guavawalk.connection.tasks.crash_news import apply_crash_news, apply_part_news
 from guavawalk.connection.tasks.datagrams import send_datagram
 from guavawalk.connection.tasks.follow_registry import apply_routes, apply_target_list
 from guavawalk.exception import RegistrationInvalid, TargetError
@@ -28,7 +28,7 @@
     decode_summary,
     encode_summary,
 )
-from guavawalk.process.gateway.crash_news import CRASH_NEWS_TAG
+from guavawalk.process.gateway.crash_news import CRASH_NEWS_TAG, PART_NEWS_TAG
 from guavawalk.process.gateway.loads import measure_load, sum_loads
 from guavawalk.process.gateway.pages import ROUTES_PATH, TARGETS_PATH, decode_target_list
 from guavawalk.process.gateway.reports import PeerReport, decode_report, encode_report
@@ -240,6 +240,9 @@
                 if data.startswith(CRASH_NEWS_TAG):
                     apply_crash_news(gateway, data)
                     continue
+                if data.startswith(PART_NEWS_TAG):
+                    apply_part_news(gateway, data)
+                    continue
                 if data.startswith(SUMMARY_TAG):
                     news = decode_summary(data)
                     is_new = _apply_summary(gateway, news)
@@ -270,7 +273,7 @@
             incarnation=report.incarnation,
             routes_version=report.routes_version,
         )
-        gateway.crash_news.greet(report.address)
+        _greet(gateway, report.address)
     gateway.dispatcher.dispatch_all()
     if report.data_centre == gateway.settings.data_centre:
         gateway.peers.add_addresses(report.addresses)
@@ -291,12 +294,18 @@
             incarnation=summary.incarnation,
             routes_version=summary.routes_version,
         )
-        gateway.crash_news.greet(summary.relay)
+        _greet(gateway, summary.relay)
     gateway.dispatcher.dispatch_all()
     gateway.peers.add_addresses(summary.contacts)
     return True
 
 
+def _greet(gateway: Gateway, address: str) -> None:
+    """Have the most suspected requests and parts sent to a gateway that may know none."""
+    gateway.crash_news.greet(address)
+    gateway.part_news.greet(address)
+
+
 def _is_ahead(gateway: Gateway, news: PeerReport | CentreSummary) -> bool:
     return (
         news.routes_version > gateway.routes.table.version
--- a/guavawalk/connection/tasks/target_exchange.py
+++ b/guavawalk/connection/tasks/target_exchange.py
@@ -22,6 +22,7 @@
 )
 from guavawalk.platform.requests import decode_answer, encode_target_headers, is_misdirected
 from guavawalk.process.gateway.connections import TargetConnection
+from guavawalk.process.gateway.crash_refusal import record_outlived
 from guavawalk.process.gateway.dispatch import Reservation
 from guavawalk.process.gateway.target_end import record_connect_failure, record_cut_call
 from guavawalk.process.gateway.target_statements import record_statements
@@ -301,9 +302,10 @@
             target.usable_until_s = now_s
         else:
             target.failures.record(True, now_s)
-        fingerprint = self._call.fingerprint
-        if result is AttemptResult.DELIVERED and gateway.suspects.record_completed(fingerprint):
-            gateway.crash_news.add((fingerprint,))
+        if result is AttemptResult.DELIVERED:
+            record_outlived(gateway, self._call, self.running_call.started_at_s)
+            if gateway.suspects.record_completed(self._call.fingerprint):
+                gateway.crash_news.add((self._call.fingerprint,))
 
     def record_abandoned(self) -> None:
         """Record that the call was cancelled, so that its end at the target is not known."""
@@ -314,7 +316,7 @@
         now_s = self._gateway.clock.now_s()
         is_early = self.running_call.is_early(now_s)
         call = self._call
-        cut = CutCall(call.fingerprint, now_s, is_early, was_closed, call.fields.shared_part_ids)
+        cut = CutCall(call.fingerprint, now_s, is_early, was_closed, call.shared_parts)
         record_cut_call(self._gateway, self.target, cut)
 
     def log_end(self, end: AttemptEnd, next_step: str, may_retry: bool) -> None:
--- a/guavawalk/events.py
+++ b/guavawalk/events.py
@@ -90,6 +90,19 @@
     2018, "call_blocked", logging.WARNING, "a request is refused here since it ends targets"
 )
 
+PART_BLAMED = _event(
+    2019,
+    "part_blamed",
+    logging.WARNING,
+    "targets ended one after the other while they began to run prompts with a part",
+)
+PART_CLEARED = _event(
+    2020, "part_cleared", logging.INFO, "a part of prompts is no longer blamed for ended targets"
+)
+PART_TRIED = _event(
+    2021, "part_tried", logging.INFO, "a call shows whether a blamed part still ends targets"
+)
+
 CALL_SILENT = _event(2017, "call_silent", logging.INFO, "a target has sent nothing for too long")
 
 OFFER_NOT_RUN = _event(2070, "offer_not_run", logging.INFO, "a target did not run an offer")
--- a/guavawalk/process/gateway/gauges.py
+++ b/guavawalk/process/gateway/gauges.py
@@ -34,13 +34,23 @@
     metrics.gauge("repeats_left", lambda: _remaining_repeats(gateway))
     metrics.gauge("connections_opened", lambda: {(): gateway.connections.opened})
     metrics.gauge("crash_suspects", lambda: {(): len(gateway.suspects)})
-    metrics.gauge("crash_news_queued", lambda: {(): len(gateway.crash_news)})
-    metrics.gauge("crash_news_dropped", lambda: {(): gateway.crash_news.dropped})
+    metrics.gauge("part_suspects", lambda: {(): len(gateway.part_suspects)})
+    metrics.gauge("parts_blamed", lambda: {(): gateway.part_suspects.blamed_count})
+    metrics.gauge("crash_news_queued", lambda: {(): _queued_news(gateway)})
+    metrics.gauge("crash_news_dropped", lambda: {(): _dropped_news(gateway)})
     metrics.gauge("log_lines_dropped", lambda: {(): gateway.log.dropped})
     metrics.gauge("peak_memory_bytes", _peak_memory_bytes)
     metrics.gauge("processor_seconds", _processor_s)
 
 
+def _queued_news(gateway: Gateway) -> int:
+    return len(gateway.crash_news) + len(gateway.part_news)
+
+
+def _dropped_news(gateway: Gateway) -> int:
+    return gateway.crash_news.dropped + gateway.part_news.dropped
+
+
 def _labelled(label: str, values: Mapping[str, float]) -> Mapping[Labels, float]:
     return {((label, name),): value for name, value in values.items()}
 
--- a/guavawalk/process/gateway/state.py
+++ b/guavawalk/process/gateway/state.py
@@ -23,6 +23,7 @@
 from guavawalk.process.gateway.watch_duty import WatchDuty, create_watch_duty
 from guavawalk.process.observe.exposition import MetricSet, create_metric_set
 from guavawalk.process.observe.log import EventLog
+from guavawalk.process.part_suspects import PartSuspectTable, create_part_suspect_table
 from guavawalk.process.suspects import SuspectTable, create_suspect_table
 
 __all__ = ["Gateway", "create_gateway"]
@@ -52,6 +53,8 @@
     quotas: QuotaWindows
     suspects: SuspectTable
     crash_news: CrashNewsQueue
+    part_suspects: PartSuspectTable
+    part_news: CrashNewsQueue
     peers: PeerTable
     duty: WatchDuty
     callers: CallerTracker
@@ -95,6 +98,8 @@
         quotas=quotas,
         suspects=create_suspect_table(clock, runs_one_suspect=False),
         crash_news=create_crash_news_queue(),
+        part_suspects=create_part_suspect_table(clock),
+        part_news=create_crash_news_queue(),
         peers=peers,
         duty=create_watch_duty(peers, clock),
         callers=create_caller_tracker(),
--- a/guavawalk/process/gateway/target_end.py
+++ b/guavawalk/process/gateway/target_end.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from guavawalk import events
+from guavawalk.process.gateway.crash_refusal import record_ended_with
 
 if TYPE_CHECKING:
     from guavawalk.process.gateway.state import Gateway
@@ -79,6 +80,7 @@
 
 def _suspect_call(gateway: Gateway, target: TrackedTarget, cut: CutCall) -> None:
     """Record a call that was cut off by the end of a target."""
+    record_ended_with(gateway, target, cut)
     registration, suspects = target.registration, gateway.suspects
     fingerprint = cut.fingerprint
     if not suspects.record_target_death(
@@ -90,9 +92,11 @@
         events.CALL_SUSPECTED,
         target=registration.target_id,
         fingerprint=fingerprint,
-        parts=cut.part_ids[:MAX_LOGGED_PARTS],
+        parts=[part.part_id for part in cut.parts[:MAX_LOGGED_PARTS]],
         is_early=cut.is_early,
-        blocked=suspects.is_blocked(fingerprint),
+        blocked=suspects.is_blocked(
+            fingerprint, gateway.part_suspects.explained_targets(cut.parts)
+        ),
     )
 
 
--- a/guavawalk/process/gateway/tracked_target.py
+++ b/guavawalk/process/gateway/tracked_target.py
@@ -8,7 +8,7 @@
 import anyio
 
 from guavawalk.process.gateway.decay import DecayingShare, MovingAverage
-from guavawalk.request.call import Call, PromptPart
+from guavawalk.request.call import Call, PromptPart, SharedPart
 from guavawalk.version.registrations import Registration
 
 __all__ = ["MAX_CACHED_PARTS", "CutCall", "RunningCall", "TrackedTarget"]
@@ -34,6 +34,9 @@
 MIN_RESTART_S = 1.0
 # Time after its first event for which a run counts as having just begun, in seconds.
 EARLY_RUN_S = 0.25
+# Time after its first event for which a run must have gone on to show that its target does not end
+# of it, in seconds.
+OUTLIVED_S = 0.5
 # Time after a refused connection within which another one would be refused too, in seconds.
 REFUSED_FOR_S = 0.1
 # Pause before a target that accepted no connection is tried again, in seconds. It doubles with each
@@ -60,15 +63,15 @@
         Whether its run had just begun, or may not have.
     was_closed : bool
         Whether the connection ended; False if this gateway gave it up.
-    part_ids : tuple of str
-        Ids of the parts of its prompt that other prompts may share.
+    parts : tuple of SharedPart
+        Parts of its prompt that other requests may hold too.
     """
 
     fingerprint: int
     cut_s: float
     is_early: bool
     was_closed: bool
-    part_ids: tuple[str, ...] = ()
+    parts: tuple[SharedPart, ...] = ()
 
 
 class RunningCall:
@@ -88,6 +91,8 @@
         Since when events have been counted to measure the time between two; 0 before the first.
     events : int
         Number of events counted since then.
+    has_outlived : bool
+        Whether the run has gone on for some time after its first event.
     """
 
     def __init__(self, prefill_tokens: int, started_at_s: float, overdue_at_s: float) -> None:
@@ -97,6 +102,23 @@
         self.first_event_at_s = 0.0
         self.pace_since_s = 0.0
         self.events = 0
+        self.has_outlived = False
+        self._last_event_at_s = 0.0
+
+    def record_events(self, now_s: float) -> bool:
+        """Record that events have arrived; return whether the run has just outlived its beginning.
+
+        Notes
+        -----
+        A gateway that was suspended may receive at once what the target sent before it ended, so
+        two receipts some time after the first event are needed.
+        """
+        was_early = self.is_early(self._last_event_at_s)
+        self._last_event_at_s = now_s
+        if self.has_outlived or was_early or now_s - self.first_event_at_s < OUTLIVED_S:
+            return False
+        self.has_outlived = True
+        return True
 
     def is_early(self, now_s: float) -> bool:
         """Return whether the run has just begun, as far as its events show."""
--- a/guavawalk/process/gateway_daemon.py
+++ b/guavawalk/process/gateway_daemon.py
@@ -17,7 +17,7 @@
 from guavawalk import events
 from guavawalk.connection.address import split_address
 from guavawalk.connection.streams import has_input
-from guavawalk.connection.tasks.crash_news import send_crash_news
+from guavawalk.connection.tasks.crash_news import send_crash_news, send_part_news
 from guavawalk.connection.tasks.follow_registry import follow_routes, follow_targets
 from guavawalk.connection.tasks.gossip import receive_reports, send_reports
 from guavawalk.connection.tasks.serve_caller import serve_caller
@@ -86,6 +86,7 @@
         "receive reports": partial(receive_reports, gateway, socket),
         "send reports": partial(send_reports, gateway, socket, incarnation),
         "send crash news": partial(send_crash_news, gateway, socket),
+        "send part news": partial(send_part_news, gateway, socket),
         "sweep": partial(_sweep, gateway),
         "reload": partial(_reload_settings, gateway, path),
     }
--- a/guavawalk/process/observe/names.py
+++ b/guavawalk/process/observe/names.py
@@ -104,6 +104,12 @@
         "gateway",
         "evidence that a target ended: `refused`, `restarted` or `lapsed`",
     ),
+    MetricName(
+        "part_trials_total",
+        "count",
+        "gateway",
+        "calls that ran to show whether a part ends targets",
+    ),
     MetricName(
         "peer_messages_rejected_total",
         "count",
@@ -205,6 +211,15 @@
         "connections_opened", "gauge", "gateway", "connections opened to targets since the start"
     ),
     MetricName("crash_suspects", "gauge", "gateway", "calls that were in flight when targets died"),
+    MetricName(
+        "part_suspects", "gauge", "gateway", "parts of prompts that are, or were, suspected"
+    ),
+    MetricName(
+        "parts_blamed",
+        "gauge",
+        "gateway",
+        "parts of prompts for which requests are refused, alone or with others",
+    ),
     MetricName(
         "crash_news_queued", "gauge", "gateway", "suspects of which other gateways are still told"
     ),
--- a/guavawalk/process/suspects.py
+++ b/guavawalk/process/suspects.py
@@ -7,14 +7,23 @@
 
 import math
 from collections import OrderedDict
-from collections.abc import Iterable, Iterator
+from collections.abc import Collection, Iterable, Iterator
 from typing import NamedTuple
 
 import xxhash
 
 from guavawalk.process.clock import Clock
 
-__all__ = ["SuspectTable", "Suspicion", "SuspicionNews", "TargetDeath", "create_suspect_table"]
+__all__ = [
+    "SuspectTable",
+    "Suspicion",
+    "SuspicionNews",
+    "TargetDeath",
+    "age_ms",
+    "age_s",
+    "create_suspect_table",
+    "hash_target",
+]
 
 MAX_SUSPECTS = 4_096
 SUSPECT_RETENTION_S = 600.0
@@ -151,7 +160,7 @@
         if at_s is None:
             completed_s = self._suspicions.get(fingerprint, Suspicion()).completed_s
             at_s = max(self._clock.now_s(), math.nextafter(completed_s, math.inf))
-        death = TargetDeath(_hash_target(target_name), at_s, is_early)
+        death = TargetDeath(hash_target(target_name), at_s, is_early)
         return self._add(fingerprint, death, is_own=True)
 
     def record_completed(self, fingerprint: int) -> bool:
@@ -200,10 +209,10 @@
             return None
         now_s = self._clock.now_s()
         deaths = tuple(
-            (death.target, _age_ms(now_s, death.at_s), death.is_early) for death in suspicion.deaths
+            (death.target, age_ms(now_s, death.at_s), death.is_early) for death in suspicion.deaths
         )
         has_completed = suspicion.completed_s > -math.inf
-        completed_age_ms = _age_ms(now_s, suspicion.completed_s) if has_completed else -1
+        completed_age_ms = age_ms(now_s, suspicion.completed_s) if has_completed else -1
         return SuspicionNews(fingerprint, deaths, completed_age_ms)
 
     def merge_news(self, news: Iterable[SuspicionNews]) -> list[int]:
@@ -212,11 +221,11 @@
         changed = []
         for received in news:
             is_new = False
-            for target, age_ms, is_early in received.deaths[:MAX_TARGETS_PER_SUSPECT]:
-                death = TargetDeath(target, now_s - _age_s(age_ms), is_early)
+            for target, death_age_ms, is_early in received.deaths[:MAX_TARGETS_PER_SUSPECT]:
+                death = TargetDeath(target, now_s - age_s(death_age_ms), is_early)
                 is_new |= self._add(received.fingerprint, death)
             if received.completed_age_ms >= 0:
-                completed_s = now_s - _age_s(received.completed_age_ms)
+                completed_s = now_s - age_s(received.completed_age_ms)
                 is_new |= self._complete(received.fingerprint, completed_s)
             if is_new:
                 changed.append(received.fingerprint)
@@ -240,14 +249,23 @@
         """Return whether a target died with a request in flight that has not completed since."""
         return bool(self._counted_deaths(fingerprint))
 
-    def is_blocked(self, fingerprint: int) -> bool:
+    def is_blocked(self, fingerprint: int, explained: Collection[int] = ()) -> bool:
         """Return whether a request is known to crash targets.
 
+        Parameters
+        ----------
+        explained : collection of int, optional
+            Hashes of targets whose ends something else explains; these do not count.
+
+        Notes
+        -----
         It is if `CERTAIN_TARGET_COUNT` distinct targets died with it in flight since it last
         completed, or `BLOCKING_TARGET_COUNT` of them soon after it had begun to run there, while
         no others died, and `settles_in_s` is 0.
         """
-        deaths = self._counted_deaths(fingerprint)
+        deaths = tuple(
+            death for death in self._counted_deaths(fingerprint) if death.target not in explained
+        )
         if len(deaths) >= CERTAIN_TARGET_COUNT:
             return True
         early = {death.target for death in deaths if death.is_early}
@@ -275,7 +293,7 @@
 
     def was_in_flight_at_death(self, fingerprint: int, target_name: str) -> bool:
         """Return whether the named target died with a request in flight."""
-        target = _hash_target(target_name)
+        target = hash_target(target_name)
         return any(death.target == target for death in self._counted_deaths(fingerprint))
 
     def clear(self, fingerprint: int) -> bool:
@@ -352,16 +370,19 @@
             del self._suspicions[fingerprint]
 
 
-def _hash_target(name: str) -> int:
+def hash_target(name: str) -> int:
+    """Return the 63-bit hash that stands for a target in messages to peers."""
     return xxhash.xxh3_64_intdigest(name.encode()) & _MASK
 
 
-def _age_ms(now_s: float, at_s: float) -> int:
+def age_ms(now_s: float, at_s: float) -> int:
+    """Return the age of a moment in whole milliseconds, as peers are told it; 0 at least."""
     return max(int((now_s - at_s) * 1000), 0)
 
 
-def _age_s(age_ms: int) -> float:
-    return min(max(age_ms / 1000, 0.0), SUSPECT_RETENTION_S)
+def age_s(told_ms: int) -> float:
+    """Return an age that a peer told, in seconds, from 0 to `SUSPECT_RETENTION_S`."""
+    return min(max(told_ms / 1000, 0.0), SUSPECT_RETENTION_S)
 
 
 def create_suspect_table(
--- a/guavawalk/request/admission.py
+++ b/guavawalk/request/admission.py
@@ -6,7 +6,7 @@
 
 from guavawalk.codes import ResultCode
 from guavawalk.exception import RequestError
-from guavawalk.request.call import Call, CallFields
+from guavawalk.request.call import Call, CallFields, SharedPart
 from guavawalk.version.routes import Route, RouteTable, WorkspaceAccess, find_route
 
 __all__ = ["admit_call"]
@@ -16,6 +16,8 @@
 ANONYMOUS_WORKSPACE = WorkspaceAccess("")
 # Retry-after time sent to callers by a gateway that has no routes yet, in milliseconds.
 NO_ROUTES_RETRY_MS = 300
+# Most leading parts of a prompt that count as shared.
+MAX_SHARED_PARTS = 64
 
 
 def admit_call(
@@ -51,11 +53,12 @@
     timeout_s = route.timeout_s
     if fields.caller_timeout_s is not None:
         timeout_s = min(fields.caller_timeout_s, timeout_s)
+    service = _choose_service(route)
     return Call(
         fields=fields,
         route=route,
         workspace=workspace,
-        service=_choose_service(route),
+        service=service,
         method=method,
         path=path,
         body=body,
@@ -64,6 +67,7 @@
         rank=route.rank if workspace.rank is None else workspace.rank,
         fingerprint=_fingerprint(workspace, path, body),
         table=table,
+        shared_parts=_shared_parts(service, fields),
     )
 
 
@@ -86,8 +90,21 @@
 
 
 def _fingerprint(workspace: WorkspaceAccess, path: bytes, body: bytes) -> int:
+    return _hash(workspace.name.encode(), path, body)
+
+
+def _shared_parts(service: str, fields: CallFields) -> tuple[SharedPart, ...]:
+    scope = (service.encode(), fields.model.encode())
+    return tuple(
+        SharedPart(part.part_id, _hash(*scope, part.part_id.encode()))
+        for part in fields.prompt_parts[:-1][:MAX_SHARED_PARTS]
+    )
+
+
+def _hash(*texts: bytes) -> int:
+    """Return a 63-bit hash of some texts in order."""
     digest = xxhash.xxh3_64()
-    for part in (workspace.name.encode(), path, body):
-        digest.update(b"%d:" % len(part))
-        digest.update(part)
+    for text in texts:
+        digest.update(b"%d:" % len(text))
+        digest.update(text)
     return digest.intdigest() >> 1
--- a/guavawalk/request/call.py
+++ b/guavawalk/request/call.py
@@ -4,11 +4,7 @@
 
 from guavawalk.version.routes import NO_ROUTES, Route, RouteTable, WorkspaceAccess
 
-__all__ = ["Call", "CallFields", "PromptPart"]
-
-# Most leading parts of a prompt that count as shared; a longer prompt's other parts are too rarely
-# sent again.
-MAX_SHARED_PARTS = 64
+__all__ = ["Call", "CallFields", "PromptPart", "SharedPart"]
 
 
 class PromptPart(NamedTuple):
@@ -26,6 +22,19 @@
     tokens: int
 
 
+class SharedPart(NamedTuple):
+    """A part of a prompt that other requests to the same model may hold too.
+
+    Attributes
+    ----------
+    key : int
+        63-bit hash of service, model and part.
+    """
+
+    part_id: str
+    key: int
+
+
 class CallFields(NamedTuple):
     """Decoded headers of a request.
 
@@ -66,11 +75,6 @@
     last_event_id: str = ""
     forwarded_headers: tuple[tuple[bytes, bytes], ...] = ()
 
-    @property
-    def shared_part_ids(self) -> tuple[str, ...]:
-        """Ids of the prompt's parts that other prompts may share: all but the last."""
-        return tuple(part.part_id for part in self.prompt_parts[:-1][:MAX_SHARED_PARTS])
-
 
 class Call(NamedTuple):
     """An admitted request with its route, workspace and service.
@@ -89,6 +93,10 @@
         63-bit hash of workspace, path and body, the same for each repeat of a request.
     table : RouteTable
         Routes under which the request was admitted; they apply to it even after a newer version.
+    shared_parts : tuple of SharedPart
+        All parts of its prompt but the last, which is its own or its session's.
+    is_trial : bool
+        Whether it runs to show whether one of these still ends targets.
     """
 
     fields: CallFields
@@ -103,6 +111,8 @@
     rank: int
     fingerprint: int
     table: RouteTable = NO_ROUTES
+    shared_parts: tuple[SharedPart, ...] = ()
+    is_trial: bool = False
 
     @property
     def quota_tokens(self) -> int:
--- a/tests/connection/tasks/test_crash_news.py
+++ b/tests/connection/tasks/test_crash_news.py
@@ -4,16 +4,21 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from guavawalk.connection.tasks.crash_news import apply_crash_news
+from guavawalk.connection.tasks.crash_news import apply_crash_news, apply_part_news
 from guavawalk.process.gateway.crash_news import (
     CRASH_NEWS_TAG,
     MAX_SUSPICIONS,
+    PART_NEWS_TAG,
     SENDS,
     CrashNews,
+    CrashPartNews,
     create_crash_news_queue,
     decode_crash_news,
+    decode_part_news,
     encode_crash_news,
+    encode_part_news,
 )
+from guavawalk.process.part_suspects import PartNews
 from guavawalk.process.suspects import SuspicionNews
 from tests.crash_fleet import running_fleet
 from tests.gateway_standins import GatewayHarness, run_with_timeout
@@ -46,6 +51,24 @@
         suspicions = (SuspicionNews(2**62, deaths, 9_000),) * MAX_SUSPICIONS
         assert len(encode_crash_news(CrashNews("a", suspicions))) < 1_400
 
+    def test_of_parts_is_read_as_it_was_written_and_fits_one_packet(self):
+        deaths = ((2**62, 9_000),) * 3
+        news = CrashPartNews("a", (PartNews(2**62, deaths, 9_000, 1, 9_000),) * MAX_SUSPICIONS)
+        data = encode_part_news(news)
+        assert decode_part_news(data) == news
+        assert len(data) < 1_400
+
+    @given(st.binary(max_size=200))
+    def test_of_parts_with_any_bytes_raises_nothing_but_a_decode_error(self, data):
+        async def run():
+            gateway = GatewayHarness().gateway
+            try:
+                apply_part_news(gateway, PART_NEWS_TAG + data)
+            except msgspec.DecodeError:
+                assert not len(gateway.part_suspects)
+
+        run_with_timeout(run)
+
     @given(st.binary(max_size=200))
     def test_bytes_of_any_kind_raise_nothing_but_a_decode_error(self, data):
         async def run():
--- a/tests/crash_fleet.py
+++ b/tests/crash_fleet.py
@@ -10,7 +10,7 @@
 from anyio.abc import SocketAttribute
 
 from guavawalk.connection.http_encoding import LAST_CHUNK, encode_chunk, encode_response_head
-from guavawalk.connection.tasks.crash_news import send_crash_news
+from guavawalk.connection.tasks.crash_news import send_crash_news, send_part_news
 from guavawalk.connection.tasks.gossip import receive_reports, send_reports
 from guavawalk.connection.tasks.serve_caller import serve_caller
 from guavawalk.exception import TargetLost
@@ -211,6 +211,7 @@
                 tasks.start_soon(listener.serve, partial(serve_caller, story.gateway))
                 tasks.start_soon(receive_reports, story.gateway, datagrams)
                 tasks.start_soon(send_crash_news, story.gateway, datagrams)
+                tasks.start_soon(send_part_news, story.gateway, datagrams)
                 tasks.start_soon(send_reports, story.gateway, datagrams, port)
 
     async def replace_gateway(self, number):
--- a/tests/process/test_crashing_processes.py
+++ b/tests/process/test_crashing_processes.py
@@ -34,6 +34,7 @@
         self.store = StandInStore()
         self.targets = []
         self.gateways = []
+        self.bad_parts = set()
         self.served = 0
 
     async def start(self, gateways):
