--- a/guavawalk/connection/http_target.py
+++ b/guavawalk/connection/http_target.py
@@ -213,10 +213,18 @@
     async for data in response.aiter_stream():
         if events := stream.feed(data):
             yield AnswerPart(events, _count_tokens(events), _find_usage(events))
+    if _ends_by_close(response) and (missing := stream.missing_at_close()):
+        raise TargetLost(missing)
     if rest := stream.pop_partial():
         yield AnswerPart(rest)
 
 
+def _ends_by_close(response: httpcore.Response) -> bool:
+    """Return whether only the end of the connection says that an answer is complete."""
+    names = {name.lower() for name, _ in response.headers}
+    return not names & {b"content-length", b"transfer-encoding"}
+
+
 def _count_tokens(events: bytes) -> int:
     # Engines send one token per event, as `delta` in chat completions and `text` in plain ones.
     return events.count(b'"delta"') or events.count(b'"text"')
--- a/guavawalk/connection/response_reader.py
+++ b/guavawalk/connection/response_reader.py
@@ -58,6 +58,7 @@
         # Content that has arrived and was not returned yet.
         self.parts: list[bytes] = []
         self.is_complete = False
+        self.ended_by_close = False
 
 
 class ResponseReader:
@@ -86,6 +87,11 @@
         """
         return self._current is None or self._current.is_complete
 
+    @property
+    def ended_by_close(self) -> bool:
+        """Whether only the end of the connection says that the answer is complete."""
+        return self._current is not None and self._current.ended_by_close
+
     @property
     def must_close(self) -> bool:
         """Whether bytes arrived that belong to no requested answer.
@@ -129,7 +135,7 @@
             if not await self._receive():
                 if answer.head.framing is not BodyFraming.UNTIL_CLOSE:
                     raise TargetLost("connection closed before the end of the answer")
-                answer.is_complete = True
+                answer.is_complete = answer.ended_by_close = True
         if len(answer.parts) == 1:
             return answer.parts.pop()
         joined = b"".join(answer.parts)
--- a/guavawalk/connection/tasks/attempt_call.py
+++ b/guavawalk/connection/tasks/attempt_call.py
@@ -12,7 +12,7 @@
 from guavawalk.connection.tasks.call_progress import Progress
 from guavawalk.connection.tasks.check_target import check_target
 from guavawalk.connection.tasks.target_exchange import TargetExchange
-from guavawalk.exception import TargetError
+from guavawalk.exception import TargetError, TargetLost
 from guavawalk.process.gateway.crash_refusal import ends_targets, record_outlived
 from guavawalk.process.gateway.dispatch import Reservation
 from guavawalk.request.call import Call
@@ -123,6 +123,7 @@
         answer, stream = self._answer, self._progress.stream
         # An event that broke off in the previous attempt is sent again as a whole in this one.
         stream.discard_partial()
+        first_count = stream.count
         while True:
             silence_limit_s = stream_silence_limit_s(
                 self._call.route,
@@ -142,6 +143,10 @@
             else:
                 await answer.send_part(complete_events)
             self._record_events(stream.count - count)
+        if self._exchange.reader.ended_by_close and (
+            missing := stream.missing_at_close(first_count)
+        ):
+            raise TargetLost(missing)
         rest = stream.pop_partial()
         if not answer.has_begun:
             await answer.begin(fields.status, fields.forwarded_headers, rest)
--- a/guavawalk/request/event_stream.py
+++ b/guavawalk/request/event_stream.py
@@ -56,6 +56,29 @@
         """Discard the buffered start of an event, since the run that sent it ended early."""
         self._partial.clear()
 
+    def missing_at_close(self, first_count: int = 0) -> str:
+        """Return what a run lacks of which only the end of the connection says that it is whole.
+
+        Parameters
+        ----------
+        first_count : int, optional
+            Number of events before the run.
+
+        Returns
+        -------
+        str
+            Empty if nothing is missing: the run had an event, and didn't end inside one. Lines may
+            end with LF, CR or CRLF; comments and blank lines are no events.
+        """
+        partial = bytes(self._partial)
+        has_crlf = b"\r\n" in partial
+        lines = partial.replace(b"\r\n", b"\n").replace(b"\r", b"\n")
+        if _has_field(lines.split(EVENT_END)[-1]) or (has_crlf and partial.endswith(b"\r")):
+            return "the connection ended inside an event"
+        if self.count == first_count and not _has_field(lines):
+            return "the connection ended before the first event"
+        return ""
+
     def pop_partial(self) -> bytes:
         """Return and clear the buffered bytes after the last complete event of an ended run."""
         partial, self._partial = bytes(self._partial), bytearray()
@@ -69,3 +92,7 @@
             at = -1
         value = complete[at + 1 + len(ID_FIELD) :].partition(b"\n")[0]
         self.last_id = value.strip().decode("latin-1")
+
+
+def _has_field(lines: bytes) -> bool:
+    return any(line and not line.startswith(b":") for line in lines.split(b"\n"))
