Two targets that end together do not make a repeated request refused; longer series of ends

Cause: the two ends count like two sends of the request that ended them. Change: such a request is sent to one target more; its end there is certain evidence.

--- a/guavawalk/connection/tasks/forward_call.py
+++ b/guavawalk/connection/tasks/forward_call.py
@@ -14,7 +14,7 @@
 from guavawalk.connection.tasks.target_exchange import TargetExchange
 from guavawalk.exception import CallerGone, RequestError
 from guavawalk.platform.requests import encode_retry_after, encode_status
-from guavawalk.process.gateway.crash_refusal import ends_targets
+from guavawalk.process.gateway.crash_refusal import ends_targets, refuse_or_try
 from guavawalk.process.supervise import log_failure
 from guavawalk.request.call import Call
 from guavawalk.request.repeat import AttemptResult, StepKind, decide_next
@@ -116,9 +116,10 @@
             except RequestError as error:
                 return await _answer_failure(gateway, call, progress, answer, error)
             # The request may have ended a target while this call waited.
-            if ends_targets(gateway, call):
+            try:
+                call = refuse_or_try(gateway, call, has_been_sent=bool(progress.sent_count))
+            except RequestError as error:
                 gateway.dispatcher.release(reservation)
-                error = RequestError(ResultCode.CRASH_SUSPECT)
                 return await _answer_failure(gateway, call, progress, answer, error)
             exchange = TargetExchange(gateway, call, reservation, progress)
         end = await attempt_call(gateway, call, exchange, progress, answer)
--- a/guavawalk/connection/tasks/serve_caller.py
+++ b/guavawalk/connection/tasks/serve_caller.py
@@ -17,7 +17,7 @@
 from guavawalk.connection.tasks.forward_call import count_end, forward_call, refuse_call
 from guavawalk.exception import CallerGone, HttpInvalid, RequestError
 from guavawalk.platform.requests import decode_call
-from guavawalk.process.gateway.crash_refusal import begin_trial, ends_targets
+from guavawalk.process.gateway.crash_refusal import refuse_or_try
 from guavawalk.request.admission import admit_call
 from guavawalk.request.call import Call
 
@@ -102,8 +102,7 @@
             raise RequestError(
                 ResultCode.DRAINING, "it would not end before the process", retry_after_ms=0
             )
-        if ends_targets(gateway, call):
-            call = _try_or_refuse(gateway, call)
+        call = refuse_or_try(gateway, call)
         _admit_to_quota(gateway, call)
     except HttpInvalid as error:
         gateway.log.emit(events.CALL_REJECTED, status=error.status, reason=error.problem)
@@ -115,17 +114,6 @@
     await _forward_until_caller_leaves(gateway, call, reader, answer)
 
 
-def _try_or_refuse(gateway: Gateway, call: Call) -> Call:
-    """Return a call that ends targets as a trial; raise `RequestError` if none is due."""
-    trial = begin_trial(gateway, call)
-    if trial is None:
-        blocking = gateway.part_suspects.blocking_parts(call.shared_parts)
-        raise RequestError(
-            ResultCode.CRASH_SUSPECT, ", ".join(f"part {part.part_id:.32}" for part in blocking)
-        )
-    return trial
-
-
 def _admit_to_quota(gateway: Gateway, call: Call) -> None:
     workspace = call.workspace
     quota = workspace.quota
--- a/guavawalk/events.py
+++ b/guavawalk/events.py
@@ -90,6 +90,12 @@
     2018, "call_blocked", logging.WARNING, "a request is refused here since it ends targets"
 )
 
+CALL_TRIED = _event(
+    2022,
+    "call_tried",
+    logging.INFO,
+    "a call shows whether its request ended two targets that ended together",
+)
 PART_BLAMED = _event(
     2019,
     "part_blamed",
--- a/guavawalk/process/gateway/crash_refusal.py
+++ b/guavawalk/process/gateway/crash_refusal.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 from typing import TYPE_CHECKING
 
 from guavawalk import events
+from guavawalk.codes import ResultCode
+from guavawalk.exception import RequestError
 
 if TYPE_CHECKING:
     from guavawalk.process.gateway.state import Gateway
@@ -13,19 +15,22 @@
     from guavawalk.request.call import Call
 
 __all__ = [
-    "begin_trial",
     "clear_part",
     "ends_targets",
     "record_ended_with",
     "record_outlived",
+    "refuse_or_try",
     "report_parts",
 ]
 
 
 def ends_targets(gateway: Gateway, call: Call) -> bool:
-    """Return whether a call must not be sent, since its request or a part of it ends targets."""
+    """Return whether a call must not be sent, since its request or a part of it ends targets.
+
+    A trial may be sent, unless it is certain that its request does.
+    """
     if _is_request_blocked(gateway, call):
-        return True
+        return not (call.is_trial and _may_have_common_cause(gateway, call))
     return not call.is_trial and bool(gateway.part_suspects.blocking_parts(call.shared_parts))
 
 
@@ -36,16 +41,45 @@
     return gateway.suspects.is_blocked(call.fingerprint, explained)
 
 
-def begin_trial(gateway: Gateway, call: Call) -> Call | None:
-    """Return a call that may run to show whether its parts still end targets; None if none may.
+def _may_have_common_cause(gateway: Gateway, call: Call) -> bool:
+    explained = gateway.part_suspects.explained_targets(call.shared_parts)
+    return gateway.suspects.may_have_common_cause(call.fingerprint, explained)
+
 
-    One gateway tries a part for all of them. A trial is attempted at one target only.
+def refuse_or_try(gateway: Gateway, call: Call, has_been_sent: bool = False) -> Call:
+    """Return a call that may be sent: as it is, or as a trial that is attempted at one target only.
+
+    Parameters
+    ----------
+    has_been_sent : bool, optional
+        Whether a target has got the call before; it is no trial then.
+
+    Raises
+    ------
+    RequestError
+        `CRASH_SUSPECT` if its request or a part of it ends targets, and no trial is due.
     """
-    if _is_request_blocked(gateway, call):
-        return None
-    tried = gateway.part_suspects.begin_trial(call.shared_parts, gateway.peers.count())
-    if not tried:
-        return None
+    if not ends_targets(gateway, call):
+        return call
+    if not has_been_sent:
+        if _is_request_blocked(gateway, call):
+            if _may_have_common_cause(gateway, call):
+                return _begin_request_trial(gateway, call)
+        elif tried := gateway.part_suspects.begin_trial(call.shared_parts, gateway.peers.count()):
+            return _begin_part_trial(gateway, call, tried)
+    blocking = gateway.part_suspects.blocking_parts(call.shared_parts)
+    reason = ", ".join(f"part {part.part_id:.32}" for part in blocking)
+    raise RequestError(ResultCode.CRASH_SUSPECT, reason)
+
+
+def _begin_request_trial(gateway: Gateway, call: Call) -> Call:
+    gateway.log.emit(
+        events.CALL_TRIED, trace_id=call.fields.request_id, fingerprint=call.fingerprint
+    )
+    return call._replace(is_trial=True)
+
+
+def _begin_part_trial(gateway: Gateway, call: Call, tried: Sequence[int]) -> Call:
     gateway.part_news.add(tried)
     for key in tried:
         suspicion = gateway.part_suspects.get(key)
--- a/guavawalk/process/part_suspects.py
+++ b/guavawalk/process/part_suspects.py
@@ -13,7 +13,7 @@
 from typing import NamedTuple
 
 from guavawalk.process.clock import Clock
-from guavawalk.process.suspects import age_ms, age_s, hash_target
+from guavawalk.process.suspects import age_ms, age_s, count_moments, hash_target
 from guavawalk.request.call import SharedPart
 
 __all__ = [
@@ -26,18 +26,18 @@
 
 MAX_PARTS = 4_096
 PART_RETENTION_S = 600.0
-# Number of distinct moments at which targets ended that a part must have been at to be blamed.
+# Number of distinct moments at which targets ended that a part must have been at to be blamed: what
+# ends several targets at once need not be what they run.
 BLAMED_MOMENTS = 3
-# Time within which the ends of several targets count as one moment, in seconds: a common cause ends
-# them, whatever they run.
-MOMENT_S = 0.3
 # Number of moments from which a part may explain the ends at which other requests were in flight.
 REPEATED_MOMENTS = 2
 # Time after a part has come to be blamed until requests are refused for it, in seconds: peers may
 # tell of another part that was at the same ends.
 SETTLE_S = 0.3
-# Most targets that are kept for one part; the oldest are dropped first.
-MAX_TARGETS_PER_PART = 8
+# Most targets that are kept for one part, and most of which peers are told; the oldest are dropped
+# first.
+MAX_TARGETS_PER_PART = 32
+MAX_TOLD_TARGETS = 8
 # Age up to which a part at a single end is repeated to peers, in seconds.
 SINGLE_END_NEWS_S = 10.0
 # Time without an end after which one request with a blamed part may run again, in seconds. It grows
@@ -74,7 +74,7 @@
     name : str
         Id of the part; empty if only other processes have seen it.
     deaths : tuple of PartDeath
-        Distinct targets that ended, those before `survived_s` included.
+        Distinct targets that ended, the oldest first, those before `survived_s` included.
     survived_s : float
         When the last run with the part was sent that outlived its beginning, in seconds on this
         process's monotonic clock; minus infinity before any. Deaths until then do not count.
@@ -214,8 +214,8 @@
         return [
             part
             for key, part in held.items()
-            if _count_moments(
-                death for death in self._repeated[key] if death.target not in explained
+            if count_moments(
+                death.at_s for death in self._repeated[key] if death.target not in explained
             )
             >= BLAMED_MOMENTS
         ]
@@ -293,7 +293,10 @@
         if suspicion is None:
             return None
         now_s = self._clock.now_s()
-        deaths = tuple((death.target, age_ms(now_s, death.at_s)) for death in suspicion.deaths)
+        deaths = tuple(
+            (death.target, age_ms(now_s, death.at_s))
+            for death in suspicion.deaths[-MAX_TOLD_TARGETS:]
+        )
         return PartNews(
             key,
             deaths,
@@ -308,7 +311,7 @@
         changed = []
         for received in news:
             is_new = False
-            for target, death_age_ms in received.deaths[:MAX_TARGETS_PER_PART]:
+            for target, death_age_ms in received.deaths[:MAX_TOLD_TARGETS]:
                 is_new |= self._add(received.key, PartDeath(target, now_s - age_s(death_age_ms)))
             if received.survived_age_ms >= 0:
                 is_new |= self._survive(received.key, now_s - age_s(received.survived_age_ms))
@@ -334,17 +337,17 @@
 
     def _add(self, key: int, death: PartDeath, name: str = "") -> bool:
         suspicion = self._suspicions.get(key, PartSuspicion())
-        name = suspicion.name or name
-        deaths = {known.target: known for known in suspicion.deaths}
-        before = deaths.get(death.target)
+        by_target = {known.target: known for known in suspicion.deaths}
+        before = by_target.get(death.target)
+        # Ages from a peer that was suspended are too small: the earlier time is right.
+        if before is None or death.at_s < before.at_s:
+            by_target[death.target] = death
+        deaths = sorted(by_target.values(), key=lambda known: known.at_s)[-MAX_TARGETS_PER_PART:]
+        updated = suspicion._replace(name=suspicion.name or name, deaths=tuple(deaths))
         if before is not None:
-            if death.at_s < before.at_s:
-                # Ages from a peer that was suspended are too small: the earlier time is right.
-                deaths[death.target] = death
-                self._keep(key, suspicion._replace(name=name, deaths=tuple(deaths.values())))
+            self._keep(key, updated)
             return False
-        kept = (*suspicion.deaths, death)[-MAX_TARGETS_PER_PART:]
-        self._put(key, suspicion._replace(name=name, deaths=kept))
+        self._put(key, updated)
         return True
 
     def _survive(self, key: int, sent_s: float) -> bool:
@@ -377,7 +380,7 @@
     def _keep(self, key: int, suspicion: PartSuspicion) -> None:
         self._suspicions[key] = suspicion
         deaths = suspicion.counted_deaths
-        moments = _count_moments(deaths)
+        moments = count_moments(death.at_s for death in deaths)
         if moments >= REPEATED_MOMENTS:
             self._repeated[key] = deaths
         else:
@@ -402,15 +405,6 @@
             self._remove(key)
 
 
-def _count_moments(deaths: Iterable[PartDeath]) -> int:
-    """Return the number of moments at which some targets ended."""
-    count, since_s = 0, -math.inf
-    for at_s in sorted(death.at_s for death in deaths):
-        if at_s - since_s >= MOMENT_S:
-            count, since_s = count + 1, at_s
-    return count
-
-
 def _age_or_none_ms(now_s: float, at_s: float) -> int:
     return age_ms(now_s, at_s) if at_s > -math.inf else -1
 
--- a/guavawalk/process/suspects.py
+++ b/guavawalk/process/suspects.py
@@ -21,6 +21,7 @@
     "TargetDeath",
     "age_ms",
     "age_s",
+    "count_moments",
     "create_suspect_table",
     "hash_target",
 ]
@@ -275,6 +276,23 @@
             return False
         return self._runs_one_suspect or not any(self._others_with(fingerprint, early))
 
+    def may_have_common_cause(self, fingerprint: int, explained: Collection[int] = ()) -> bool:
+        """Return whether the deaths of a blocked request are two at one moment.
+
+        Something else may have ended both targets, the second one while the request was repeated.
+
+        Parameters
+        ----------
+        explained : collection of int, optional
+            As for `is_blocked`.
+        """
+        deaths = [
+            death for death in self._counted_deaths(fingerprint) if death.target not in explained
+        ]
+        return (
+            len(deaths) < CERTAIN_TARGET_COUNT and count_moments(death.at_s for death in deaths) < 2
+        )
+
     def settles_in_s(self, fingerprint: int) -> float:
         """Return the time until it is known whether a request with two deaths is blocked.
 
@@ -370,6 +388,15 @@
             del self._suspicions[fingerprint]
 
 
+def count_moments(ends_s: Iterable[float]) -> int:
+    """Return the number of moments at which targets ended, `COMMON_CAUSE_S` apart or more."""
+    count, since_s = 0, -math.inf
+    for end_s in sorted(ends_s):
+        if end_s - since_s >= COMMON_CAUSE_S:
+            count, since_s = count + 1, end_s
+    return count
+
+
 def hash_target(name: str) -> int:
     """Return the 63-bit hash that stands for a target in messages to peers."""
     return xxhash.xxh3_64_intdigest(name.encode()) & _MASK
--- a/guavawalk/request/__init__.py
+++ b/guavawalk/request/__init__.py
@@ -7,7 +7,7 @@
     "affinity": ["AFFINITY_LEVELS", "affinity_key", "affinity_order", "affinity_tokens"],
     "answer": ["Answer", "create_answer"],
     "attempt": ["Attempt", "AttemptState", "create_attempt"],
-    "call": ["Call", "CallFields", "PromptPart"],
+    "call": ["Call", "CallFields", "PromptPart", "SharedPart"],
     "cost": ["OUTPUT_TOKEN_COST", "offer_cost_tokens"],
     "engine_time": ["nominal_event_gap_s", "nominal_first_event_s", "nominal_prefill_s"],
     "event_stream": ["EVENT_END", "MAX_EVENT_BYTES", "EventStream"],
--- a/guavawalk/request/call.py
+++ b/guavawalk/request/call.py
@@ -96,7 +96,7 @@
     shared_parts : tuple of SharedPart
         All parts of its prompt but the last, which is its own or its session's.
     is_trial : bool
-        Whether it runs to show whether one of these still ends targets.
+        Whether it runs at one target to show whether it, or one of these parts, ends targets.
     """
 
     fields: CallFields
--- a/tests/connection/tasks/test_crashing_requests.py
+++ b/tests/connection/tasks/test_crashing_requests.py
@@ -151,6 +151,21 @@
         assert self.ask(stay_silent, route) == (1, 504)
         assert self.ask(stay_silent, route, block=False)[0] == 2
 
+    def test_is_sent_once_more_where_two_targets_ended_together(self):
+        async def run():
+            story = GatewayHarness(RESUMABLE)
+            targets = [StandInTarget(close_without_answer) for _ in range(3)]
+            async with story.running(*targets, service="model"):
+                fingerprint = fingerprint_of(story, b"bad")
+                for number in range(2):
+                    story.gateway.suspects.record_target_death(fingerprint, f"x-{number}")
+                await (await story.caller()).ask(body=b"bad")
+            return sum(len(target.received) for target in targets), len(
+                story.log.named("call_tried")
+            )
+
+        assert run_with_timeout(run) == (1, 1)
+
     def test_is_refused_after_its_wait_in_the_queue(self):
         async def run():
             story = GatewayHarness(SAFE)
--- a/tests/process/test_part_suspects.py
+++ b/tests/process/test_part_suspects.py
@@ -8,12 +8,12 @@
     BLAMED_MOMENTS,
     FIRST_TRIAL_S,
     MAX_TRIALS,
-    MOMENT_S,
     PART_RETENTION_S,
     SETTLE_S,
     PartNews,
     create_part_suspect_table,
 )
+from guavawalk.process.suspects import COMMON_CAUSE_S
 from guavawalk.request.call import SharedPart
 
 FIRST, BAD, BAD2, OTHER = (SharedPart(name, number) for number, name in enumerate("fbco", 1))
@@ -74,7 +74,7 @@
     def test_targets_that_end_together_count_as_one_moment(self):
         story = Story()
         for _ in range(9):
-            story.end(BAD, after_s=MOMENT_S / 10)
+            story.end(BAD, after_s=COMMON_CAUSE_S / 10)
         story.settle()
         assert not story.blocks(BAD)
 
@@ -96,6 +96,15 @@
         assert story.blocks(FIRST, BAD) and story.blocks(FIRST, BAD2)
         assert not story.blocks(FIRST) and not story.blocks(FIRST, OTHER)
 
+    def test_long_series_of_two_bad_parts_leaves_the_first_part_explained(self):
+        story = story_of(*[(FIRST, BAD), (FIRST, BAD2)] * 8)
+        peer = Story()
+        peer.clock.at_s = story.clock.at_s
+        peer.table.merge_news(map(story.table.news_of, (FIRST.key, BAD.key, BAD2.key)))
+        peer.settle()
+        for table in (story.table, peer.table):
+            assert table.blocking_parts((FIRST, BAD)) and not table.blocking_parts((FIRST,))
+
     def test_part_behind_several_first_parts_is_blamed_alone(self):
         story = story_of((FIRST, BAD), (OTHER, BAD), (FIRST, BAD), (OTHER, BAD))
         assert story.blocks(BAD)
--- a/tests/process/test_suspects.py
+++ b/tests/process/test_suspects.py
@@ -14,6 +14,7 @@
     SUSPECT_RETENTION_S,
     SuspectTable,
     create_suspect_table,
+    hash_target,
 )
 from guavawalk.tools.fleet import run_fleet
 from guavawalk.tools.plan import asante_plan
@@ -82,6 +83,21 @@
         clock.at_s = SETTLE_S
         assert table.is_blocked(7) and table.settles_in_s(7) == 0.0
 
+    def test_two_deaths_at_one_moment_may_have_a_common_cause_and_three_may_not(self):
+        clock, (table,) = self.make_tables(1)
+        for at_s, target in ((0.0, "a"), (0.1, "b")):
+            table.record_target_death(7, target, at_s)
+        clock.at_s = 1.0
+        assert table.is_blocked(7) and table.may_have_common_cause(7)
+        table.record_target_death(7, "c", 0.2)
+        assert table.is_blocked(7) and not table.may_have_common_cause(7)
+
+    def test_deaths_that_something_else_explains_do_not_block(self):
+        clock, (table,) = self.make_tables(1)
+        for target in "abc":
+            table.record_target_death(7, target)
+        assert table.is_blocked(7) and not table.is_blocked(7, {hash_target("a")})
+
     def test_third_death_blocks_at_once_also_in_the_middle_of_runs(self):
         _, (table,) = self.make_tables(1)
         for target in "ab":
