Operators see and clear at a gateway what is refused since it ends targets

Cause: suspects couldn't be seen or cleared; a part that is wrongly blamed is an outage for all who share it. Change: gateways serve the administration API where their settings name an address: state, targets, suspects, clear-suspect, log-level. Entries and sidecars list and clear requests. A clearing at one gateway holds at all. The web framework is loaded only where the API is on. News to peers no longer sorts the suspects at each wake-up.

--- a/guavawalk/connection/tasks/admin.py
+++ b/guavawalk/connection/tasks/admin.py
@@ -23,8 +23,8 @@
 from guavawalk.request.types import Outcome
 
 if TYPE_CHECKING:
-    from guavawalk.process.admin.node import AdminNode
-    from guavawalk.process.settings import AdminKeySettings
+    from guavawalk.process.admin.node import CommonNode
+    from guavawalk.process.admin_settings import AdminKeySettings
 
 __all__ = ["create_admin_app", "serve_admin"]
 
@@ -34,7 +34,7 @@
 Endpoint = Callable[[Request], Awaitable[Response]]
 
 
-async def serve_admin(node: AdminNode, keys: Sequence[AdminKeySettings], address: str) -> None:
+async def serve_admin(node: CommonNode, keys: Sequence[AdminKeySettings], address: str) -> None:
     """Serve the administration API until cancelled.
 
     Parameters
@@ -48,7 +48,7 @@
         await serve_asgi(create_admin_app(node, keys), address)
 
 
-def create_admin_app(node: AdminNode, keys: Sequence[AdminKeySettings]) -> Starlette:
+def create_admin_app(node: CommonNode, keys: Sequence[AdminKeySettings]) -> Starlette:
     """Create the ASGI application of a process's administration API.
 
     It serves the operations of the process's role and `/openapi.json`. Every other path gets
@@ -78,7 +78,7 @@
     return Starlette(routes=routes)
 
 
-def _endpoint(node: AdminNode, keys: Sequence[AdminKeySettings], operation: Operation) -> Endpoint:
+def _endpoint(node: CommonNode, keys: Sequence[AdminKeySettings], operation: Operation) -> Endpoint:
     async def endpoint(request: Request) -> Response:
         caller = find_caller(keys, request.headers.get("authorization", ""))
         require_role(caller, operation.required_role)
@@ -88,7 +88,7 @@
     return endpoint
 
 
-def _with_error_handling(node: AdminNode, endpoint: Endpoint) -> Endpoint:
+def _with_error_handling(node: CommonNode, endpoint: Endpoint) -> Endpoint:
     async def safe_endpoint(request: Request) -> Response:
         try:
             return await endpoint(request)
@@ -103,7 +103,7 @@
     return safe_endpoint
 
 
-def _refusal_response(node: AdminNode, request: Request, error: RequestError) -> Response:
+def _refusal_response(node: CommonNode, request: Request, error: RequestError) -> Response:
     node.log.emit(
         events.ADMIN_REFUSED,
         code=int(error.code),
--- a/guavawalk/connection/tasks/crash_news.py
+++ b/guavawalk/connection/tasks/crash_news.py
@@ -92,13 +92,13 @@
         near = peers.local_addresses()
         await send(for_all, near | peers.centres.receivers())
         await send(for_centre, near)
-        known = suspects.most_suspected(MAX_SUSPICIONS)
-        await send(known, greeted)
+        if greeted:
+            await send(suspects.most_suspected(MAX_SUSPICIONS), greeted)
         if now_s() >= next_full_s:
             every_s = max(FULL_EVERY_PER_GATEWAY_S * peers.local_count(), MIN_FULL_EVERY_S)
             next_full_s = now_s() + random.uniform(0.8, 1.0) * every_s
             far = peers.summary_addresses() if peers.is_relay() else set()
-            await send(known, near | far)
+            await send(suspects.most_suspected(MAX_SUSPICIONS), near | far)
 
 
 def apply_crash_news(gateway: Gateway, data: bytes) -> None:
--- a/guavawalk/connection/tasks/target_exchange.py
+++ b/guavawalk/connection/tasks/target_exchange.py
@@ -22,7 +22,7 @@
 )
 from guavawalk.platform.requests import decode_answer, encode_target_headers, is_misdirected
 from guavawalk.process.gateway.connections import TargetConnection
-from guavawalk.process.gateway.crash_refusal import record_outlived
+from guavawalk.process.gateway.crash_refusal import clear_request, record_outlived
 from guavawalk.process.gateway.dispatch import Reservation
 from guavawalk.process.gateway.target_end import record_connect_failure, record_cut_call
 from guavawalk.process.gateway.target_statements import record_statements
@@ -304,8 +304,7 @@
             target.failures.record(True, now_s)
         if result is AttemptResult.DELIVERED:
             record_outlived(gateway, self._call, self.running_call.started_at_s)
-            if gateway.suspects.record_completed(self._call.fingerprint):
-                gateway.crash_news.add((self._call.fingerprint,))
+            clear_request(gateway, self._call.fingerprint)
 
     def record_abandoned(self) -> None:
         """Record that the call was cancelled, so that its end at the target is not known."""
--- a/guavawalk/events.py
+++ b/guavawalk/events.py
@@ -177,6 +177,10 @@
     7004, "admin_refused", logging.WARNING, "an administration request was refused"
 )
 
+ADMIN_SUSPECT_CLEARED = _event(
+    7005, "admin_suspect_cleared", AUDIT, "an operator let a suspect run again"
+)
+
 PEER_UNREACHABLE = _event(5001, "peer_unreachable", logging.INFO, "a peer could not be reached")
 MEMBER_RESTARTED = _event(
     5002, "member_restarted", logging.INFO, "a peer has restarted with a new incarnation"
--- a/guavawalk/process/admin/access.py
+++ b/guavawalk/process/admin/access.py
@@ -5,7 +5,7 @@
 
 from guavawalk.codes import ResultCode
 from guavawalk.exception import RequestError
-from guavawalk.process.settings import ADMIN_ROLES, AdminKeySettings
+from guavawalk.process.admin_settings import ADMIN_ROLES, AdminKeySettings
 from guavawalk.version.documents import digest_bytes
 
 __all__ = ["AdminCaller", "find_caller", "require_all_workspaces", "require_role"]
--- a/guavawalk/process/admin/documents.py
+++ b/guavawalk/process/admin/documents.py
@@ -4,6 +4,7 @@
 
 __all__ = [
     "ActionDocument",
+    "ClearSuspectRequest",
     "ConfigurationDocument",
     "HistogramDocument",
     "HistogramsDocument",
@@ -15,6 +16,8 @@
     "RefusalsDocument",
     "StateDocument",
     "StopRequest",
+    "SuspectDocument",
+    "SuspectsDocument",
     "TargetDocument",
     "TargetsDocument",
     "WasteCauseDocument",
@@ -168,6 +171,39 @@
     workspaces: list[WorkspaceWasteDocument]
 
 
+class SuspectDocument(TypedDict):
+    """A request, or a part of prompts, that was in flight when targets ended.
+
+    The kind is `request` or `part`; the key has 16 hexadecimal digits. The name is the part's id,
+    and empty for a request, or if only other processes have seen the part. `is_blamed` tells
+    whether requests are refused for it, for a part alone or with others that were at the same ends.
+    `next_trial_s` is the time until one request with the part may run again, null for a request.
+    """
+
+    kind: str
+    key: str
+    name: str
+    ends: int
+    last_end_age_s: float
+    is_blamed: bool
+    trials: int
+    next_trial_s: float | None
+
+
+class SuspectsDocument(TypedDict):
+    """Suspects, the last updated first."""
+
+    suspects: list[SuspectDocument]
+
+
+class ClearSuspectRequest(TypedDict):
+    """A suspect by its kind and key, and why it is cleared."""
+
+    kind: str
+    key: str
+    reason: str
+
+
 class StopRequest(TypedDict):
     """Why a process is to take no more work."""
 
--- a/guavawalk/process/admin/entry_node.py
+++ b/guavawalk/process/admin/entry_node.py
@@ -6,10 +6,12 @@
 from guavawalk.process.admin.documents import (
     QueueDocument,
     StateDocument,
+    SuspectDocument,
     TargetDocument,
     WasteDocument,
 )
 from guavawalk.process.admin.node import AdminNode
+from guavawalk.process.admin.suspects import REQUEST, describe_requests
 from guavawalk.process.entry.state import Entry
 from guavawalk.process.observe.memory import resident_bytes
 from guavawalk.request.target_view import TargetView
@@ -64,6 +66,14 @@
             for target in targets
         ]
 
+    def suspects(self) -> list[SuspectDocument]:
+        """Return the requests that were in flight when targets ended, the last updated first."""
+        return describe_requests(self._entry.suspects, self.clock)
+
+    def clear_suspect(self, kind: str, key: int) -> bool:
+        """Clear a request at this process; return False if it was no suspect here."""
+        return kind == REQUEST and self._entry.suspects.record_completed(key)
+
     def queues(self, caller: AdminCaller) -> list[QueueDocument]:
         """Return an empty list: requests are queued at sidecars, not at entries."""
         return []
--- a/guavawalk/process/admin/node.py
+++ b/guavawalk/process/admin/node.py
@@ -6,6 +6,7 @@
 from guavawalk.process.admin.documents import (
     QueueDocument,
     StateDocument,
+    SuspectDocument,
     TargetDocument,
     WasteDocument,
 )
@@ -14,23 +15,21 @@
 from guavawalk.process.observe.observations import Observations
 from guavawalk.version.active import ActiveVersion
 
-__all__ = ["AdminNode"]
+__all__ = ["AdminNode", "CommonNode"]
 
 
-class AdminNode(Protocol):
-    """An entry or a sidecar, as the operations of the administration API use it.
+class CommonNode(Protocol):
+    """A process of any kind, as the operations of the administration API use it.
 
     Attributes
     ----------
     role : str
-        `entry` or `sidecar`.
+        `entry`, `sidecar` or `gateway`.
     """
 
     role: str
     clock: Clock
-    active: ActiveVersion
     log: EventLog
-    observed: Observations
 
     def state(self) -> StateDocument:
         """Return the identity, version and load of the process."""
@@ -40,6 +39,21 @@
         """Return what the process knows of its targets; an entry knows none before a version."""
         ...
 
+    def suspects(self) -> list[SuspectDocument]:
+        """Return what was in flight when targets ended, the last updated first."""
+        ...
+
+    def clear_suspect(self, kind: str, key: int) -> bool:
+        """Clear a suspect of a kind; return False if it was none here."""
+        ...
+
+
+class AdminNode(CommonNode, Protocol):
+    """An entry or a sidecar, which have more operations."""
+
+    active: ActiveVersion
+    observed: Observations
+
     def queues(self, caller: AdminCaller) -> list[QueueDocument]:
         """Return queued and running attempts of the workspaces that the caller may see."""
         ...
--- a/guavawalk/process/admin/operations.py
+++ b/guavawalk/process/admin/operations.py
@@ -1,5 +1,6 @@
 """The operations of the administration API, independent of the transport."""
 
+import re
 from collections import Counter
 from collections.abc import Awaitable, Callable
 from typing import Any, NamedTuple
@@ -13,6 +14,7 @@
 from guavawalk.process.admin.access import AdminCaller, require_all_workspaces
 from guavawalk.process.admin.documents import (
     ActionDocument,
+    ClearSuspectRequest,
     ConfigurationDocument,
     HistogramDocument,
     HistogramsDocument,
@@ -23,10 +25,12 @@
     RefusalsDocument,
     StateDocument,
     StopRequest,
+    SuspectsDocument,
     TargetsDocument,
     WasteDocument,
 )
-from guavawalk.process.admin.node import AdminNode
+from guavawalk.process.admin.node import AdminNode, CommonNode
+from guavawalk.process.admin.suspects import PART, REQUEST
 from guavawalk.process.observe.histograms import HistogramSummary
 from guavawalk.process.observe.log import LOG_LEVELS
 from guavawalk.process.observe.refusals import Refusal
@@ -34,6 +38,10 @@
 __all__ = ["OPERATIONS", "Operation"]
 
 MAX_REASON_CHARS = 200
+# Most suspects in one document.
+MAX_SUSPECTS_SHOWN = 200
+KEY_PATTERN = re.compile("[0-9a-f]{16}")
+ALL_ROLES = ("entry", "sidecar", "gateway")
 
 Run = Callable[[AdminNode, AdminCaller, Any], Awaitable[Any]]
 
@@ -66,7 +74,7 @@
     node_roles: tuple[str, ...] = ("entry", "sidecar")
 
 
-async def read_state(node: AdminNode, caller: AdminCaller, body: None) -> StateDocument:
+async def read_state(node: CommonNode, caller: AdminCaller, body: None) -> StateDocument:
     """Return the identity, version and load of the process."""
     return node.state()
 
@@ -90,7 +98,7 @@
     )
 
 
-async def read_targets(node: AdminNode, caller: AdminCaller, body: None) -> TargetsDocument:
+async def read_targets(node: CommonNode, caller: AdminCaller, body: None) -> TargetsDocument:
     """Return what the process knows of its targets."""
     return TargetsDocument(targets=node.targets())
 
@@ -162,17 +170,55 @@
     node: AdminNode, caller: AdminCaller, body: StopRequest, action: str, event: Event
 ) -> ActionDocument:
     require_all_workspaces(caller)
-    reason = body["reason"].strip()
-    if not reason or len(reason) > MAX_REASON_CHARS or not reason.isprintable():
-        detail = f"reason: allowed are 1 to {MAX_REASON_CHARS} printable characters"
-        raise RequestError(ResultCode.BAD_REQUEST, detail)
+    reason = _checked_reason(body["reason"])
     changed = node.stop()
     node.log.emit(event, key_name=caller.name, reason=reason, changed=changed)
     return ActionDocument(action=action, changed=changed, running=node.state()["running"])
 
 
+def _checked_reason(text: str) -> str:
+    reason = text.strip()
+    if not reason or len(reason) > MAX_REASON_CHARS or not reason.isprintable():
+        detail = f"reason: allowed are 1 to {MAX_REASON_CHARS} printable characters"
+        raise RequestError(ResultCode.BAD_REQUEST, detail)
+    return reason
+
+
+async def read_suspects(node: CommonNode, caller: AdminCaller, body: None) -> SuspectsDocument:
+    """Return what was in flight when targets ended; a gateway's clearing holds at all gateways."""
+    require_all_workspaces(caller)
+    return SuspectsDocument(suspects=node.suspects()[:MAX_SUSPECTS_SHOWN])
+
+
+async def clear_suspect(
+    node: CommonNode, caller: AdminCaller, body: ClearSuspectRequest
+) -> ActionDocument:
+    """Let a suspect run again: at all gateways, or at this entry or sidecar."""
+    require_all_workspaces(caller)
+    reason = _checked_reason(body["reason"])
+    kind, key = body["kind"], body["key"]
+    if kind not in (PART, REQUEST):
+        detail = f"kind: found {kind!r:.40}, allowed is {PART} or {REQUEST}"
+        raise RequestError(ResultCode.BAD_REQUEST, detail)
+    if not KEY_PATTERN.fullmatch(key):
+        raise RequestError(
+            ResultCode.BAD_REQUEST, f"key: found {key!r:.40}, allowed are 16 hex digits"
+        )
+    changed = node.clear_suspect(kind, int(key, 16))
+    node.log.emit(
+        events.ADMIN_SUSPECT_CLEARED,
+        key_name=caller.name,
+        reason=reason,
+        kind=kind,
+        key=key,
+        changed=changed,
+    )
+    running = node.state()["running"]
+    return ActionDocument(action="clear-suspect", changed=changed, running=running)
+
+
 async def set_log_level(
-    node: AdminNode, caller: AdminCaller, body: LogLevelRequest
+    node: CommonNode, caller: AdminCaller, body: LogLevelRequest
 ) -> ActionDocument:
     """Set the lowest level that the process logs."""
     require_all_workspaces(caller)
@@ -187,14 +233,44 @@
     return ActionDocument(action="log-level", changed=before != level, running=running)
 
 
-def _read(path: str, summary: str, run: Run, answer: type) -> Operation:
-    return Operation(run.__name__, "GET", path, "read", summary, run, answer)
+def _read(
+    path: str,
+    summary: str,
+    run: Run,
+    answer: type,
+    node_roles: tuple[str, ...] = ("entry", "sidecar"),
+) -> Operation:
+    return Operation(run.__name__, "GET", path, "read", summary, run, answer, node_roles=node_roles)
 
 
 OPERATIONS = (
-    _read("/v1/state", "What the process is and does now", read_state, StateDocument),
+    _read("/v1/state", "What the process is and does now", read_state, StateDocument, ALL_ROLES),
     _read("/v1/configuration", "The version in force", read_configuration, ConfigurationDocument),
-    _read("/v1/targets", "What the process knows of targets", read_targets, TargetsDocument),
+    _read(
+        "/v1/targets",
+        "What the process knows of targets",
+        read_targets,
+        TargetsDocument,
+        ALL_ROLES,
+    ),
+    _read(
+        "/v1/suspects",
+        "What was in flight when targets ended",
+        read_suspects,
+        SuspectsDocument,
+        ALL_ROLES,
+    ),
+    Operation(
+        "clear_suspect",
+        "POST",
+        "/v1/clear-suspect",
+        "operate",
+        "Let a suspect run again",
+        clear_suspect,
+        ActionDocument,
+        ClearSuspectRequest,
+        ALL_ROLES,
+    ),
     _read("/v1/queues", "What waits and runs", read_queues, QueuesDocument),
     _read("/v1/refusals", "The last refusals", read_refusals, RefusalsDocument),
     _read("/v1/histograms", "Times and waste", read_histograms, HistogramsDocument),
@@ -239,5 +315,6 @@
         set_log_level,
         ActionDocument,
         LogLevelRequest,
+        ALL_ROLES,
     ),
 )
--- a/guavawalk/process/admin/sidecar_node.py
+++ b/guavawalk/process/admin/sidecar_node.py
@@ -7,12 +7,14 @@
 from guavawalk.process.admin.documents import (
     QueueDocument,
     StateDocument,
+    SuspectDocument,
     TargetDocument,
     WasteCauseDocument,
     WasteDocument,
     WorkspaceWasteDocument,
 )
 from guavawalk.process.admin.node import AdminNode
+from guavawalk.process.admin.suspects import REQUEST, describe_requests
 from guavawalk.process.observe.memory import resident_bytes
 from guavawalk.process.sidecar.admission import start_leaving
 from guavawalk.process.sidecar.observed import tier_name
@@ -84,6 +86,14 @@
         )
         return [document]
 
+    def suspects(self) -> list[SuspectDocument]:
+        """Return the requests that were in flight when targets ended, the last updated first."""
+        return describe_requests(self._sidecar.suspects, self.clock)
+
+    def clear_suspect(self, kind: str, key: int) -> bool:
+        """Clear a request at this process; return False if it was no suspect here."""
+        return kind == REQUEST and self._sidecar.suspects.record_completed(key)
+
     def queues(self, caller: AdminCaller) -> list[QueueDocument]:
         """Return queued and running attempts by workspace and tier."""
         live = self._sidecar.attempts.live.values()
--- a/guavawalk/process/gateway/crash_refusal.py
+++ b/guavawalk/process/gateway/crash_refusal.py
@@ -16,6 +16,7 @@
 
 __all__ = [
     "clear_part",
+    "clear_request",
     "ends_targets",
     "record_ended_with",
     "record_outlived",
@@ -128,6 +129,14 @@
     return True
 
 
+def clear_request(gateway: Gateway, fingerprint: int) -> bool:
+    """Clear a request at all gateways; return False if it was not suspected here."""
+    if not gateway.suspects.record_completed(fingerprint):
+        return False
+    gateway.crash_news.add((fingerprint,))
+    return True
+
+
 def report_parts(gateway: Gateway, changed: Iterable[int], source: str) -> None:
     """Log the parts that have come to be blamed, and those that no longer are.
 
--- a/guavawalk/process/gateway/settings.py
+++ b/guavawalk/process/gateway/settings.py
@@ -5,6 +5,7 @@
 
 from guavawalk.connection.address import split_address
 from guavawalk.exception import SettingsError
+from guavawalk.process.admin_settings import AdminKeySettings, check_admin_keys
 from guavawalk.process.json_file import build_checked, read_json_object
 from guavawalk.process.observe.log import LOG_LEVELS
 
@@ -48,6 +49,10 @@
         Most files and sockets that the process may have open.
     log_level : str
         One of `LOG_LEVELS`.
+    admin_listen : str
+        Address of the administration API, `IP:port`; empty to serve none.
+    admin_keys : tuple of AdminKeySettings
+        Keys of the administration API; at least one if `admin_listen` is set.
     """
 
     instance: str
@@ -68,6 +73,8 @@
     is_first_start: bool = False
     max_descriptors: int = 1_024
     log_level: str = "INFO"
+    admin_listen: str = ""
+    admin_keys: tuple[AdminKeySettings, ...] = ()
 
 
 def read_gateway_settings(path: Path) -> GatewaySettings:
@@ -83,6 +90,9 @@
     settings = build_checked(source, "$", read_json_object(path), GatewaySettings)
     for name in ("listen", "readiness_listen", "peer_listen", "registry"):
         _check_address(source, name, getattr(settings, name))
+    if settings.admin_listen:
+        _check_address(source, "admin_listen", settings.admin_listen)
+    check_admin_keys(source, settings.admin_listen, settings.admin_keys)
     for peer in settings.peers:
         _check_address(source, "peers", peer)
     for name in ("grace_ms", "drain_ms", "max_descriptors", "metrics_port"):
--- a/guavawalk/process/gateway_daemon.py
+++ b/guavawalk/process/gateway_daemon.py
@@ -90,6 +90,8 @@
         "sweep": partial(_sweep, gateway),
         "reload": partial(_reload_settings, gateway, path),
     }
+    if settings.admin_listen:
+        permanent_tasks["administration"] = partial(_serve_admin, gateway, incarnation)
     # The readiness page comes last: a gateway that reports ready accepts all other connections.
     pages_by_address = {
         f"{host}:{settings.metrics_port}": metric_pages(gateway),
@@ -155,6 +157,16 @@
     await serve_guarded(gateway.log, "caller", listener, serve)
 
 
+async def _serve_admin(gateway: Gateway, incarnation: int) -> None:
+    # Its web framework is loaded by gateways that serve the API alone: they start faster without.
+    from guavawalk.connection.tasks.admin import serve_admin
+    from guavawalk.process.admin.gateway_node import create_gateway_node
+
+    settings = gateway.settings
+    node = create_gateway_node(gateway, incarnation)
+    await serve_admin(node, settings.admin_keys, settings.admin_listen)
+
+
 async def _sweep(gateway: Gateway) -> None:
     while True:
         due_s = gateway.clock.now_s() + SWEEP_EVERY_S
--- a/guavawalk/process/settings.py
+++ b/guavawalk/process/settings.py
@@ -1,11 +1,11 @@
 """Reads and checks the settings files of the daemons, which are JSON with comments."""
 
-import re
 import ssl
 from pathlib import Path
 from typing import NamedTuple, TypeVar
 
 from guavawalk.exception import SettingsError
+from guavawalk.process.admin_settings import AdminKeySettings, check_admin_keys
 from guavawalk.process.json_file import build_checked, read_json_object
 from guavawalk.process.observe.log import LOG_LEVELS
 from guavawalk.process.sidecar.queue import DEFAULT_CAPACITY_TOKENS
@@ -13,8 +13,6 @@
 from guavawalk.request.policies import DEFAULT_PLACEMENT, PLACEMENTS
 
 __all__ = [
-    "ADMIN_ROLES",
-    "AdminKeySettings",
     "EntrySettings",
     "SidecarSettings",
     "StatsdSettings",
@@ -26,10 +24,6 @@
 ]
 
 S = TypeVar("S")
-DIGEST_PATTERN = re.compile("[0-9a-f]{64}")
-
-# Roles of administration keys; each includes the permissions of those before it.
-ADMIN_ROLES = ("read", "operate")
 # Kinds of daemons, as settings files name them.
 SETTINGS_ROLES = ("entry", "sidecar", "gateway")
 
@@ -50,27 +44,6 @@
     authority_file: str = ""
 
 
-class AdminKeySettings(NamedTuple):
-    """A key of the administration API.
-
-    Attributes
-    ----------
-    name : str
-        Name of the holder, for the audit log.
-    key_digest : str
-        BLAKE2b-256 digest of the key, 64 lower-case hexadecimal digits.
-    role : str
-        `read` or `operate`.
-    workspaces : tuple of str
-        Workspaces that the key is limited to; empty for all.
-    """
-
-    name: str
-    key_digest: str
-    role: str = "read"
-    workspaces: tuple[str, ...] = ()
-
-
 class EntrySettings(NamedTuple):
     """Settings of `guavawalk entry`.
 
@@ -264,24 +237,7 @@
 def _check_admin(source: str, settings) -> None:
     if settings.admin_listen:
         _check_address(source, "$.admin_listen", settings.admin_listen)
-        if not settings.admin_keys:
-            raise SettingsError(
-                source, "$.admin_keys", "found no key; at least one is required with admin_listen"
-            )
-    digests = set()
-    for index, key in enumerate(settings.admin_keys):
-        path = f"$.admin_keys[{index}]"
-        if not DIGEST_PATTERN.fullmatch(key.key_digest):
-            problem = f"found {len(key.key_digest)} characters, allowed are 64 hex digits"
-            raise SettingsError(source, f"{path}.key_digest", problem)
-        if key.key_digest in digests:
-            raise SettingsError(
-                source, f"{path}.key_digest", "duplicate key; each digest is allowed once"
-            )
-        digests.add(key.key_digest)
-        if key.role not in ADMIN_ROLES:
-            problem = f"found {key.role!r:.80}, allowed is {' or '.join(ADMIN_ROLES)}"
-            raise SettingsError(source, f"{path}.role", problem)
+    check_admin_keys(source, settings.admin_listen, settings.admin_keys)
 
 
 def _check_address(source: str, path: str, address: str) -> None:
--- a/guavawalk/process/suspects.py
+++ b/guavawalk/process/suspects.py
@@ -309,6 +309,13 @@
             return 0.0
         return max(suspicion.updated_s + SETTLE_S - self._clock.now_s(), 0.0)
 
+    def suspected(self) -> Iterator[tuple[int, Suspicion]]:
+        """Yield the requests with counted deaths, the last updated first."""
+        self._expire()
+        for fingerprint in reversed(self._suspicions):
+            if self._suspicions[fingerprint].counted_deaths:
+                yield fingerprint, self._suspicions[fingerprint]
+
     def was_in_flight_at_death(self, fingerprint: int, target_name: str) -> bool:
         """Return whether the named target died with a request in flight."""
         target = hash_target(target_name)
--- a/guavawalk/tools/commands/admin.py
+++ b/guavawalk/tools/commands/admin.py
@@ -106,6 +106,27 @@
     return _print_answer(address, "/v1/waste", as_json, key_file)
 
 
+@admin_app.command
+def suspects(address: str, *, as_json: AsJson = False, key_file: KeyFile = None) -> int:
+    """Show requests and parts of prompts that were in flight when targets ended."""
+    return _print_answer(address, "/v1/suspects", as_json, key_file)
+
+
+@admin_app.command
+def clear_suspect(
+    address: str,
+    kind: str,
+    key: str,
+    *,
+    reason: str,
+    as_json: AsJson = False,
+    key_file: KeyFile = None,
+) -> int:
+    """Let a suspect, a request or part with its key, run again; a gateway tells all others."""
+    document = {"kind": kind, "key": key, "reason": reason}
+    return _print_answer(address, "/v1/clear-suspect", as_json, key_file, document)
+
+
 @admin_app.command
 def openapi(address: str, *, key_file: KeyFile = None) -> int:
     """Print the OpenAPI description."""
--- a/tests/connection/tasks/test_crashing_parts.py
+++ b/tests/connection/tasks/test_crashing_parts.py
@@ -5,6 +5,12 @@
 import anyio
 import pytest
 
+from guavawalk.exception import TargetLost
+from guavawalk.process.gateway.crash_refusal import report_parts
+from guavawalk.process.part_suspects import FIRST_TRIAL_S, SETTLE_S
+from guavawalk.request.admission import admit_call
+from guavawalk.request.call import CallFields, PromptPart
+from soak.standins import StandInTarget, answer_stream, close_without_answer
 from tests.connection.tasks.test_crashing_requests import (
     crash_targets,
     disturb_in_all_ways,
@@ -12,7 +18,8 @@
     reset_connections,
 )
 from tests.crash_fleet import BAD_PART, FIRST_PARTS, running_fleet
-from tests.gateway_standins import run_with_timeout
+from tests.gateway_calls import HOST, RESUMABLE
+from tests.gateway_standins import GatewayHarness, run_with_timeout
 
 # Number of ended targets after which all gateways in touch refuse requests with the part, the time
 # that they have to hear of it, in seconds, and how many may reach a target after that.
@@ -127,3 +134,56 @@
         fleet = play(seed, crash_targets, bad_parts=(), callers=24, gateways=4, targets=12)
         assert fleet.sent_by_part[FIRST_PARTS[0]] > 20
         assert fleet.refused_sound == 0
+
+
+class TestTrial:
+    """A part that is blamed, and a time without an end after which it is tried."""
+
+    def ask(self, script, times=2, wait_s=FIRST_TRIAL_S):
+        """Ask with a blamed part `times` times; return statuses, targets asked and the log."""
+
+        async def run():
+            story = GatewayHarness(RESUMABLE)
+            now_s = story.gateway.clock.now_s()
+            targets = [StandInTarget(script) for _ in range(3)]
+            async with story.running(*targets, service="model"):
+                part = shared_part_of(story, BAD_PART.decode())
+                for number in range(3):
+                    ended_s = now_s - wait_s - 10.0 - number
+                    story.gateway.part_suspects.record_target_death((part,), f"x-{number}", ended_s)
+                report_parts(story.gateway, (part.key,), "")
+                await anyio.sleep(SETTLE_S)
+                statuses = []
+                for number in range(times):
+                    caller = await story.caller()
+                    headers = ((b"Prompt-Prefix", b"bad:60,own%d:60" % number),)
+                    try:
+                        answer = await caller.ask(body=b"%d" % number, headers=headers)
+                        statuses.append(answer[0])
+                    except TargetLost:
+                        statuses.append(None)
+            return statuses, sum(len(target.received) for target in targets), story.log
+
+        return run_with_timeout(run)
+
+    def test_one_request_runs_at_one_target_and_the_next_is_refused(self):
+        statuses, asked, log = self.ask(close_without_answer)
+        assert (statuses, asked) == ([502, 503], 1)
+        assert len(log.named("part_tried")) == 1
+        assert "part bad" in log.named("call_refused")[0]["reason"]
+
+    def test_run_that_completes_ends_the_blame(self):
+        statuses, asked, log = self.ask(answer_stream)
+        assert (statuses, asked) == ([200, 200], 2)
+        assert log.named("part_cleared")
+
+    def test_none_runs_before_it_is_due(self):
+        statuses, asked, _ = self.ask(answer_stream, wait_s=-5.0)
+        assert (statuses, asked) == ([503, 503], 0)
+
+
+def shared_part_of(story, part_id):
+    """Return a part as the harness's calls hold it."""
+    fields = CallFields("r", HOST, "k1", prompt_parts=(PromptPart(part_id, 1), PromptPart("", 1)))
+    call = admit_call(story.gateway.routes.table, fields, "POST", b"/x/1", b"", 0.0)
+    return call.shared_parts[0]
--- a/tests/process/admin/keys.py
+++ b/tests/process/admin/keys.py
@@ -1,6 +1,6 @@
 """Administration keys for tests: two for all workspaces, two for the workspace `harbour`."""
 
-from guavawalk.process.settings import AdminKeySettings
+from guavawalk.process.admin_settings import AdminKeySettings
 from guavawalk.version.documents import digest_bytes
 
 READER = "reader-key-000"
--- a/tests/process/test_gateway_daemon.py
+++ b/tests/process/test_gateway_daemon.py
@@ -9,6 +9,7 @@
 from datetime import datetime
 
 import anyio
+import httpcore
 import pytest
 
 from guavawalk.connection.http_client import create_http_client
@@ -18,6 +19,7 @@
     encode_response_head,
 )
 from guavawalk.exception import TargetError, TargetLost
+from guavawalk.process.admin.client import create_admin_client
 from guavawalk.process.gateway_daemon import run_gateway
 from soak.fleet import free_ports
 from soak.standins import (
@@ -33,6 +35,7 @@
 )
 from tests.gateway_standins import run_with_timeout
 from tests.platform.test_registrations import ROW
+from tests.process.admin.keys import KEYS, READER
 
 ROUTE = {
     "name": "r-1",
@@ -237,6 +240,23 @@
 
         run_with_daemon(tmp_path, scenario, slow)
 
+    def test_administration_is_served_where_the_settings_name_an_address(self, tmp_path):
+        (port,) = free_ports(1)
+        keys = [key._asdict() for key in KEYS]
+
+        async def scenario(daemon, store, target):
+            store.put("op/config", DOCUMENT)
+            await wait_until(daemon.ready)
+            async with httpcore.AsyncConnectionPool() as pool:
+                client = create_admin_client(f"127.0.0.1:{port}", READER, pool)
+                assert (await client.get("/v1/state"))["role"] == "gateway"
+                assert (await client.get("/v1/suspects"))["suspects"] == []
+            daemon.process.send_signal(signal.SIGTERM)
+            assert await daemon.wait_exit() == 0
+
+        document = {"admin_listen": f"127.0.0.1:{port}", "admin_keys": keys}
+        run_with_daemon(tmp_path, scenario, **document)
+
     def test_stream_that_the_stop_cuts_off_is_logged_before_the_exit(self, tmp_path):
         async def endless(target, stream, request):
             await stream.send(encode_response_head(200, signed_headers(request), CHUNKED))
--- a/tests/tools/commands/test_admin.py
+++ b/tests/tools/commands/test_admin.py
@@ -45,7 +45,8 @@
 
 class TestAdminCommand:
     @pytest.mark.parametrize(
-        "command", ["state", "configuration", "targets", "queues", "refusals", "histograms"]
+        "command",
+        ["state", "configuration", "targets", "queues", "refusals", "histograms", "suspects"],
     )
     def test_tables_show_the_scalar_fields_of_the_json(self, command, address, capsys):
         document = json.loads(run(capsys, "admin", command, address, "--json"))
@@ -55,6 +56,10 @@
     def test_openapi_describes_the_paths(self, address, capsys):
         assert "/v1/state" in json.loads(run(capsys, "admin", "openapi", address))["paths"]
 
+    def test_suspect_that_is_not_known_is_not_cleared(self, address, capsys):
+        words = ("clear-suspect", address, "request", "0" * 16, "--reason", "new model", "--json")
+        assert json.loads(run(capsys, "admin", *words))["changed"] is False
+
     def test_action_prints_its_name(self, address, capsys):
         words = ("admin", "log-level", address, "WARNING", "--json")
         assert json.loads(run(capsys, *words))["action"] == "log-level"
