--- a/guavawalk/connection/tasks/offer.py
+++ b/guavawalk/connection/tasks/offer.py
@@ -28,7 +28,7 @@
 )
 from guavawalk.exception import LinkBroken, LinkRefused
 from guavawalk.process.entry.observed import record_link_broken
-from guavawalk.process.suspects import EARLY_RUN_S
+from guavawalk.process.target_ends import EARLY_RUN_S
 from guavawalk.request.types import Offer, Outcome, Usage, Work
 from guavawalk.version.types import Target
 
--- a/guavawalk/process/gateway/crash_news.py
+++ b/guavawalk/process/gateway/crash_news.py
@@ -10,7 +10,7 @@
 import msgspec
 import msgspec.msgpack
 
-from guavawalk.process.part_suspects import PartNews
+from guavawalk.process.part_suspicion import PartNews
 from guavawalk.process.suspects import SuspicionNews
 
 __all__ = [
--- a/guavawalk/process/gateway/tracked_target.py
+++ b/guavawalk/process/gateway/tracked_target.py
@@ -8,7 +8,7 @@
 import anyio
 
 from guavawalk.process.gateway.decay import DecayingShare, MovingAverage
-from guavawalk.process.suspects import EARLY_RUN_S
+from guavawalk.process.target_ends import EARLY_RUN_S
 from guavawalk.request.call import Call, PromptPart, SharedPart
 from guavawalk.version.registrations import Registration
 
--- a/guavawalk/process/part_suspects.py
+++ b/guavawalk/process/part_suspects.py
@@ -10,22 +10,21 @@
 import random
 from collections import OrderedDict
 from collections.abc import Iterable, Iterator
-from typing import NamedTuple
 
 from guavawalk.process.clock import Clock
-from guavawalk.process.suspects import age_ms, age_s, count_moments, hash_target
+from guavawalk.process.part_suspicion import PartDeath, PartNews, PartSuspicion
+from guavawalk.process.target_ends import (
+    SUSPECT_RETENTION_S,
+    age_ms,
+    age_s,
+    count_moments,
+    hash_target,
+)
 from guavawalk.request.call import SharedPart
 
-__all__ = [
-    "PartDeath",
-    "PartNews",
-    "PartSuspectTable",
-    "PartSuspicion",
-    "create_part_suspect_table",
-]
+__all__ = ["PartSuspectTable", "create_part_suspect_table"]
 
 MAX_PARTS = 4_096
-PART_RETENTION_S = 600.0
 # Number of distinct moments at which targets ended that a part must have been at to be blamed: what
 # ends several targets at once need not be what they run.
 BLAMED_MOMENTS = 3
@@ -51,86 +50,13 @@
 TRIAL_SPREAD_S = 0.5
 
 
-class PartDeath(NamedTuple):
-    """The end of one target at which a request with the part had just begun to run.
-
-    Attributes
-    ----------
-    target : int
-        Hash of the name of the target's start.
-    at_s : float
-        When the request was cut off there, in seconds on this process's monotonic clock.
-    """
-
-    target: int
-    at_s: float
-
-
-class PartSuspicion(NamedTuple):
-    """What is known of one part.
-
-    Attributes
-    ----------
-    name : str
-        Id of the part; empty if only other processes have seen it.
-    deaths : tuple of PartDeath
-        Distinct targets that ended, the oldest first, those before `survived_s` included.
-    survived_s : float
-        When the last run with the part was sent that outlived its beginning, in seconds on this
-        process's monotonic clock; minus infinity before any. Deaths until then do not count.
-    trials : int
-        Number of trials that are known.
-    tried_s : float
-        When the last of them began, on the same clock; minus infinity before any.
-    updated_s : float
-        When something was last recorded, on the same clock.
-    """
-
-    name: str = ""
-    deaths: tuple[PartDeath, ...] = ()
-    survived_s: float = -math.inf
-    trials: int = 0
-    tried_s: float = -math.inf
-    updated_s: float = 0.0
-
-    @property
-    def counted_deaths(self) -> tuple[PartDeath, ...]:
-        """Deaths since the last run that outlived its beginning was sent."""
-        return tuple(death for death in self.deaths if death.at_s > self.survived_s)
-
-    @property
-    def counted_trials(self) -> int:
-        """Trials since then."""
-        return self.trials if self.tried_s > self.survived_s else 0
-
-
-class PartNews(NamedTuple):
-    """A suspicion as it is sent to another process, with ages in place of times.
-
-    Attributes
-    ----------
-    key : int
-        The part's `SharedPart.key`.
-    deaths : tuple of (int, int)
-        Hash of the target, and age in milliseconds.
-    survived_age_ms, tried_age_ms : int
-        Ages of `survived_s` and `tried_s`; -1 if there is none.
-    """
-
-    key: int
-    deaths: tuple[tuple[int, int], ...] = ()
-    survived_age_ms: int = -1
-    trials: int = 0
-    tried_age_ms: int = -1
-
-
 class PartSuspectTable:
     """Suspicions of prompt parts held by one process.
 
     Notes
     -----
     The least recently updated suspicion is evicted when the table is full, and each expires
-    `PART_RETENTION_S` after its last update.
+    `SUSPECT_RETENTION_S` after its last update.
     """
 
     def __init__(self, clock: Clock, max_parts: int) -> None:
@@ -397,7 +323,7 @@
         self._told_blamed.discard(key)
 
     def _expire(self) -> None:
-        oldest_kept_s = self._clock.now_s() - PART_RETENTION_S
+        oldest_kept_s = self._clock.now_s() - SUSPECT_RETENTION_S
         while self._suspicions:
             key, oldest = next(iter(self._suspicions.items()))
             if oldest.updated_s > oldest_kept_s:
--- a/guavawalk/process/suspects.py
+++ b/guavawalk/process/suspects.py
@@ -10,25 +10,19 @@
 from collections.abc import Collection, Iterable, Iterator
 from typing import NamedTuple
 
-import xxhash
-
 from guavawalk.process.clock import Clock
+from guavawalk.process.target_ends import (
+    COMMON_CAUSE_S,
+    SUSPECT_RETENTION_S,
+    age_ms,
+    age_s,
+    count_moments,
+    hash_target,
+)
 
-__all__ = [
-    "EARLY_RUN_S",
-    "SuspectTable",
-    "Suspicion",
-    "SuspicionNews",
-    "TargetDeath",
-    "age_ms",
-    "age_s",
-    "count_moments",
-    "create_suspect_table",
-    "hash_target",
-]
+__all__ = ["SuspectTable", "Suspicion", "SuspicionNews", "TargetDeath", "create_suspect_table"]
 
 MAX_SUSPECTS = 4_096
-SUSPECT_RETENTION_S = 600.0
 # A request is blocked once this many distinct targets died soon after it had begun to run there.
 BLOCKING_TARGET_COUNT = 2
 # A request is blocked once this many distinct targets died with it in flight, whatever else ran.
@@ -43,15 +37,8 @@
 # Time after a second death within which peers may still tell of other requests that were in flight
 # at both, in seconds.
 SETTLE_S = 0.25
-# Time within which the ends of several targets have a common cause, in seconds, unless one request
-# was in flight at all of them.
-COMMON_CAUSE_S = 0.3
-# Time after its first event for which a run counts as having just begun, in seconds.
-EARLY_RUN_S = 0.25
 # Age up to which a single death is repeated to peers, in seconds.
 SINGLE_DEATH_NEWS_S = 10.0
-# Hashes keep 63 bits, so that they fit a signed 64-bit field.
-_MASK = (1 << 63) - 1
 
 
 class TargetDeath(NamedTuple):
@@ -398,30 +385,6 @@
             del self._suspicions[fingerprint]
 
 
-def count_moments(ends_s: Iterable[float]) -> int:
-    """Return the number of moments at which targets ended, `COMMON_CAUSE_S` apart or more."""
-    count, since_s = 0, -math.inf
-    for end_s in sorted(ends_s):
-        if end_s - since_s >= COMMON_CAUSE_S:
-            count, since_s = count + 1, end_s
-    return count
-
-
-def hash_target(name: str) -> int:
-    """Return the 63-bit hash that stands for a target in messages to peers."""
-    return xxhash.xxh3_64_intdigest(name.encode()) & _MASK
-
-
-def age_ms(now_s: float, at_s: float) -> int:
-    """Return the age of a moment in whole milliseconds, as peers are told it; 0 at least."""
-    return max(int((now_s - at_s) * 1000), 0)
-
-
-def age_s(told_ms: int) -> float:
-    """Return an age that a peer told, in seconds, from 0 to `SUSPECT_RETENTION_S`."""
-    return min(max(told_ms / 1000, 0.0), SUSPECT_RETENTION_S)
-
-
 def create_suspect_table(
     clock: Clock, max_suspects: int = MAX_SUSPECTS, runs_one_suspect: bool = True
 ) -> SuspectTable:
--- a/tests/connection/tasks/test_crash_news.py
+++ b/tests/connection/tasks/test_crash_news.py
@@ -18,7 +18,7 @@
     encode_crash_news,
     encode_part_news,
 )
-from guavawalk.process.part_suspects import PartNews
+from guavawalk.process.part_suspicion import PartNews
 from guavawalk.process.suspects import SuspicionNews
 from tests.crash_fleet import running_fleet
 from tests.gateway_standins import GatewayHarness, run_with_timeout
--- a/tests/process/test_part_suspects.py
+++ b/tests/process/test_part_suspects.py
@@ -8,12 +8,11 @@
     BLAMED_MOMENTS,
     FIRST_TRIAL_S,
     MAX_TRIALS,
-    PART_RETENTION_S,
     SETTLE_S,
-    PartNews,
     create_part_suspect_table,
 )
-from guavawalk.process.suspects import COMMON_CAUSE_S
+from guavawalk.process.part_suspicion import PartNews
+from guavawalk.process.target_ends import COMMON_CAUSE_S, SUSPECT_RETENTION_S
 from guavawalk.request.call import SharedPart
 
 FIRST, BAD, BAD2, OTHER = (SharedPart(name, number) for number, name in enumerate("fbco", 1))
@@ -229,7 +228,7 @@
         story.settle()
         parts = tuple(SharedPart("", one.key) for one in news)
         story.table.blocking_parts(parts)
-        story.clock.at_s += PART_RETENTION_S / 2
+        story.clock.at_s += SUSPECT_RETENTION_S / 2
         story.table.begin_trial(parts, 4)
         for part in parts:
             assert story.table.get(part.key).trials <= MAX_TRIALS
@@ -243,7 +242,7 @@
 class TestBounds:
     def test_entries_expire(self):
         story = story_of(*[(BAD,)] * 3)
-        story.clock.at_s += PART_RETENTION_S + 1
+        story.clock.at_s += SUSPECT_RETENTION_S + 1
         assert not story.blocks(BAD) and not len(story.table)
 
     @pytest.mark.parametrize("max_parts", (1, 7))
--- a/tests/process/test_suspects.py
+++ b/tests/process/test_suspects.py
@@ -11,11 +11,10 @@
 from guavawalk.process.suspects import (
     PAIR_DELAY_S,
     SETTLE_S,
-    SUSPECT_RETENTION_S,
     SuspectTable,
     create_suspect_table,
-    hash_target,
 )
+from guavawalk.process.target_ends import SUSPECT_RETENTION_S, hash_target
 from guavawalk.tools.fleet import run_fleet
 from guavawalk.tools.plan import asante_plan
 from tests.process.sidecar.test_admission_overload import make_offer, with_sidecar
