--- a/guavawalk/connection/tasks/call_progress.py
+++ b/guavawalk/connection/tasks/call_progress.py
@@ -1,18 +1,16 @@
 """State of one call that outlives its single attempts."""
 
-from __future__ import annotations
-
 from collections.abc import Sequence
-from typing import TYPE_CHECKING, NamedTuple
+from typing import Generic, NamedTuple, TypeVar
 
 from guavawalk.connection.http_encoding import Header
 from guavawalk.request.event_stream import EventStream
 
-if TYPE_CHECKING:
-    from guavawalk.connection.tasks.target_exchange import TargetExchange
-
 __all__ = ["FailedAnswer", "Progress"]
 
+# Type of the exchanges with targets.
+E = TypeVar("E")
+
 
 class FailedAnswer(NamedTuple):
     """A target's error answer; the caller gets it if no later attempt succeeds."""
@@ -22,7 +20,7 @@
     body: bytes
 
 
-class Progress:
+class Progress(Generic[E]):
     """State of a call over all its attempts.
 
     Attributes
@@ -43,7 +41,7 @@
         When events were last received, on the process's clock in seconds; 0 before the first.
     longest_pause_s : float
         Longest time between two receipts of events, in seconds; 0 before the second.
-    successor : TargetExchange, optional
+    successor : E, optional
         Exchange with another target that has taken the call, which goes on there; None if there is
         none.
     end_reason : str
@@ -59,7 +57,7 @@
         self.last_event_at_s = 0.0
         self.longest_pause_s = 0.0
         self.end_reason = ""
-        self.successor: TargetExchange | None = None
+        self.successor: E | None = None
         # Number of targets that have got the call and did not state that they did not run it.
         self._possible_runs = 0
 
@@ -88,7 +86,7 @@
         if not is_counted:
             self.sent_count -= 1
 
-    def pop_successor(self) -> TargetExchange | None:
+    def pop_successor(self) -> E | None:
         """Remove and return the exchange with which the call goes on; None if there is none."""
         successor, self.successor = self.successor, None
         return successor
--- a/guavawalk/connection/tasks/dispatch.py
+++ b/guavawalk/connection/tasks/dispatch.py
@@ -9,10 +9,9 @@
 from guavawalk.codes import ResultCode
 from guavawalk.connection.target import TargetAnswer
 from guavawalk.exception import RequestError, TargetConnectError, TargetLost
-from guavawalk.process.sidecar.accounting import record_first_token
+from guavawalk.process.sidecar.accounting import end_attempt, record_first_token
 from guavawalk.process.sidecar.admission import dispatch_ready
 from guavawalk.process.sidecar.observed import record_attempt_end, record_tokens
-from guavawalk.process.sidecar.state import end_attempt
 from guavawalk.request.attempt import Attempt, AttemptState
 
 if TYPE_CHECKING:
--- a/guavawalk/process/sidecar/accounting.py
+++ b/guavawalk/process/sidecar/accounting.py
@@ -1,19 +1,13 @@
-"""Updates a sidecar's prefix index, length statistics and waste totals from its attempts."""
-
-from __future__ import annotations
-
-from typing import TYPE_CHECKING
+"""Ends a sidecar's attempts, and updates its prefix index, lengths and waste totals from them."""
 
 from guavawalk.codes import ResultCode
 from guavawalk.process.sidecar.prefix_index import cache_capacity_blocks
-from guavawalk.request.attempt import Attempt
+from guavawalk.process.sidecar.state import Sidecar
+from guavawalk.request.attempt import Attempt, AttemptState
 from guavawalk.request.types import Offer
 from guavawalk.request.waste import Prefill, waste_of
 
-if TYPE_CHECKING:
-    from guavawalk.process.sidecar.state import Sidecar
-
-__all__ = ["account_for_end", "expected_cached_tokens", "record_first_token"]
+__all__ = ["account_for_end", "end_attempt", "expected_cached_tokens", "record_first_token"]
 
 # Result codes after which the engine's cache is assumed to be empty.
 CACHE_LOST_CODES = frozenset((ResultCode.TARGET_CRASHED, ResultCode.TARGET_UNREACHABLE))
@@ -65,6 +59,23 @@
     sidecar.waste.record(offer.workspace, offer.tier_rank, attempt.waste)
 
 
+def end_attempt(sidecar: Sidecar, attempt: Attempt, code: ResultCode, detail: str = "") -> None:
+    """End an attempt, account for it, and keep its answer until it is evicted.
+
+    Notes
+    -----
+    An attempt that has already ended keeps its code. If the attempt was not dispatched, the record
+    of its ticket is removed, so that the ticket may be used again.
+    """
+    if attempt.state is not AttemptState.DONE:
+        account_for_end(sidecar, attempt, code)
+    attempt.finish(code, sidecar.clock.now_s(), detail)
+    if not attempt.has_run and attempt.offer.idempotency_key:
+        sidecar.records.remove(attempt)
+    for evicted in sidecar.attempts.retire(attempt):
+        sidecar.records.drop_answer(evicted)
+
+
 def _prefill_of(sidecar: Sidecar, attempt: Attempt) -> Prefill:
     run_s = sidecar.clock.now_s() - attempt.dispatched_s
     rate = sidecar.window.prefill_tokens_per_s
--- a/guavawalk/process/sidecar/admission.py
+++ b/guavawalk/process/sidecar/admission.py
@@ -4,10 +4,10 @@
 
 from guavawalk.codes import ResultCode
 from guavawalk.exception import RequestError
-from guavawalk.process.sidecar.accounting import expected_cached_tokens
+from guavawalk.process.sidecar.accounting import end_attempt, expected_cached_tokens
 from guavawalk.process.sidecar.leaving import LeaveReason
 from guavawalk.process.sidecar.refusal import can_meet_deadline
-from guavawalk.process.sidecar.state import Sidecar, end_attempt
+from guavawalk.process.sidecar.state import Sidecar
 from guavawalk.request.attempt import Attempt, AttemptState, create_attempt
 from guavawalk.request.cost import offer_cost_tokens
 from guavawalk.request.types import Offer
--- a/guavawalk/process/sidecar/state.py
+++ b/guavawalk/process/sidecar/state.py
@@ -5,7 +5,6 @@
 
 from anyio.abc import TaskGroup
 
-from guavawalk.codes import ResultCode
 from guavawalk.connection.handshake import Identity
 from guavawalk.connection.target import EngineClient, TargetClient
 from guavawalk.process.clock import Clock
@@ -13,7 +12,6 @@
 from guavawalk.process.observe.metrics import Metrics
 from guavawalk.process.observe.observations import Observations
 from guavawalk.process.orders.order_tracker import OrderTracker
-from guavawalk.process.sidecar.accounting import account_for_end
 from guavawalk.process.sidecar.drain import DrainRates
 from guavawalk.process.sidecar.leaving import create_leave_tracker
 from guavawalk.process.sidecar.lengths import LengthStatistics
@@ -25,7 +23,7 @@
 from guavawalk.process.sidecar.window import DispatchWindow
 from guavawalk.process.spread.members import Members
 from guavawalk.process.suspects import SuspectTable
-from guavawalk.request.attempt import Attempt, AttemptState
+from guavawalk.request.attempt import Attempt
 from guavawalk.request.types import LoadReport
 from guavawalk.version.active import ActiveVersion
 
@@ -34,7 +32,6 @@
     "Sidecar",
     "SidecarLimits",
     "create_attempt_table",
-    "end_attempt",
     "load_report",
 ]
 
@@ -191,20 +188,3 @@
         queued_output_by_rank=totals.output_by_rank,
         long_full=not window.has_long_slot(),
     )
-
-
-def end_attempt(sidecar: Sidecar, attempt: Attempt, code: ResultCode, detail: str = "") -> None:
-    """End an attempt, account for it, and keep its answer until it is evicted.
-
-    Notes
-    -----
-    An attempt that has already ended keeps its code. If the attempt was not dispatched, the record
-    of its ticket is removed, so that the ticket may be used again.
-    """
-    if attempt.state is not AttemptState.DONE:
-        account_for_end(sidecar, attempt, code)
-    attempt.finish(code, sidecar.clock.now_s(), detail)
-    if not attempt.has_run and attempt.offer.idempotency_key:
-        sidecar.records.remove(attempt)
-    for evicted in sidecar.attempts.retire(attempt):
-        sidecar.records.drop_answer(evicted)
