--- a/guavawalk/connection/streams.py
+++ b/guavawalk/connection/streams.py
@@ -1,12 +1,15 @@
 """TCP streams on which the kernel detects dead peers."""
 
+import ctypes
 import errno
 import os
 import select
 import socket
+import struct
+from contextlib import suppress
 
 import anyio
-from anyio.abc import ByteStream, SocketAttribute, SocketStream
+from anyio.abc import ByteStream, Listener, SocketAttribute, SocketStream
 
 from guavawalk.connection.address import split_address
 from guavawalk.exception import TargetConnectError
@@ -17,6 +20,7 @@
     "close_stream",
     "enable_dead_peer_detection",
     "has_input",
+    "ignore_new_connections",
     "open_stream",
     "reset_stream",
 ]
@@ -35,6 +39,10 @@
 KEEPALIVE_IDLE_S = 1
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 2
+# Socket option of Linux, which Python doesn't name, and a packet filter that accepts nothing: a
+# `struct sock_filter` with the instruction "return 0".
+SO_ATTACH_FILTER = 26
+_DROP_ALL = ctypes.create_string_buffer(struct.pack("HBBI", 0x06, 0, 0, 0))
 
 
 def enable_dead_peer_detection(stream: ByteStream) -> None:
@@ -109,6 +117,19 @@
     return _polls(raw, select.POLLIN)
 
 
+def ignore_new_connections(listener: Listener[SocketStream]) -> None:
+    """Have the kernel accept no more connections for a listener that is about to be closed.
+
+    To close a listener resets the connections that the kernel has accepted and this process has
+    not. Peers that connect now send their first packet again later, and are refused then. Without
+    the kernel's support, nothing changes.
+    """
+    raw = listener.extra(SocketAttribute.raw_socket)
+    program = struct.pack("HP", 1, ctypes.addressof(_DROP_ALL))
+    with suppress(OSError):
+        raw.setsockopt(socket.SOL_SOCKET, SO_ATTACH_FILTER, program)
+
+
 async def close_stream(stream: ByteStream) -> None:
     """Close gracefully, within a second, even if the task is cancelled."""
     with anyio.move_on_after(1, shield=True):
--- a/guavawalk/process/gateway_daemon.py
+++ b/guavawalk/process/gateway_daemon.py
@@ -16,7 +16,7 @@
 
 from guavawalk import events
 from guavawalk.connection.address import split_address
-from guavawalk.connection.streams import has_input
+from guavawalk.connection.streams import has_input, ignore_new_connections
 from guavawalk.connection.tasks.crash_news import send_crash_news, send_part_news
 from guavawalk.connection.tasks.follow_registry import follow_routes, follow_targets
 from guavawalk.connection.tasks.gossip import receive_reports, send_reports
@@ -296,6 +296,8 @@
     The listener closes at a moment at which the kernel holds no connection to accept.
     """
     is_open = listener.extra(SocketAttribute.raw_socket).fileno() >= 0
+    if is_open:
+        ignore_new_connections(listener)
     while is_open and has_input(listener):
         await anyio.sleep(LAST_CONNECTIONS_EVERY_S)
     await listener.aclose()
