--- a/tests/process/test_crashing_processes.py
+++ b/tests/process/test_crashing_processes.py
@@ -2,6 +2,8 @@
 
 import json
 import random
+import signal
+from collections import defaultdict
 
 import anyio
 import pytest
@@ -10,13 +12,14 @@
 from soak.fleet import create_fleet
 from soak.standins import Caller, StandInStore, listen
 from soak.workload import configuration
+from tests.connection.tasks.test_crashing_parts import late_runs
 from tests.connection.tasks.test_crashing_requests import (
     CONTACT_S,
     MAX_LATE_RUNS,
     RARELY_S,
     TOLERATED_ENDS,
 )
-from tests.crash_fleet import BAD_BODY, CrashingTarget
+from tests.crash_fleet import BAD_BODY, BAD_PART, CrashingTarget
 
 PATH = b"/question/1"
 TARGETS = 8
@@ -35,6 +38,7 @@
         self.targets = []
         self.gateways = []
         self.bad_parts = set()
+        self.part_runs_s = defaultdict(list)
         self.served = 0
 
     async def start(self, gateways):
@@ -67,12 +71,12 @@
     def unregister(self, target_id):
         self.store.remove(f"servers/{target_id}")
 
-    async def ask(self, rng, body, request_id):
+    async def ask(self, rng, body, request_id, headers=()):
         host, port = rng.choice(self.gateways).address.split(":")
         try:
             async with await anyio.connect_tcp(host, int(port)) as stream:
                 with anyio.fail_after(4):
-                    status, _, _ = await Caller(stream).ask(PATH, body, (), request_id)
+                    status, _, _ = await Caller(stream).ask(PATH, body, headers, request_id)
                 self.served += status == 200
         except (TargetLost, TimeoutError, OSError, anyio.BrokenResourceError, anyio.EndOfStream):
             return
@@ -84,6 +88,26 @@
             await self.ask(rng, body or b"sound %s %d" % (name, number), b"%s-%d" % (name, number))
             await anyio.sleep(every_s * rng.uniform(0.5, 1.5))
 
+    async def send_with_part(self, rng, part, seconds):
+        """Send requests that have one part of their prompts in common, or none if it is empty."""
+        until_s = anyio.current_time() + seconds
+        number = 0
+        while anyio.current_time() < until_s:
+            number += 1
+            name = b"%s%d" % (part or b"sound%d-" % rng.randrange(1000), number)
+            parts = b",".join(b"%s:9" % one for one in (b"first", part, name) if one)
+            headers = ((b"Prompt-Prefix", parts),)
+            self.tasks.start_soon(self.ask, rng, name, name, headers)
+            await anyio.sleep((RARELY_S if part else 0.1) * rng.uniform(0.5, 1.5))
+
+    async def freeze_in_turn(self, rng):
+        while True:
+            for gateway in self.gateways:
+                await anyio.sleep(0.6)
+                gateway.send_signal(signal.SIGSTOP)
+                await anyio.sleep(1.2)
+                gateway.send_signal(signal.SIGCONT)
+
     async def restart_in_turn(self, rng):
         while True:
             for gateway in self.gateways:
@@ -128,3 +152,31 @@
             late_runs = sum(run_s > known_s for run_s in runs_s)
             assert late_runs <= MAX_LATE_RUNS, f"{late_runs} of {len(runs_s)} runs came late"
         assert fleet.refused_sound() == []
+
+
+class TestPartThatEndsItsTargets:
+    @pytest.mark.parametrize("disturbance", ("restart_in_turn", "freeze_in_turn"))
+    def test_is_not_sent_on_by_processes_that_are_disturbed_in_turn(self, tmp_path, disturbance):
+        async def run():
+            rng = random.Random(2)
+            async with anyio.create_task_group() as tasks:
+                fleet = ProcessFleet(tasks, tmp_path, has_new_ids=True)
+                fleet.bad_parts = {BAD_PART}
+                try:
+                    await fleet.start(gateways=3)
+                    with anyio.move_on_after(SECONDS + 3.0):
+                        async with anyio.create_task_group() as load:
+                            load.start_soon(getattr(fleet, disturbance), rng)
+                            load.start_soon(fleet.send_with_part, random.Random(3), b"", SECONDS)
+                            await fleet.send_with_part(rng, BAD_PART, SECONDS)
+                finally:
+                    for gateway in fleet.gateways:
+                        gateway.kill()
+                tasks.cancel_scope.cancel()
+            return fleet
+
+        fleet = anyio.run(run)
+        runs_s = sorted(fleet.part_runs_s[BAD_PART])
+        assert len(runs_s) >= 2 and fleet.served > 20
+        assert late_runs(runs_s) <= MAX_LATE_RUNS, f"{late_runs(runs_s)} of {len(runs_s)}"
+        assert fleet.refused_sound() == []
