--- a/guavawalk/connection/tasks/forward_call.py
+++ b/guavawalk/connection/tasks/forward_call.py
@@ -14,7 +14,7 @@
 from guavawalk.connection.tasks.target_exchange import TargetExchange
 from guavawalk.exception import CallerGone, RequestError
 from guavawalk.platform.requests import encode_retry_after, encode_status
-from guavawalk.process.gateway.crash_refusal import ends_targets, refuse_or_try
+from guavawalk.process.gateway.crash_refusal import ends_targets, refuse_or_try, settles_in_s
 from guavawalk.process.supervise import log_failure
 from guavawalk.request.call import Call
 from guavawalk.request.repeat import AttemptResult, StepKind, decide_next
@@ -107,8 +107,9 @@
     exchange: TargetExchange | None = None
     while True:
         if exchange is None:
-            if settles_in_s := gateway.suspects.settles_in_s(call.fingerprint):
-                await anyio.sleep(settles_in_s)
+            has_been_sent = progress.sent_count > 0
+            if wait_s := settles_in_s(gateway, call, has_been_sent):
+                await anyio.sleep(wait_s)
             try:
                 reservation = await gateway.dispatcher.reserve(
                     call, progress.tried_ids, answer.has_begun
@@ -117,7 +118,7 @@
                 return await _answer_failure(gateway, call, progress, answer, error)
             # The request may have ended a target while this call waited.
             try:
-                call = refuse_or_try(gateway, call, has_been_sent=bool(progress.sent_count))
+                call = refuse_or_try(gateway, call, has_been_sent)
             except RequestError as error:
                 gateway.dispatcher.release(reservation)
                 return await _answer_failure(gateway, call, progress, answer, error)
--- a/guavawalk/process/gateway/crash_refusal.py
+++ b/guavawalk/process/gateway/crash_refusal.py
@@ -8,6 +8,7 @@
 from guavawalk import events
 from guavawalk.codes import ResultCode
 from guavawalk.exception import RequestError
+from guavawalk.process.part_suspects import SETTLE_S
 
 if TYPE_CHECKING:
     from guavawalk.process.gateway.state import Gateway
@@ -22,6 +23,7 @@
     "record_outlived",
     "refuse_or_try",
     "report_parts",
+    "settles_in_s",
 ]
 
 
@@ -47,6 +49,19 @@
     return gateway.suspects.may_have_common_cause(call.fingerprint, explained)
 
 
+def settles_in_s(gateway: Gateway, call: Call, has_been_sent: bool) -> float:
+    """Return the time until other gateways have told what they know of a suspected call.
+
+    Returns
+    -------
+    float
+        In seconds; 0 if the call need not wait.
+    """
+    if has_been_sent and gateway.part_suspects.is_doubtful(call.shared_parts):
+        return SETTLE_S
+    return gateway.suspects.settles_in_s(call.fingerprint)
+
+
 def refuse_or_try(gateway: Gateway, call: Call, has_been_sent: bool = False) -> Call:
     """Return a call that may be sent: as it is, or as a trial that is attempted at one target only.
 
@@ -60,7 +75,9 @@
     RequestError
         `CRASH_SUSPECT` if its request or a part of it ends targets, and no trial is due.
     """
-    if not ends_targets(gateway, call):
+    if not ends_targets(gateway, call) and not (
+        has_been_sent and gateway.part_suspects.is_doubtful(call.shared_parts)
+    ):
         return call
     if not has_been_sent:
         if _is_request_blocked(gateway, call):
--- a/guavawalk/process/part_suspects.py
+++ b/guavawalk/process/part_suspects.py
@@ -9,7 +9,7 @@
 import math
 import random
 from collections import OrderedDict
-from collections.abc import Iterable, Iterator
+from collections.abc import Collection, Iterable, Iterator
 
 from guavawalk.process.clock import Clock
 from guavawalk.process.part_suspicion import PartDeath, PartNews, PartSuspicion
@@ -134,18 +134,37 @@
         }
         if not held:
             return []
-        explained = {
-            death.target for key in self._blamed if key not in held for death in self._repeated[key]
-        }
         return [
             part
             for key, part in held.items()
-            if count_moments(
-                death.at_s for death in self._repeated[key] if death.target not in explained
-            )
-            >= BLAMED_MOMENTS
+            if self._unexplained_moments(key, held, self._blamed) >= BLAMED_MOMENTS
         ]
 
+    def is_doubtful(self, parts: Iterable[SharedPart]) -> bool:
+        """Return whether a request may soon be refused for one of its parts.
+
+        It is if a part was at `REPEATED_MOMENTS` moments at which no other repeated part was. Such
+        a request is better not repeated.
+        """
+        self._expire()
+        held = {part.key for part in parts if part.key in self._repeated}
+        return any(
+            self._unexplained_moments(key, held, self._repeated) >= REPEATED_MOMENTS for key in held
+        )
+
+    def _unexplained_moments(
+        self, key: int, held: Collection[int], suspected: Collection[int]
+    ) -> int:
+        """Return at how many moments a part was at which no suspected part outside `held` was."""
+        explained = {
+            death.target
+            for other in suspected
+            if other not in held
+            for death in self._repeated[other]
+        }
+        deaths = self._repeated[key]
+        return count_moments(death.at_s for death in deaths if death.target not in explained)
+
     def explained_targets(self, parts: Iterable[SharedPart]) -> set[int]:
         """Return hashes of targets whose ends another part than those of a request may explain.
 
--- a/tests/process/test_part_suspects.py
+++ b/tests/process/test_part_suspects.py
@@ -114,6 +114,11 @@
         assert story.blocks(FIRST, BAD)
         assert not story.blocks(FIRST)
 
+    def test_request_with_a_repeated_part_is_doubtful_where_nothing_else_explains_it(self):
+        assert not story_of((FIRST, BAD)).table.is_doubtful((BAD,))
+        table = story_of((FIRST, BAD), (FIRST, BAD)).table
+        assert table.is_doubtful((FIRST, BAD)) and not table.is_doubtful((FIRST, OTHER))
+
     def test_ends_of_a_repeated_part_are_no_evidence_against_other_requests(self):
         story = story_of((FIRST, BAD), (FIRST, BAD))
         assert len(story.table.explained_targets((FIRST,))) == 2
