--- a/tests/process/test_statements_processes.py
+++ b/tests/process/test_statements_processes.py
@@ -20,6 +20,8 @@
 class ExcusingTarget(Target):
     """A target that excuses what a gateway sends late since it was frozen."""
 
+    drain_s = 2.0
+
     def __init__(self, rng, number, broken, names):
         super().__init__(rng, number, broken)
         self.names = names
