Two parts at most explain the ends at which another one was

Cause: sound parts go to the same targets as the bad one, and several that were each at some of its ends excused it together. Change: the two that were at most of the ends do.

--- a/guavawalk/process/part_suspects.py
+++ b/guavawalk/process/part_suspects.py
@@ -30,6 +30,8 @@
 BLAMED_MOMENTS = 3
 # Number of moments from which a part may explain the ends at which other requests were in flight.
 REPEATED_MOMENTS = 2
+# Most parts that may explain the ends at which another one was: more are not bad at a time.
+MAX_CAUSES = 2
 # Time after a part has come to be blamed until requests are refused for it, in seconds: peers may
 # tell of another part that was at the same ends.
 SETTLE_S = 0.3
@@ -155,15 +157,21 @@
     def _unexplained_moments(
         self, key: int, held: Collection[int], suspected: Collection[int]
     ) -> int:
-        """Return at how many moments a part was at which no suspected part outside `held` was."""
-        explained = {
-            death.target
+        """Return at how many moments a part was that no suspected parts outside `held` explain.
+
+        Up to `MAX_CAUSES` of these do, those that were at most of the ends first. Many sound parts
+        may each have been at some of them.
+        """
+        ends_s = {death.target: death.at_s for death in self._repeated[key]}
+        others = [
+            {death.target for death in self._repeated[other]}
             for other in suspected
             if other not in held
-            for death in self._repeated[other]
-        }
-        deaths = self._repeated[key]
-        return count_moments(death.at_s for death in deaths if death.target not in explained)
+        ]
+        for _ in range(MAX_CAUSES):
+            best = max(others, key=lambda targets: len(targets & ends_s.keys()), default=set())
+            ends_s = {target: at_s for target, at_s in ends_s.items() if target not in best}
+        return count_moments(ends_s.values())
 
     def explained_targets(self, parts: Iterable[SharedPart]) -> set[int]:
         """Return hashes of targets whose ends another part than those of a request may explain.
--- a/tests/process/test_part_suspects.py
+++ b/tests/process/test_part_suspects.py
@@ -104,6 +104,11 @@
         for table in (story.table, peer.table):
             assert table.blocking_parts((FIRST, BAD)) and not table.blocking_parts((FIRST,))
 
+    def test_many_sound_parts_together_do_not_explain_the_ends_of_the_bad_one(self):
+        sound = [SharedPart(f"s{number}", 100 + number) for number in range(8)]
+        ends = [(BAD, sound[number // 2], sound[(number // 2 + 1) % 8]) for number in range(16)]
+        assert story_of(*ends).blocks(BAD)
+
     def test_part_behind_several_first_parts_is_blamed_alone(self):
         story = story_of((FIRST, BAD), (OTHER, BAD), (FIRST, BAD), (OTHER, BAD))
         assert story.blocks(BAD)
