--- a/guavawalk/connection/__init__.py
+++ b/guavawalk/connection/__init__.py
@@ -73,6 +73,7 @@
         "STREAM_ERRORS",
         "close_stream",
         "has_input",
+        "ignore_new_connections",
         "open_stream",
         "reset_stream",
         "enable_dead_peer_detection",
