--- a/review/standins.py
+++ b/review/standins.py
@@ -63,6 +63,7 @@
 WEIGHTS_VERSION = "1"
 # Time for which a client waits for an answer.
 ANSWER_TIMEOUT_S = 5.0
+NOT_IN_TIME = -1
 # Bytes of a body that are read at once, and most that are kept.
 MAX_READ_BYTES = 65_536
 READY_TIMEOUT_S = 20.0
@@ -555,7 +556,11 @@
         self._streams: tuple[asyncio.StreamReader, asyncio.StreamWriter] | None = None
 
     async def ask(self, path: str, headers: dict[str, str] | None = None, body: bytes = b"") -> int:
-        """Send a request and return the status of its answer; 0 without a complete one."""
+        """Send a request and return the status of its answer.
+
+        It is 0 if the connection ended before a complete one, and `NOT_IN_TIME` if the client gave
+        up waiting and closed the connection itself.
+        """
         self._count += 1
         request_id = self.last_id = f"{self._name}-{self._count}"
         name = self._gateway.name
@@ -564,7 +569,10 @@
         try:
             async with asyncio.timeout(ANSWER_TIMEOUT_S):
                 status = await self._exchange(path, request_id, headers or {}, body)
-        except (OSError, TimeoutError, asyncio.IncompleteReadError):
+        except TimeoutError:
+            status = NOT_IN_TIME
+            self.close()
+        except (OSError, asyncio.IncompleteReadError):
             self.close()
         self._record.write("client.answer", id=request_id, gateway=name, status=status)
         return status
