A gateway notices within contactMs that the answer of a watch was lost

Cause: a watch waited for 28 s and its client 1 s longer. A lost answer leaves the connection open, so nothing else ended the watch, and where all gateways lose theirs no other gateway reports the change.

Change: a watch waits for contact_ms (the platform's contactMs, 3 s by default) less 0.7 s for its answer and 0.7 s for reading again; a slow store takes 0.4 s at most. The shorter watches of the period after an outage are no longer needed.

--- a/guavawalk/connection/__init__.py
+++ b/guavawalk/connection/__init__.py
@@ -65,7 +65,7 @@
     ],
     "version_reporting": ["create_version_reporting_network"],
     "platform": ["Instance", "Platform", "PublishedValue", "create_http_platform"],
-    "registry": ["Registry", "RouteUpdate", "TargetUpdate"],
+    "registry": ["WATCH_MARGIN_S", "Registry", "RouteUpdate", "TargetUpdate"],
     "request_reader": ["ReceivedRequest", "RequestReader"],
     "response_reader": ["BodyFraming", "ResponseHead", "ResponseReader"],
     "streams": [
--- a/guavawalk/connection/registry.py
+++ b/guavawalk/connection/registry.py
@@ -5,7 +5,11 @@
 from guavawalk.version.registrations import Registration
 from guavawalk.version.routes import RouteTable
 
-__all__ = ["Registry", "RouteUpdate", "TargetUpdate"]
+__all__ = ["WATCH_MARGIN_S", "Registry", "RouteUpdate", "TargetUpdate"]
+
+# Time after the end of a watch's waiting time within which its answer arrives, in seconds: a slow
+# registry takes up to 0.4 s. After it the answer counts as lost.
+WATCH_MARGIN_S = 0.7
 
 
 class RouteUpdate(NamedTuple):
@@ -60,6 +64,8 @@
     async def watch_routes(self, after: int, wait_s: float) -> RouteUpdate:
         """Wait up to `wait_s` for routes published after a revision.
 
+        The answer counts as lost if it has not arrived `WATCH_MARGIN_S` later.
+
         Raises
         ------
         HistoryGone
@@ -74,6 +80,8 @@
     async def watch_targets(self, after: int, wait_s: float) -> TargetUpdate:
         """Wait up to `wait_s` for changes of registrations after a revision.
 
+        The answer counts as lost if it has not arrived `WATCH_MARGIN_S` later.
+
         Raises
         ------
         HistoryGone
--- a/guavawalk/connection/tasks/follow_registry.py
+++ b/guavawalk/connection/tasks/follow_registry.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from collections.abc import Iterable
 from typing import TYPE_CHECKING
@@ -9,7 +10,7 @@
 import anyio
 
 from guavawalk import events
-from guavawalk.connection.registry import Registry, TargetUpdate
+from guavawalk.connection.registry import WATCH_MARGIN_S, Registry, TargetUpdate
 from guavawalk.exception import HistoryGone, PlatformUnavailable
 from guavawalk.process.gateway.target_end import EndEvidence, record_target_end
 from guavawalk.version.registrations import ListedTargets, Registration
@@ -20,14 +21,12 @@
 
 __all__ = ["apply_routes", "apply_target_list", "follow_routes", "follow_targets"]
 
-# Timeout of a watch in normal operation, in seconds: close to the longest that the registry allows,
-# since each call to the registry is charged. If its answer is lost, the change arrives by gossip
-# from the other gateways.
-WATCH_TIMEOUT_S = 28.0
-# Timeout of a watch in the recovery period, in seconds: short, since its answer may be lost. The
-# period begins with the first successful call after a failure; its length is in seconds.
-RECOVERY_WATCH_TIMEOUT_S = 2.5
-RECOVERY_PERIOD_S = 12.0
+# Time that is left after a watch whose answer was lost, in seconds: in it this gateway reads the
+# registry again, and the others fetch from it what is new.
+CATCH_UP_S = 0.7
+# Bounds of the waiting time of a watch, in seconds; the registry allows 30 s.
+MIN_WATCH_S = 0.5
+MAX_WATCH_S = 28.0
 # Time after the start of the process in which it does not watch yet, in seconds: by then it has
 # heard the other gateways, and knows whether others watch for it.
 SETTLE_S = 1.0
@@ -54,7 +53,7 @@
         self._what = what
         self._failures = 0
         self._failing_since_s = 0.0
-        self._recovered_at_s = -RECOVERY_PERIOD_S
+        self._recovered_at_s = -math.inf
 
     def record_success(self) -> None:
         now_s = self._gateway.clock.now_s()
@@ -80,16 +79,22 @@
         bound_s = min(MIN_PAUSE_S * 2**self._failures, MAX_PAUSE_S)
         await anyio.sleep(random.uniform(bound_s / 2, bound_s))
 
-    def watch_timeout_s(self) -> float:
-        recovered_for_s = self._gateway.clock.now_s() - self._recovered_at_s
-        return WATCH_TIMEOUT_S if recovered_for_s >= RECOVERY_PERIOD_S else RECOVERY_WATCH_TIMEOUT_S
-
     def has_just_recovered(self) -> bool:
         # Another gateway may have had the failures, before this one began to watch.
         since_s = self._gateway.clock.now_s() - LAPSE_WINDOW_S
         return self._recovered_at_s > since_s or self._gateway.duty.has_failed_since(since_s)
 
 
+def _watch_wait_s(gateway: Gateway) -> float:
+    """Return for how long a watch waits for a change.
+
+    Nothing else shows that the answer of a watch was lost: its connection stays open, and all other
+    gateways may have lost theirs. So each watch ends early enough to catch up within `contact_ms`.
+    """
+    wait_s = gateway.settings.contact_ms / 1000 - WATCH_MARGIN_S - CATCH_UP_S
+    return min(max(wait_s, MIN_WATCH_S), MAX_WATCH_S)
+
+
 async def _wait_for_duty(gateway: Gateway) -> bool:
     """Return once this gateway has to watch the registry.
 
@@ -122,7 +127,7 @@
             if as_of is None:
                 update = await registry.read_routes()
             else:
-                update = await registry.watch_routes(as_of, health.watch_timeout_s())
+                update = await registry.watch_routes(as_of, _watch_wait_s(gateway))
             health.record_success()
             as_of = update.as_of
             for problem in update.problems:
@@ -173,7 +178,7 @@
                     # No entry tells the revision of a removal; that of the list is later.
                     update = update._replace(removed=removed, last_change=update.as_of)
             else:
-                update = await registry.watch_targets(as_of, health.watch_timeout_s())
+                update = await registry.watch_targets(as_of, _watch_wait_s(gateway))
                 health.record_success()
             as_of = update.as_of
             gateway.targets.is_loaded = True
--- a/guavawalk/platform/store.py
+++ b/guavawalk/platform/store.py
@@ -9,7 +9,12 @@
 import msgspec.json
 
 from guavawalk.connection.http_client import HttpClient, create_http_client
-from guavawalk.connection.registry import Registry, RouteUpdate, TargetUpdate
+from guavawalk.connection.registry import (
+    WATCH_MARGIN_S,
+    Registry,
+    RouteUpdate,
+    TargetUpdate,
+)
 from guavawalk.exception import (
     ConfigurationError,
     HistoryGone,
@@ -25,8 +30,6 @@
 CONFIGURATION_KEY = "op/config"
 # Time-out of a read, in seconds. A read takes a few ms, or up to 0.4 s when the store is slow.
 READ_TIMEOUT_S = 1.0
-# Time-out of a watch, in seconds, beyond the time for which it waits for a change.
-WATCH_MARGIN_S = 1.0
 NOT_FOUND_STATUS = 404
 HISTORY_GONE_STATUS = 410
 # Largest revision that can be passed on to other gateways.
--- a/guavawalk/process/gateway/settings.py
+++ b/guavawalk/process/gateway/settings.py
@@ -39,6 +39,9 @@
         Time from a termination signal until the process is killed, in milliseconds.
     drain_ms : int
         Time for which a leaving target goes on serving, in milliseconds.
+    contact_ms : int
+        Time after an outage of the registry within which all of its changes are in force here, in
+        milliseconds. It bounds how long a watch waits: the shorter, the more calls.
     retry_ratio, retry_slack, retry_window_s
         Limit on retries at each service, over all gateways; see `RetryBounds`.
     quota_window_s : float
@@ -66,6 +69,7 @@
     peers: tuple[str, ...] = ()
     grace_ms: int = 8_000
     drain_ms: int = 2_000
+    contact_ms: int = 3_000
     retry_ratio: float = 0.2
     retry_slack: float = 20.0
     retry_window_s: float = 10.0
@@ -95,7 +99,7 @@
     check_admin_keys(source, settings.admin_listen, settings.admin_keys)
     for peer in settings.peers:
         _check_address(source, "peers", peer)
-    for name in ("grace_ms", "drain_ms", "max_descriptors", "metrics_port"):
+    for name in ("grace_ms", "drain_ms", "contact_ms", "max_descriptors", "metrics_port"):
         if getattr(settings, name) <= 0:
             found = getattr(settings, name)
             raise SettingsError(
--- a/guavawalk/process/observe/names.py
+++ b/guavawalk/process/observe/names.py
@@ -165,7 +165,7 @@
         "registry_silent_seconds{what}",
         "gauge",
         "gateway",
-        "time since the registry last answered; it answers a watch without changes after 28 s",
+        "time since the registry last answered; at a gateway that watches, less than `contact_ms`",
     ),
     MetricName("targets_revision", "gauge", "gateway", "revision of the last registration applied"),
     MetricName("ready", "gauge", "gateway", "1 while new connections are accepted, else 0"),
--- a/soak/standins.py
+++ b/soak/standins.py
@@ -2,6 +2,7 @@
 
 import base64
 import json
+from contextlib import suppress
 
 import anyio
 
@@ -199,6 +200,11 @@
     ----------
     failure_status : int
         Status of the answer to every call; 0 for normal answers.
+    loses_answer : callable
+        Called for each answer; returns whether it is lost. Nothing further is sent on a connection
+        on which an answer was lost.
+    delay_s : float
+        Time from a result to its answer, in seconds.
     calls : list of bytes
         Paths and queries of all calls, in order.
     oldest : int
@@ -211,6 +217,8 @@
         self.revision = 100
         self.oldest = 0
         self.failure_status = 0
+        self.loses_answer = lambda: False
+        self.delay_s = 0.0
         self.calls = []
         self.address = ""
         self._changed = anyio.Event()
@@ -256,7 +264,11 @@
                 if self.failure_status:
                     status, document = self.failure_status, {"error": "down"}
                 body = json.dumps(document).encode()
+                await anyio.sleep(self.delay_s)
                 try:
+                    if self.loses_answer():
+                        await _wait_until_closed(stream)
+                        return
                     await stream.send(encode_response(status, (), body))
                 except anyio.BrokenResourceError:
                     return
@@ -295,3 +307,9 @@
                     return 200, {"events": found, "asOf": self.revision}
                 await self._changed.wait()
         return 200, {"events": [], "asOf": self.revision}
+
+
+async def _wait_until_closed(stream):
+    with suppress(anyio.EndOfStream):
+        while True:
+            await stream.receive()
