A gateway reads from a connection only what it asks for

Another operator's report: a server sent bytes that were no answer without end; the machine that had called it kept them all and ran out of memory, and the requests of its other clients ended with it. It could happen here, though heads, events and bodies had limits: those count what has been taken from the stream.

Cause: anyio's stream pauses its transport only when `receive` has had to wait. While its queue holds bytes, its transport goes on reading. An endless sender keeps the queue full, so the queue grew by all that the link delivered until the limits closed the connection.

Change: TcpStream and TcpListener wait until their socket can be read, then read at most what is asked for; the rest stays in the kernel, and the sender waits. There is no point of cancellation between the read and its return, so a cancelled receive loses nothing.

The test of the readiness page patched anyio's listener, which is no longer used. It now blocks the process while the slow listener opens; what it asserts is unchanged.

--- a/guavawalk/connection/__init__.py
+++ b/guavawalk/connection/__init__.py
@@ -68,6 +68,7 @@
     "registry": ["WATCH_MARGIN_S", "Registry", "RouteUpdate", "TargetUpdate"],
     "request_reader": ["ReceivedRequest", "RequestReader"],
     "response_reader": ["BodyFraming", "ResponseHead", "ResponseReader"],
+    "socket_stream": ["TcpListener", "TcpStream", "create_listener", "create_stream"],
     "streams": [
         "CONNECT_TIMEOUT_S",
         "STREAM_ERRORS",
--- a/guavawalk/connection/streams.py
+++ b/guavawalk/connection/streams.py
@@ -9,9 +9,10 @@
 from contextlib import suppress
 
 import anyio
-from anyio.abc import ByteStream, Listener, SocketAttribute, SocketStream
+from anyio.abc import ByteStream, Listener, SocketAttribute
 
 from guavawalk.connection.address import split_address
+from guavawalk.connection.socket_stream import create_stream
 from guavawalk.exception import TargetConnectError
 
 __all__ = [
@@ -71,11 +72,10 @@
         raise TargetConnectError(f"{address:.80}: {error}") from error
     try:
         await _connect(raw, host, port, timeout_s)
-        stream = await SocketStream.from_socket(raw)
+        stream = create_stream(raw)
         enable_dead_peer_detection(stream)
     except (OSError, TimeoutError, ValueError, OverflowError) as error:
-        # `from_socket` raises ValueError if the peer has already reset the connection; a port out
-        # of range raises OverflowError.
+        # A port out of range raises OverflowError.
         raw.close()
         is_refused = isinstance(error, ConnectionRefusedError)
         raise TargetConnectError(f"{address}: {type(error).__name__}", is_refused) from error
@@ -117,7 +117,7 @@
     return _polls(raw, select.POLLIN)
 
 
-def ignore_new_connections(listener: Listener[SocketStream]) -> None:
+def ignore_new_connections(listener: Listener[ByteStream]) -> None:
     """Have the kernel accept no more connections for a listener that is about to be closed.
 
     To close a listener resets the connections that the kernel has accepted and this process has
--- a/guavawalk/process/gateway_daemon.py
+++ b/guavawalk/process/gateway_daemon.py
@@ -12,10 +12,11 @@
 from pathlib import Path
 
 import anyio
-from anyio.abc import ByteStream, Listener, SocketAttribute, SocketStream
+from anyio.abc import ByteStream, SocketAttribute
 
 from guavawalk import events
 from guavawalk.connection.address import split_address
+from guavawalk.connection.socket_stream import TcpListener, create_listener
 from guavawalk.connection.streams import has_input, ignore_new_connections
 from guavawalk.connection.tasks.crash_news import send_crash_news, send_part_news
 from guavawalk.connection.tasks.follow_registry import follow_routes, follow_targets
@@ -78,7 +79,7 @@
     registry = create_store(settings.registry)
     host, port = split_address(settings.peer_listen)
     socket = await anyio.create_udp_socket(local_host=host, local_port=port)
-    callers_listener = await _listen(settings.listen)
+    callers_listener = _listen(settings.listen)
     permanent_tasks = {
         "log": partial(log.write, STDOUT),
         "routes": partial(follow_routes, gateway, registry),
@@ -98,9 +99,7 @@
         settings.peer_listen: peer_pages(gateway),
         settings.readiness_listen: readiness_pages(gateway),
     }
-    page_listeners = [
-        (await _listen(address), pages) for address, pages in pages_by_address.items()
-    ]
+    page_listeners = [(_listen(address), pages) for address, pages in pages_by_address.items()]
     with _receive_stop_signals() as signals:
         async with anyio.create_task_group() as tasks:
             for name, task in permanent_tasks.items():
@@ -131,14 +130,12 @@
     return read_gateway_settings(path)
 
 
-async def _listen(address: str) -> Listener[SocketStream]:
+def _listen(address: str) -> TcpListener:
     host, port = split_address(address)
-    return await anyio.create_tcp_listener(
-        local_host=host, local_port=port, backlog=BACKLOG, reuse_port=False
-    )
+    return create_listener(host, port, BACKLOG)
 
 
-async def _serve_callers(gateway: Gateway, listener: Listener[SocketStream]) -> None:
+async def _serve_callers(gateway: Gateway, listener: TcpListener) -> None:
     host, _ = split_address(gateway.settings.listen)
     gateway.log.emit(
         events.PROCESS_READY, address=f"{host}:{listener.extra(SocketAttribute.local_port)}"
@@ -236,7 +233,7 @@
     signal.pthread_sigmask(signal.SIG_UNBLOCK, ignored)
 
 
-async def _drain(gateway: Gateway, listener: Listener[SocketStream]) -> int:
+async def _drain(gateway: Gateway, listener: TcpListener) -> int:
     """End all calls before the platform kills the process.
 
     Parameters
@@ -273,7 +270,7 @@
     return left
 
 
-async def _answer_last_requests(gateway: Gateway, listener: Listener[SocketStream]) -> None:
+async def _answer_last_requests(gateway: Gateway, listener: TcpListener) -> None:
     """Answer the requests that are arriving as not run, then stop accepting connections.
 
     Callers may send new ones all the time, so the listener closes after `LAST_REQUESTS_S` at the
@@ -290,7 +287,7 @@
         await _stop_accepting(gateway, listener)
 
 
-async def _stop_accepting(gateway: Gateway, listener: Listener[SocketStream]) -> None:
+async def _stop_accepting(gateway: Gateway, listener: TcpListener) -> None:
     """Close the listener, and wait until the requests of the open connections are answered.
 
     The listener closes at a moment at which the kernel holds no connection to accept.
--- a/tests/process/test_gateway_daemon.py
+++ b/tests/process/test_gateway_daemon.py
@@ -6,6 +6,7 @@
 import subprocess
 import sys
 import threading
+import time
 from datetime import datetime
 
 import anyio
@@ -18,7 +19,9 @@
     encode_response,
     encode_response_head,
 )
+from guavawalk.connection.socket_stream import create_listener
 from guavawalk.exception import TargetError, TargetLost
+from guavawalk.process import gateway_daemon
 from guavawalk.process.admin.client import create_admin_client
 from guavawalk.process.gateway_daemon import run_gateway
 from soak.fleet import free_ports
@@ -171,12 +174,11 @@
     ):
         callers, readiness, peers, metrics = free_ports(4)
         slow_port = (callers, peers, metrics)[slow]
-        open_listener = anyio.create_tcp_listener
 
-        async def open_slowly(*, local_port, **options):
-            if local_port == slow_port:
-                await anyio.sleep(0.3)
-            return await open_listener(local_port=local_port, **options)
+        def open_slowly(host, port, backlog):
+            if port == slow_port:
+                time.sleep(0.3)
+            return create_listener(host, port, backlog)
 
         async def scenario():
             path = tmp_path / "settings.json"
@@ -194,7 +196,7 @@
                     await (await anyio.connect_tcp("127.0.0.1", port)).aclose()
                 tasks.cancel_scope.cancel()
 
-        monkeypatch.setattr(anyio, "create_tcp_listener", open_slowly)
+        monkeypatch.setattr(gateway_daemon, "create_listener", open_slowly)
         run_with_timeout(scenario)
 
 
