Links that are accepted read only what their handler receives

The test sends 32 MB to a handler that receives nothing: before, all of it was taken; now the sender waits. Connections that sidecars open to engines start paused and are not affected, which a second test holds.

--- a/guavawalk/connection/tcp.py
+++ b/guavawalk/connection/tcp.py
@@ -14,6 +14,7 @@
 from guavawalk.connection.codec import MAX_FRAME_BYTES, decode_message, encode_message
 from guavawalk.connection.link import Link, LinkHandler, Network
 from guavawalk.connection.messages import Hello, Message
+from guavawalk.connection.socket_stream import create_listener
 from guavawalk.connection.streams import has_input
 from guavawalk.exception import LinkBroken, LinkRefused
 
@@ -21,6 +22,8 @@
 
 # Longest time to open a link, TLS handshake included, in seconds.
 CONNECT_TIMEOUT_S = 0.5
+# Connections that the kernel holds until they are accepted.
+BACKLOG = 1024
 # Age of unacknowledged bytes, in milliseconds, at which the kernel breaks a link.
 UNACKNOWLEDGED_LIMIT_MS = 30_000
 _LENGTH = struct.Struct(">I")
@@ -114,7 +117,7 @@
     ) -> None:
         """Listen at an address and run `handler` in a task for each link."""
         host, port = split_address(address)
-        listener = await anyio.create_tcp_listener(local_host=host, local_port=port)
+        listener = create_listener(host, port, BACKLOG)
         bound_port = listener.extra(SocketAttribute.local_port)
         link_listener = TLSListener(listener, self._server_tls) if self._server_tls else listener
 
--- a/tests/connection/test_endless_answers.py
+++ b/tests/connection/test_endless_answers.py
@@ -10,6 +10,7 @@
 
 from guavawalk.connection.http_client import create_http_client
 from guavawalk.connection.http_encoding import encode_chunk, encode_response_head
+from guavawalk.connection.http_stream import create_untimed_backend
 from guavawalk.connection.http_target import create_http_engine, create_http_service
 from guavawalk.connection.tasks.serve_probe import PageAnswer, serve_pages
 from guavawalk.exception import TargetError, TargetLost
@@ -245,6 +246,28 @@
 
 
 class TestSidecar:
+    def test_bytes_that_nobody_asks_for_are_not_read(self):
+        async def scenario():
+            sent = 0
+
+            async def send_from_the_start(stream):
+                nonlocal sent
+                while True:
+                    await stream.send(BLOCK_BYTES * b"x")
+                    sent += BLOCK_BYTES
+
+            listener, address = await listen(send_from_the_start)
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(listener.serve, send_from_the_start)
+                host, port = address.split(":")
+                stream = await create_untimed_backend().connect_tcp(host, int(port))
+                await anyio.sleep(0.5)
+                assert 0 < sent < MAX_SENT_BYTES
+                tasks.cancel_scope.cancel()
+                await stream.aclose()
+
+        run_with_timeout(scenario)
+
     @pytest.mark.parametrize("create_client", [create_http_engine, create_http_service])
     @pytest.mark.parametrize("name", HEADS)
     def test_head_without_end_raises(self, create_client, name):
--- a/tests/connection/test_tcp.py
+++ b/tests/connection/test_tcp.py
@@ -4,6 +4,9 @@
 
 from guavawalk.connection.tcp import create_tcp_network
 
+# More than the kernel holds for one connection.
+MAX_SENT_BYTES = 32 * 1024 * 1024
+
 
 class TestIsOpen:
     def test_close_by_the_other_end_is_seen_without_receiving(self):
@@ -28,3 +31,25 @@
             return was_open
 
         assert anyio.run(scenario)
+
+
+class TestAcceptedLink:
+    def test_bytes_that_its_handler_does_not_receive_are_not_read(self):
+        async def scenario():
+            async def handler(link):
+                await anyio.sleep_forever()
+
+            sent = 0
+            network = create_tcp_network(lambda: 0)
+            async with anyio.create_task_group() as tasks:
+                address = await tasks.start(network.serve, "127.0.0.1:0", handler)
+                host, port = address.split(":")
+                async with await anyio.connect_tcp(host, int(port)) as stream:
+                    with anyio.move_on_after(1.0):
+                        while sent < MAX_SENT_BYTES:
+                            await stream.send(bytes(65_536))
+                            sent += 65_536
+                tasks.cancel_scope.cancel()
+            return sent
+
+        assert anyio.run(scenario) < MAX_SENT_BYTES
