Answers without end do not fail the small answers of other calls

Found from reading, beside the report of bytes without end: all buffered answers together are limited to 32 MB, and past it the next part of any answer failed its call. Eight bodies without end use that up; a payment whose target had answered at that moment got 502.

Change: an answer of up to 64 KiB is buffered all the same, so only the large ones fail.

--- a/guavawalk/process/gateway/buffers.py
+++ b/guavawalk/process/gateway/buffers.py
@@ -12,6 +12,9 @@
 # Most bytes of all buffered answers of a process: a share of the memory of the smallest machines
 # that leaves room for the process itself.
 MAX_TOTAL_BYTES = 32 * 1024 * 1024
+# Size up to which an answer may be buffered although all together are over their limit, in bytes:
+# targets that send without end use up the limit, and must not fail the small answers of others.
+SMALL_ANSWER_BYTES = 64 * 1024
 
 
 class BufferedAnswer:
@@ -27,13 +30,14 @@
         Raises
         ------
         AnswerOverLimit
-            If the answer is over `MAX_ANSWER_BYTES`, or all answers are over `MAX_TOTAL_BYTES`.
+            If the answer is over `MAX_ANSWER_BYTES`, or it is over `SMALL_ANSWER_BYTES` and all
+            answers are over `MAX_TOTAL_BYTES`.
         """
         self._body += part
         self._budget.used_bytes += len(part)
         if len(self._body) > MAX_ANSWER_BYTES:
             raise AnswerOverLimit(f"the body of the answer is over {MAX_ANSWER_BYTES} bytes")
-        if self._budget.used_bytes > MAX_TOTAL_BYTES:
+        if self._budget.used_bytes > MAX_TOTAL_BYTES and len(self._body) > SMALL_ANSWER_BYTES:
             raise AnswerOverLimit(f"all buffered answers are over {MAX_TOTAL_BYTES} bytes")
 
     def __len__(self) -> int:
