--- a/guavawalk/connection/__init__.py
+++ b/guavawalk/connection/__init__.py
@@ -65,8 +65,8 @@
     ],
     "version_reporting": ["create_version_reporting_network"],
     "platform": [
-        "TIMEOUT_S",
-        "WATCH_MARGIN_S",
+        "CALL_TIMEOUT_S",
+        "LONG_POLL_MARGIN_S",
         "Instance",
         "Platform",
         "PublishedValue",
--- a/guavawalk/connection/platform.py
+++ b/guavawalk/connection/platform.py
@@ -8,8 +8,8 @@
 from guavawalk.exception import PlatformUnavailable
 
 __all__ = [
-    "TIMEOUT_S",
-    "WATCH_MARGIN_S",
+    "CALL_TIMEOUT_S",
+    "LONG_POLL_MARGIN_S",
     "Instance",
     "Platform",
     "PublishedValue",
@@ -18,10 +18,10 @@
 
 # Longest time for each step of a request, in seconds: to get a pooled connection, connect, write
 # and read.
-TIMEOUT_S = 3.0
+CALL_TIMEOUT_S = 3.0
 # Time after the end of a watch's waiting time within which its answer arrives, in seconds; after it
 # the answer counts as lost.
-WATCH_MARGIN_S = 1.0
+LONG_POLL_MARGIN_S = 1.0
 NOT_FOUND_STATUS = 404
 
 
@@ -83,16 +83,16 @@
 
     async def read(self, key: str) -> PublishedValue | None:
         """Fetch a value."""
-        return await self._fetch_value(f"/v1/config/{key}", TIMEOUT_S)
+        return await self._fetch_value(f"/v1/config/{key}", CALL_TIMEOUT_S)
 
     async def watch(self, key: str, after_revision: int, wait_s: float) -> PublishedValue | None:
         """Wait for a newer revision by a long poll."""
         query = f"after={after_revision}&wait_ms={int(wait_s * 1000)}"
-        return await self._fetch_value(f"/v1/config/{key}?{query}", wait_s + WATCH_MARGIN_S)
+        return await self._fetch_value(f"/v1/config/{key}?{query}", wait_s + LONG_POLL_MARGIN_S)
 
     async def instances(self) -> tuple[Instance, ...]:
         """Fetch the instance list."""
-        status, _, content = await self._get("/v1/instances", TIMEOUT_S)
+        status, _, content = await self._get("/v1/instances", CALL_TIMEOUT_S)
         if status != 200:
             raise PlatformUnavailable(f"instances: HTTP {status}")
         try:
@@ -113,7 +113,12 @@
             raise PlatformUnavailable(f"{path}: x-revision is missing or not an integer") from error
 
     async def _get(self, path: str, timeout_s: float) -> tuple[int, dict[bytes, bytes], bytes]:
-        timeout = {"connect": TIMEOUT_S, "read": timeout_s, "write": TIMEOUT_S, "pool": TIMEOUT_S}
+        timeout = {
+            "connect": CALL_TIMEOUT_S,
+            "read": timeout_s,
+            "write": CALL_TIMEOUT_S,
+            "pool": CALL_TIMEOUT_S,
+        }
         try:
             response = await self._pool.request(
                 "GET", self._url + path, extensions={"timeout": timeout}
--- a/guavawalk/connection/request_reader.py
+++ b/guavawalk/connection/request_reader.py
@@ -153,8 +153,7 @@
 
         Notes
         -----
-        Bytes that the event loop has read for a wait that was cancelled are in the stream's queue,
-        of which nothing but a further read tells.
+        Of bytes that a stream has read ahead, unlike `TcpStream`, nothing but a further read tells.
         """
         with anyio.move_on_after(LAST_READ_S):
             if not self.is_receiving():
--- a/guavawalk/tools/standins/memory_targets.py
+++ b/guavawalk/tools/standins/memory_targets.py
@@ -6,8 +6,8 @@
 import anyio
 
 from guavawalk.connection.platform import (
-    TIMEOUT_S,
-    WATCH_MARGIN_S,
+    CALL_TIMEOUT_S,
+    LONG_POLL_MARGIN_S,
     Instance,
     PublishedValue,
 )
@@ -221,7 +221,7 @@
         """
         await self._count_read()
         found = self.state.read(key)
-        await self._check_answer(TIMEOUT_S)
+        await self._check_answer(CALL_TIMEOUT_S)
         return PublishedValue(*found) if found else None
 
     async def watch(self, key: str, after_revision: int, wait_s: float) -> PublishedValue | None:
@@ -233,7 +233,7 @@
             If the platform is down, before or after the wait.
         """
         await self._count_read()
-        lost_at_s = anyio.current_time() + wait_s + WATCH_MARGIN_S
+        lost_at_s = anyio.current_time() + wait_s + LONG_POLL_MARGIN_S
         found = await self.state.wait(key, after_revision, wait_s)
         await self._gate()
         await self._check_answer(lost_at_s - anyio.current_time())
