--- a/review/stage_2.py
+++ b/review/stage_2.py
@@ -46,14 +46,14 @@
     "drain_ms": 2000,
     "contact_ms": 3000,
     "retry_ratio": 0.2,
-    "retry_slack": 54,
+    "retry_slack": 56,
     "retry_window_s": 10,
     "quota_window_s": 8,
     "max_memory_mb": 300,
     "cpu_share": 0.817,
     "core_speed": 1,
     "link_mbps": 1000.0,
-    "max_descriptors": 4200,
+    "max_descriptors": 4100,
 }
 
 
@@ -141,6 +141,8 @@
         self.revision = 100
         self.port = 0
         self._changed = asyncio.Event()
+        # When each link, by the port it comes from, last called the store.
+        self.watched_s: dict[int, float] = {}
 
     async def start(self) -> None:
         """Listen on a free port."""
@@ -179,6 +181,8 @@
         with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
             while (head := await read_head(reader)) is not None:
                 path, _, query = head[0].split(" ")[1].partition("?")
+                if path == "/kv-watch":
+                    self.watched_s[writer.get_extra_info("peername")[1]] = time.monotonic()
                 options = dict(part.split("=", 1) for part in query.split("&") if part)
                 document = await self._answer(path, options)
                 await asyncio.sleep(0.004)
@@ -244,6 +248,8 @@
         self._target_port = port
         self.cut = Cut()
         self.port = 0
+        # Ports from which its connections go on.
+        self.far_ports: set[int] = set()
 
     async def start(self) -> None:
         """Listen on a free port."""
@@ -257,6 +263,7 @@
         except OSError:
             writer.transport.abort()
             return
+        self.far_ports.add(far_writer.get_extra_info("sockname")[1])
         await asyncio.gather(self._copy(reader, far_writer), self._copy(far_reader, writer))
 
     async def _pass(self) -> None:
