Let new connections wait until others have closed in their favour

Beside callers that send large bodies, leave and connect again, ordinary callers found their new connections closed unread. What a caller that has left had sent is still held by the kernel, and hides that it left; such connections waited for room for up to 4 s and counted, but gave way to no new one. Only idle ones and those without progress did, and often a connection accepted just before counted as idle.

64 callers that send chunks of 64 KiB or of one byte, leave and connect again: an ordinary call failed with a closed connection before this change, in both tests.

Requests that wait for room or for their turn now give way too, and the kernel holds new connections meanwhile, so that callers which connect again wait for their own earlier connections.

--- a/guavawalk/connection/socket_stream.py
+++ b/guavawalk/connection/socket_stream.py
@@ -145,13 +145,17 @@
         while True:
             task_group.start_soon(handler, await self.accept())
 
+    async def wait_connection(self) -> None:
+        """Wait until a connection can be accepted. Raises as `serve` does."""
+        if self._raw.fileno() < 0:
+            raise anyio.ClosedResourceError
+        await anyio.wait_readable(self._raw)
+
     async def accept(self) -> TcpStream:
         """Return the next connection; a cancelled call has taken none. Raises as `serve` does."""
         while True:
-            if self._raw.fileno() < 0:
-                raise anyio.ClosedResourceError
+            await self.wait_connection()
             try:
-                await anyio.wait_readable(self._raw)
                 raw, _ = self._raw.accept()
             except (BlockingIOError, ConnectionAbortedError):
                 continue
--- a/guavawalk/connection/tasks/serve_caller.py
+++ b/guavawalk/connection/tasks/serve_caller.py
@@ -35,7 +35,7 @@
 # seconds; then the connection is closed. Closing it with unread bytes would reset it, and the
 # caller could lose the answer.
 LINGER_S = 0.5
-LINGER_CHUNK_BYTES = 65_536
+LINGER_CHUNK_BYTES = 262_144
 # Most bytes that are read in that time: a few bodies of the usual limit.
 LINGER_BYTES = 16 * 1024 * 1024
 # Time after which a caller may retry a request for which there was no room, in seconds.
--- a/guavawalk/process/gateway/callers.py
+++ b/guavawalk/process/gateway/callers.py
@@ -17,9 +17,8 @@
 IDLE_END_DELAY_S = 0.001
 # File descriptors reserved for the registry, peers, HTTP pages and files.
 RESERVED_DESCRIPTORS = 220
-# Connections beyond the limit that are accepted while others close in their favour, as a divisor
-# of the limit.
-SPARE_DIVISOR = 16
+# Time after which a connection without a request is idle rather than new, in seconds.
+MIN_IDLE_S = 0.25
 
 
 class CallerTracker:
@@ -48,7 +47,8 @@
         self.calls = 0
         self._streams: set[ByteStream] = set()
         self._forwarding: set[anyio.CancelScope] = set()
-        self._idle: dict[anyio.CancelScope, Callable[[], bool]] = {}
+        # By the scope of the wait: whether something has arrived, and when the wait began.
+        self._idle: dict[anyio.CancelScope, tuple[Callable[[], bool], float]] = {}
         self._changed = anyio.Event()
 
     @property
@@ -95,7 +95,7 @@
             Returns whether a part of a request has arrived, read or not.
         """
         scope = anyio.CancelScope()
-        self._idle[scope] = has_arrived
+        self._idle[scope] = (has_arrived, anyio.current_time())
         try:
             with scope:
                 yield
@@ -118,17 +118,26 @@
         """
         closed = 0
         ends_at_s = anyio.current_time() + IDLE_END_DELAY_S
-        for scope, has_arrived in self._idle.items():
+        for scope, (has_arrived, _) in self._idle.items():
             if not has_arrived():
                 scope.deadline = ends_at_s
                 closed += 1
         return closed
 
-    def close_longest_idle(self) -> bool:
-        """End the longest wait for a request of which nothing has arrived, if there is one."""
-        for scope, has_arrived in self._idle.items():
+    def close_longest_idle(self, min_idle_s: float = 0.0) -> bool:
+        """End the longest wait for a request of which nothing has arrived, if there is one.
+
+        Parameters
+        ----------
+        min_idle_s : float
+            Shortest time, in seconds, for which it has lasted.
+        """
+        now_s = anyio.current_time()
+        for scope, (has_arrived, began_s) in self._idle.items():
+            if now_s - began_s < min_idle_s:
+                break
             if scope.deadline == math.inf and not has_arrived():
-                scope.deadline = anyio.current_time() + IDLE_END_DELAY_S
+                scope.deadline = now_s + IDLE_END_DELAY_S
                 return True
         return False
 
@@ -142,6 +151,10 @@
         while self.connections:
             await self._changed.wait()
 
+    async def wait_connection_closed(self) -> None:
+        """Wait until a connection closes or a call ends."""
+        await self._changed.wait()
+
     async def reset_connections(self) -> None:
         """Close the open connections at once; answers that callers are slow to read are lost."""
         for stream in tuple(self._streams):
--- a/guavawalk/process/gateway/input_budget.py
+++ b/guavawalk/process/gateway/input_budget.py
@@ -152,6 +152,8 @@
         Bytes that count now.
     refused : int
         Requests refused to make room since the start.
+    refused_open : int
+        Connections that are open though their request was refused.
     is_closing : bool
         Whether no more room is given, since the process shuts down.
     """
@@ -159,7 +161,7 @@
     def __init__(self, total_bytes: int) -> None:
         self.total_bytes = total_bytes
         self.used_bytes = 0
-        self.refused = 0
+        self.refused = self.refused_open = 0
         self.is_closing = False
         self._large_bytes = int(total_bytes * (1 - RESERVE_SHARE))
         self._charges: set[InputCharge] = set()
@@ -180,6 +182,7 @@
             yield charge
         finally:
             self._charges.remove(charge)
+            self.refused_open -= charge.is_refused
             self._waiting.discard(charge)
             self._release(charge.counted_bytes)
 
@@ -263,12 +266,20 @@
             ]
             self._refuse(max(partial or overdue, key=_size_order))
 
-    def refuse_stalled(self, now_s: float) -> bool:
-        """Refuse the largest request without progress; return whether there was one."""
+    def refuse_inactive(self, now_s: float) -> bool:
+        """Refuse the largest request without progress, else the largest that waits for room.
+
+        Returns
+        -------
+        bool
+            Whether there was one.
+        """
         stalled = self._stalled(now_s)
-        if stalled:
-            self._refuse(stalled[0])
-        return bool(stalled)
+        largest = stalled[0] if stalled else max(self._waiting, key=_size_order, default=None)
+        if largest is None:
+            return False
+        self._refuse(largest)
+        return True
 
     def close(self) -> None:
         """Refuse all requests that wait for room, now and later."""
@@ -300,6 +311,7 @@
         if charge.is_refused:
             return
         self.refused += 1
+        self.refused_open += 1
         self._waiting.discard(charge)
         charge.refuse()
 
--- a/guavawalk/process/gateway_daemon.py
+++ b/guavawalk/process/gateway_daemon.py
@@ -12,24 +12,23 @@
 from pathlib import Path
 
 import anyio
-from anyio.abc import ByteStream, SocketAttribute
+from anyio.abc import SocketAttribute
 
 from guavawalk import events
 from guavawalk.connection.address import split_address
 from guavawalk.connection.socket_stream import TcpListener, create_listener
 from guavawalk.connection.streams import has_input, ignore_new_connections
+from guavawalk.connection.tasks.accept_callers import accept_callers
 from guavawalk.connection.tasks.crash_news import send_crash_news, send_part_news
 from guavawalk.connection.tasks.follow_registry import follow_routes, follow_targets
 from guavawalk.connection.tasks.gossip import receive_reports, send_reports
 from guavawalk.connection.tasks.registry_news import expire_evacuations
-from guavawalk.connection.tasks.serve_caller import serve_caller
 from guavawalk.connection.tasks.serve_probe import create_page_connections, serve_pages
 from guavawalk.exception import SettingsError
 from guavawalk.platform.settings import settings_path
 from guavawalk.platform.store import create_store
 from guavawalk.process.clock import create_clock
 from guavawalk.process.event_loop import run_tasks
-from guavawalk.process.gateway.callers import SPARE_DIVISOR, max_caller_connections
 from guavawalk.process.gateway.pages import metric_pages, peer_pages, readiness_pages
 from guavawalk.process.gateway.settings import GatewaySettings, read_gateway_settings
 from guavawalk.process.gateway.state import Gateway, create_gateway
@@ -141,34 +140,7 @@
     gateway.log.emit(
         events.PROCESS_READY, address=f"{host}:{listener.extra(SocketAttribute.local_port)}"
     )
-
-    max_callers = max_caller_connections(gateway.settings.max_descriptors)
-
-    async def serve(stream: ByteStream) -> None:
-        if not _has_room_for_connection(gateway, max_callers):
-            gateway.metrics.count("callers_turned_away_total")
-            gateway.log.emit(events.CALLER_TURNED_AWAY, connections=gateway.callers.connections)
-            await anyio.aclose_forcefully(stream)
-            return
-        await serve_caller(gateway, stream)
-
-    await serve_guarded(gateway.log, "caller", listener, serve)
-
-
-def _has_room_for_connection(gateway: Gateway, max_callers: int) -> bool:
-    """Return whether a new connection is served; another one may be closed in its favour.
-
-    Closed are the connection that has waited longest without a request, or else one whose request
-    makes no progress. It closes shortly after.
-    """
-    beyond = gateway.callers.connections - max_callers
-    if beyond < 0:
-        return True
-    if beyond > max_callers // SPARE_DIVISOR:
-        return False
-    return gateway.callers.close_longest_idle() or gateway.input.refuse_stalled(
-        anyio.current_time()
-    )
+    await accept_callers(gateway, listener)
 
 
 async def _serve_admin(gateway: Gateway, incarnation: int) -> None:
--- a/tests/connection/tasks/test_input_limits.py
+++ b/tests/connection/tasks/test_input_limits.py
@@ -302,6 +302,6 @@
         with budget.connection() as charge:
             charge.update(0, 1000, 0.0)
             charge.set_awaited(False, 0.0)
-            assert not budget.refuse_stalled(100.0)
+            assert not budget.refuse_inactive(100.0)
             charge.set_awaited(True, 100.0)
-            assert not budget.refuse_stalled(100.0)
+            assert not budget.refuse_inactive(100.0)
--- a/tests/process/gateway/test_input_budget.py
+++ b/tests/process/gateway/test_input_budget.py
@@ -179,6 +179,16 @@
         budget.relieve(ROOM_WAIT_S + CHECK_EVERY_S)
         assert budget.refused == 1
 
+    def test_request_that_waits_gives_way_if_no_other_is_stalled(self, budget, connect):
+        holder, small, large = connect(), connect(), connect()
+        send(holder, 1000, expected=6 * MIB)
+        send(small, 1000, expected=MIB)
+        send(large, 1000, expected=3 * MIB)
+        assert budget.refuse_inactive(0.1)
+        assert (large.is_refused, small.is_refused, budget.refused_open) == (True, False, 1)
+        assert budget.refuse_inactive(0.1) and small.is_refused
+        assert not budget.refuse_inactive(0.1)
+
     def test_stop_refuses_those_that_wait(self, budget, connect):
         send(connect(), 1000, expected=6 * MIB)
         before, after = connect(), connect()
