Read bodies at an entry piece by piece, and count an entry's own memory

Crowds of large bodies took an entry over the memory of its machine. The event loop reads up to 256 KiB of a connection at once, and the server kept that for each connection, read or not, outside the budget; the budget counted 30 MB for the process, that of a gateway, where an entry has 57 MB. The rest of a body that had been refused was parsed without end.

Reads are bounded now, the next one is made when the application asks for it, and the rest of a refused body is discarded within the time and bytes that already held for lingering. If all connections are in use, a body that waits to be read gives way to a new one, with `QUEUE_FULL`.

--- a/guavawalk/connection/__init__.py
+++ b/guavawalk/connection/__init__.py
@@ -7,6 +7,7 @@
 
 _EXPORTS = {
     "address": ["format_address", "split_address"],
+    "bounded_reads": ["MAX_READ_BYTES", "BoundedReader", "create_bounded_reads"],
     "caller": ["Caller"],
     "caller_answer": ["CallerAnswer"],
     "codec": ["MAX_FRAME_BYTES", "MAX_LIST_ITEMS", "decode_message", "encode_message"],
--- a/guavawalk/connection/http_listener.py
+++ b/guavawalk/connection/http_listener.py
@@ -1,4 +1,8 @@
-"""HTTP/1.1 protocol for uvicorn that answers unreadable requests with result codes."""
+"""HTTP/1.1 protocol for uvicorn that answers unreadable requests with result codes.
+
+A body is read piece by piece, each once the application asks for more, so that neither memory nor
+the time of one parse depends on what a caller sends.
+"""
 
 import asyncio
 import json
@@ -9,6 +13,7 @@
 from uvicorn.protocols.http.h11_impl import H11Protocol
 
 from guavawalk.codes import ResultCode, describe_code
+from guavawalk.connection.bounded_reads import create_bounded_reads
 from guavawalk.connection.http_answer import error_body
 from guavawalk.request.types import Outcome
 
@@ -27,8 +32,17 @@
 # Closing with unread bytes would reset the connection, and the caller could lose the answer.
 LINGER_S = 1.0
 LINGER_BYTES = 16 * 1024 * 1024
+# Most bytes of one read: of a head or a body of small chunks, of another body, and of bytes that
+# are discarded. The parser is written in Python, and parses a chunk in microseconds.
+SHORT_READ_BYTES = 4_096
+BODY_READ_BYTES = 16_384
+DISCARD_READ_BYTES = 65_536
+# Time after which a caller may retry a request that gave way to a new connection, in milliseconds.
+REPLACED_RETRY_MS = 1_000
 
 RejectionHandler = Callable[[ResultCode], None]
+# Creates the protocol of a connection, as uvicorn calls it.
+ProtocolFactory = Callable[..., asyncio.BaseProtocol]
 
 
 class _LingeringTransport:
@@ -55,6 +69,11 @@
         self._transport.resume_reading()
         asyncio.get_running_loop().call_later(LINGER_S, self._transport.close)
 
+    def write(self, data: bytes) -> None:
+        """Send bytes; without effect while lingering."""
+        if not self.is_lingering:
+            self._transport.write(data)
+
     def discard(self, data: bytes) -> None:
         """Count bytes that are received while lingering; too many close the connection."""
         self._left_bytes -= len(data)
@@ -66,8 +85,8 @@
     on_rejected: RejectionHandler,
     head_timeout_s: float = HEAD_TIMEOUT_S,
     max_connections: int = MAX_CONNECTIONS,
-) -> type[H11Protocol]:
-    """Create a protocol class for `uvicorn.Config(http=…)`.
+) -> ProtocolFactory:
+    """Create a protocol factory for `uvicorn.Config(http=…)`.
 
     Parameters
     ----------
@@ -88,6 +107,7 @@
 
         _head_timer = None
         _received_s = 0.0
+        _is_dense = False
 
         def connection_made(self, transport) -> None:
             transport = _LingeringTransport(transport, self._has_unread_input)
@@ -103,12 +123,29 @@
                 self.transport.discard(data)
                 return
             self._received_s = self.loop.time()
+            cycle, size = self.cycle, len(self.cycle.body) if self.cycle else 0
             super().data_received(data)
+            if self._is_in_body() and not self.transport.is_closing():
+                grown = len(self.cycle.body) - (size if self.cycle is cycle else 0)
+                self._is_dense = grown >= len(data) // 2
+                self.flow.pause_reading()
             if self.conn.their_state is h11.IDLE and self.conn.trailing_data[0]:
                 self._arm_head_timer()
             else:
                 self._disarm_head_timer()
 
+        def read_bytes(self) -> int:
+            """Return the most bytes of the next read."""
+            if self.transport.is_lingering:
+                return DISCARD_READ_BYTES
+            return BODY_READ_BYTES if self._is_in_body() and self._is_dense else SHORT_READ_BYTES
+
+        def on_response_complete(self) -> None:
+            if self.conn.their_state is h11.SEND_BODY and not self.transport.is_closing():
+                # The rest of a refused body, which may have no end, is not parsed.
+                self.transport.close()
+            super().on_response_complete()
+
         def connection_lost(self, exc: Exception | None) -> None:
             self._disarm_head_timer()
             super().connection_lost(exc)
@@ -123,17 +160,29 @@
         def _has_unread_input(self) -> bool:
             return self.conn.their_state in (h11.SEND_BODY, h11.ERROR)
 
+        def _is_in_body(self) -> bool:
+            return (
+                self.conn.their_state is h11.SEND_BODY and self.conn.our_state is h11.SEND_RESPONSE
+            )
+
         def _replace_other(self) -> bool:
-            """End the longest idle connection, else one whose request makes no progress."""
+            """End the longest idle connection, else one whose request makes no progress.
+
+            Without these, one ends whose body waits to be read.
+            """
             others = [other for other in self.connections if other is not self]
             idle = [other for other in others if other.is_idle()]
             since_s = self.loop.time() - STALLED_S
             stalled = [other for other in others if other.is_stalled(since_s)]
-            ended = min(idle or stalled, key=lambda other: other._received_s, default=None)
+            waiting = [other for other in others if other.is_waiting()]
+            candidates = idle or stalled or waiting
+            ended = min(candidates, key=lambda other: other._received_s, default=None)
             if ended is None:
                 return False
             if ended.is_idle():
                 ended.transport.close()
+            elif ended.is_waiting():
+                ended._reject(ResultCode.QUEUE_FULL, REPLACED_RETRY_MS)
             else:
                 ended._reject(ResultCode.REQUEST_TIMEOUT)
             return True
@@ -145,13 +194,16 @@
         def is_stalled(self, since_s: float) -> bool:
             """Return whether a body is awaited of which nothing has arrived since a time."""
             return (
-                self.conn.their_state is h11.SEND_BODY
-                and self.conn.our_state is h11.SEND_RESPONSE
+                self._is_in_body()
                 and not self.flow.read_paused
                 and not self.transport.is_closing()
                 and self._received_s < since_s
             )
 
+        def is_waiting(self) -> bool:
+            """Return whether a body is not read on, since the application does not ask for more."""
+            return self._is_in_body() and self.flow.read_paused and not self.transport.is_closing()
+
         def _arm_head_timer(self) -> None:
             if self._head_timer is None:
                 self._head_timer = self.loop.call_later(head_timeout_s, self._head_timed_out)
@@ -165,19 +217,22 @@
             self._head_timer = None
             self._reject(ResultCode.REQUEST_TIMEOUT)
 
-        def _reject(self, code: ResultCode) -> None:
+        def _reject(self, code: ResultCode, retry_after_ms: int = 0) -> None:
             on_rejected(code)
             if not self.transport.is_closing():
-                self.transport.write(encode_rejection(code))
+                self.transport.write(encode_rejection(code, retry_after_ms))
                 self.transport.close()
 
-    return RejectingH11Protocol
+    def create(*args, **kwargs) -> asyncio.BaseProtocol:
+        return create_bounded_reads(RejectingH11Protocol(*args, **kwargs))
+
+    return create
 
 
-def encode_rejection(code: ResultCode) -> bytes:
+def encode_rejection(code: ResultCode, retry_after_ms: int = 0) -> bytes:
     """Return a complete HTTP response that reports a code and closes the connection."""
     info = describe_code(code)
-    body = json.dumps(error_body(Outcome(code))).encode()
+    body = json.dumps(error_body(Outcome(code, retry_after_ms=retry_after_ms))).encode()
     head = (
         f"HTTP/1.1 {info.http_status} {code.name}\r\n"
         f"content-type: application/json\r\n"
--- a/guavawalk/process/entry_daemon.py
+++ b/guavawalk/process/entry_daemon.py
@@ -54,6 +54,8 @@
 # Interval between checks for links to sidecars that have been idle for too long, in seconds.
 IDLE_SWEEP_S = 5.0
 SEED_BITS = 64
+# Memory of an entry that serves nobody, in MB.
+PROCESS_MB = 60
 # Factor by which the listener's limit on request heads exceeds the application's. The application
 # refuses a head over its limit with a result code; the listener's limit only bounds memory.
 HEAD_LIMIT_FACTOR = 2
@@ -108,7 +110,7 @@
             head_timeout_s=settings.head_timeout_ms / 1000,
             body_timeout_s=settings.body_timeout_ms / 1000,
         ),
-        input=create_input_budget(settings.max_memory_mb, MAX_CONNECTIONS),
+        input=create_input_budget(settings.max_memory_mb, MAX_CONNECTIONS, PROCESS_MB),
         log=log,
         metrics=create_metrics(settings.statsd),
         observed=create_observations(),
--- a/guavawalk/process/gateway/input_budget.py
+++ b/guavawalk/process/gateway/input_budget.py
@@ -346,7 +346,9 @@
     return size // SMALL_BYTES, is_waiting
 
 
-def create_input_budget(max_memory_mb: int, max_connections: int) -> InputBudget:
+def create_input_budget(
+    max_memory_mb: int, max_connections: int, process_mb: int = PROCESS_MB
+) -> InputBudget:
     """Create a budget of which nothing is used.
 
     Parameters
@@ -355,8 +357,10 @@
         Memory that the process may use, in MB; 0 if not known, for `DEFAULT_MEMORY_MB`.
     max_connections : int
         Most connections of callers; each takes memory of its own.
+    process_mb : int
+        Memory of the process while it serves nobody, in MB; by default that of a gateway.
     """
     memory_mb = max_memory_mb or DEFAULT_MEMORY_MB
-    left_bytes = (memory_mb * (1 - MARGIN_SHARE) - PROCESS_MB - ANSWERS_MB) * MB
+    left_bytes = (memory_mb * (1 - MARGIN_SHARE) - process_mb - ANSWERS_MB) * MB
     left_bytes -= max_connections * CONNECTION_BYTES
     return InputBudget(max(int(left_bytes * BUDGETED_SHARE), MIN_TOTAL_BYTES))
--- /dev/null
+++ b/tests/process/test_untrusted_callers_of_entries.py
@@ -0,0 +1,54 @@
+"""Tests an entry process beside callers that send much, slowly or never whole."""
+
+import anyio
+import pytest
+
+from tests.process.entry_processes import answers, run_with_fleet
+from tests.process.test_untrusted_callers import CROWD, FORMS, Crowd, alone, check_limits
+
+__all__ = ["alone"]
+
+# The smallest machines.
+MAX_MEMORY_MB = 160
+MAX_RESIDENT_KB = MAX_MEMORY_MB * 1000
+MAX_DESCRIPTORS = 700
+SETTINGS = {"max_memory_mb": MAX_MEMORY_MB, "body_limit_bytes": 2 * 1024 * 1024}
+LARGE_CROWD = 480
+# Bodies of small chunks cost more processor time than memory.
+LARGE_FORMS = {name: form for name, form in FORMS.items() if "single" not in name}
+
+
+def check(*processes):
+    """Check that the processes live and use no more than the smallest machines have."""
+    for process in processes:
+        check_limits(process, MAX_DESCRIPTORS, MAX_RESIDENT_KB)
+
+
+def play(folder, forms, crowd_size):
+    async def scenario(entry, sidecar):
+        crowd = Crowd()
+        async with anyio.create_task_group() as callers:
+            for number in range(crowd_size):
+                callers.start_soon(crowd.run, entry, forms[number % len(forms)])
+            await crowd.wait_stalled(entry)
+            check(entry, sidecar)
+            callers.cancel_scope.cancel()
+        assert await answers(entry)
+        check(entry, sidecar)
+
+    run_with_fleet(folder, scenario, **SETTINGS)
+
+
+class TestEntry:
+    @pytest.mark.parametrize("name", LARGE_FORMS)
+    def test_memory_and_descriptors_stay_bounded_and_an_ordinary_call_is_served(
+        self, tmp_path, name
+    ):
+        play(tmp_path, [FORMS[name]], CROWD)
+
+    @pytest.mark.parametrize("name", LARGE_FORMS)
+    def test_large_crowd(self, tmp_path, name):
+        play(tmp_path, [LARGE_FORMS[name]], LARGE_CROWD)
+
+    def test_large_crowd_of_all_forms(self, tmp_path):
+        play(tmp_path, list(LARGE_FORMS.values()), LARGE_CROWD)
