Accept only short messages on a link before its handshake

A sidecar, and the peer address of an entry, received messages of up to 16 MiB from anybody who connected, and their number was not bounded.

Messages of one byte and announced ones of 4 GiB stayed under the bound before, as did all requests of the crowds of HTTP callers.

Until a link's handshake has ended, a message may have 16 KiB; those of the handshake have some hundred bytes.

--- a/guavawalk/connection/tcp.py
+++ b/guavawalk/connection/tcp.py
@@ -24,6 +24,8 @@
 CONNECT_TIMEOUT_S = 0.5
 # Connections that the kernel holds until they are accepted.
 BACKLOG = 1024
+# Longest frame that is accepted before the handshake has ended, in bytes.
+MAX_HANDSHAKE_FRAME_BYTES = 16 * 1024
 # Age of unacknowledged bytes, in milliseconds, at which the kernel breaks a link.
 UNACKNOWLEDGED_LIMIT_MS = 30_000
 _LENGTH = struct.Struct(">I")
@@ -63,7 +65,7 @@
         try:
             header = await self._reader.receive_exactly(_LENGTH.size)
             (length,) = _LENGTH.unpack(header)
-            if length > MAX_FRAME_BYTES:
+            if length > (MAX_FRAME_BYTES if self.session_id else MAX_HANDSHAKE_FRAME_BYTES):
                 raise LinkBroken(f"frame of {length} bytes is over the limit")
             frame = await self._reader.receive_exactly(length)
         except _RECEIVE_ERRORS as error:
--- a/guavawalk/connection/version_reporting.py
+++ b/guavawalk/connection/version_reporting.py
@@ -17,10 +17,18 @@
 
     def __init__(self, link: Link, on_version: VersionListener) -> None:
         self.peer = Hello()
-        self.session_id = b""
         self._link = link
         self._on_version = on_version
 
+    @property
+    def session_id(self) -> bytes:
+        """Unique name of the link; the link limits what it receives until it is set."""
+        return self._link.session_id
+
+    @session_id.setter
+    def session_id(self, session_id: bytes) -> None:
+        self._link.session_id = session_id
+
     @property
     def peer_version(self) -> int:
         """Configuration version that the last message received carried."""
--- a/tests/process/test_untrusted_callers_of_entries.py
+++ b/tests/process/test_untrusted_callers_of_entries.py
@@ -1,10 +1,20 @@
-"""Tests an entry process beside callers that send much, slowly or never whole."""
+"""Tests an entry and a sidecar process beside callers that send much, slowly or never whole."""
+
+import struct
 
 import anyio
 import pytest
 
+from guavawalk.connection.codec import MAX_FRAME_BYTES
 from tests.process.entry_processes import answers, run_with_fleet
-from tests.process.test_untrusted_callers import CROWD, FORMS, Crowd, alone, check_limits
+from tests.process.test_untrusted_callers import (
+    BLOCK,
+    CROWD,
+    FORMS,
+    Crowd,
+    alone,
+    check_limits,
+)
 from tests.process.test_untrusted_callers_large_crowds import ENDLESS_FORMS
 
 __all__ = ["alone"]
@@ -18,19 +28,45 @@
 LARGE_FORMS = {**FORMS, **ENDLESS_FORMS}
 
 
+async def frame_one_byte_short(send):
+    await send(struct.pack(">I", MAX_FRAME_BYTES))
+    for _ in range(MAX_FRAME_BYTES // len(BLOCK) - 1):
+        await send(BLOCK)
+    await send(BLOCK[1:])
+
+
+async def frames_of_one_byte(send):
+    while True:
+        await send(struct.pack(">Ic", 1, b"x") * 1000)
+
+
+async def frame_far_over_the_limit(send):
+    await send(struct.pack(">I", 2**32 - 1))
+    while True:
+        await send(BLOCK)
+
+
+LINK_FORMS = {
+    "frame_one_byte_short": frame_one_byte_short,
+    "frames_of_one_byte": frames_of_one_byte,
+    "frame_far_over_the_limit": frame_far_over_the_limit,
+    **FORMS,
+}
+
+
 def check(*processes):
     """Check that the processes live and use no more than the smallest machines have."""
     for process in processes:
         check_limits(process, MAX_DESCRIPTORS, MAX_RESIDENT_KB)
 
 
-def play(folder, forms, crowd_size):
+def play(folder, forms, crowd_size, at_sidecar=False):
     async def scenario(entry, sidecar):
-        crowd = Crowd()
+        crowd, played = Crowd(), sidecar if at_sidecar else entry
         async with anyio.create_task_group() as callers:
             for number in range(crowd_size):
-                callers.start_soon(crowd.run, entry, forms[number % len(forms)])
-            await crowd.wait_stalled(entry)
+                callers.start_soon(crowd.run, played, forms[number % len(forms)])
+            await crowd.wait_stalled(played)
             check(entry, sidecar)
             callers.cancel_scope.cancel()
         assert await answers(entry)
@@ -52,3 +88,11 @@
 
     def test_large_crowd_of_all_forms(self, tmp_path):
         play(tmp_path, list(LARGE_FORMS.values()), LARGE_CROWD)
+
+
+class TestSidecar:
+    @pytest.mark.parametrize("name", LINK_FORMS)
+    def test_memory_and_descriptors_stay_bounded_and_an_ordinary_call_is_served(
+        self, tmp_path, name
+    ):
+        play(tmp_path, [LINK_FORMS[name]], CROWD, at_sidecar=True)
