Keep accepting links after a lack of descriptors, and bound unopened ones

A crowd of connections to a sidecar, of which nothing else was asked, ended its process: accepting one more failed for lack of descriptors, and the error reached the process's main task. The peer address of an entry is served by the same code.

Links whose handshake has not ended are at most 64, and a new one replaces the oldest: an honest handshake ends within milliseconds.

--- a/guavawalk/connection/tcp.py
+++ b/guavawalk/connection/tcp.py
@@ -3,7 +3,8 @@
 import socket
 import ssl
 import struct
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 
 import anyio
 from anyio.abc import ByteStream, SocketAttribute, TaskStatus
@@ -26,8 +27,15 @@
 BACKLOG = 1024
 # Longest frame that is accepted before the handshake has ended, in bytes.
 MAX_HANDSHAKE_FRAME_BYTES = 16 * 1024
+# Most accepted links whose handshake has not ended; a new one replaces the oldest.
+MAX_OPENING_LINKS = 64
+# Delay before links are accepted again after an error, in seconds: while descriptors are short,
+# some become free in that time.
+ACCEPT_DELAY_S = 0.05
 # Age of unacknowledged bytes, in milliseconds, at which the kernel breaks a link.
 UNACKNOWLEDGED_LIMIT_MS = 30_000
+AcceptErrorHandler = Callable[[OSError], None]
+
 _LENGTH = struct.Struct(">I")
 _SEND_ERRORS = (anyio.BrokenResourceError, anyio.ClosedResourceError, anyio.EndOfStream, OSError)
 _RECEIVE_ERRORS = (*_SEND_ERRORS, anyio.IncompleteRead, anyio.DelimiterNotFound)
@@ -86,6 +94,30 @@
             await anyio.aclose_forcefully(self._stream)
 
 
+class _OpeningLinks:
+    """Accepted links whose handshake has not ended, with the scopes of their handlers."""
+
+    def __init__(self) -> None:
+        self._scopes: dict[TcpLink, anyio.CancelScope] = {}
+
+    @contextmanager
+    def link(self, link: TcpLink) -> Iterator[None]:
+        """Serve a link within the block, until it is replaced."""
+        self._scopes = {other: s for other, s in self._scopes.items() if not other.session_id}
+        if len(self._scopes) >= MAX_OPENING_LINKS:
+            self._scopes.pop(next(iter(self._scopes))).cancel()
+        with anyio.CancelScope() as scope:
+            self._scopes[link] = scope
+            try:
+                yield
+            finally:
+                self._scopes.pop(link, None)
+
+
+def _ignore(error: OSError) -> None:
+    pass
+
+
 class TcpNetwork:
     """Opens and accepts links over TCP, with TLS if contexts are given; implements `Network`."""
 
@@ -94,8 +126,10 @@
         version: Callable[[], int],
         server_tls: ssl.SSLContext | None,
         client_tls: ssl.SSLContext | None,
+        on_accept_error: AcceptErrorHandler,
     ) -> None:
         self._version = version
+        self._on_accept_error = on_accept_error
         self._server_tls = server_tls
         self._client_tls = client_tls
 
@@ -122,24 +156,32 @@
         listener = create_listener(host, port, BACKLOG)
         bound_port = listener.extra(SocketAttribute.local_port)
         link_listener = TLSListener(listener, self._server_tls) if self._server_tls else listener
+        opening = _OpeningLinks()
 
         async def serve_stream(stream: ByteStream) -> None:
-            _limit_unacknowledged(stream)
             link = TcpLink(stream, self._version)
             try:
-                await handler(link)
+                _limit_unacknowledged(stream)
+                with opening.link(link):
+                    await handler(link)
             finally:
                 await link.aclose()
 
-        async with listener:
+        async with listener, anyio.create_task_group() as links:
             task_status.started(format_address(host, bound_port))
-            await link_listener.serve(serve_stream)
+            while True:
+                try:
+                    await link_listener.serve(serve_stream, links)
+                except OSError as error:
+                    self._on_accept_error(error)
+                    await anyio.sleep(ACCEPT_DELAY_S)
 
 
 def create_tcp_network(
     version: Callable[[], int],
     server_tls: ssl.SSLContext | None = None,
     client_tls: ssl.SSLContext | None = None,
+    on_accept_error: AcceptErrorHandler = _ignore,
 ) -> Network:
     """Create a network of TCP links.
 
@@ -149,5 +191,8 @@
         Returns the configuration version that each sent message carries.
     server_tls, client_tls : ssl.SSLContext, optional
         TLS contexts of accepted and of opened links; None for links without TLS.
+    on_accept_error : callable
+        Called with each error of accepting a link, such as a lack of file descriptors; links are
+        accepted again after it.
     """
-    return TcpNetwork(version, server_tls, client_tls)
+    return TcpNetwork(version, server_tls, client_tls, on_accept_error)
--- a/guavawalk/process/entry_daemon.py
+++ b/guavawalk/process/entry_daemon.py
@@ -46,6 +46,7 @@
 from guavawalk.process.spread.members import create_members
 from guavawalk.process.spread.ranking import Node
 from guavawalk.process.spread.state import create_spread
+from guavawalk.process.supervise import log_failure
 from guavawalk.request.placement import Placement
 from guavawalk.request.policies import create_placement
 from guavawalk.version.active import ActiveVersion, create_active_version
@@ -261,6 +262,7 @@
         lambda: active.stamp.version,
         server_tls_context(settings.tls),
         client_tls_context(settings.tls),
+        partial(log_failure, log, "link listener"),
     )
     entry = create_entry(settings, network, active, create_clock(), log)
     log.emit(events.PROCESS_STARTED, incarnation=entry.identity.incarnation)
--- a/guavawalk/process/sidecar_daemon.py
+++ b/guavawalk/process/sidecar_daemon.py
@@ -56,6 +56,7 @@
 from guavawalk.process.spread.members import create_members
 from guavawalk.process.spread.ranking import Node
 from guavawalk.process.spread.state import create_spread
+from guavawalk.process.supervise import log_failure
 from guavawalk.version.active import ActiveVersion, create_active_version
 from guavawalk.version.shards import SIDECAR_KINDS
 
@@ -245,6 +246,7 @@
         lambda: active.stamp.version,
         server_tls_context(settings.tls),
         client_tls_context(settings.tls),
+        partial(log_failure, log, "link listener"),
     )
     create_target = create_http_engine if settings.target_kind == "model" else create_http_service
     async with anyio.create_task_group() as tasks:
--- a/tests/connection/test_tcp.py
+++ b/tests/connection/test_tcp.py
@@ -2,7 +2,10 @@
 
 import anyio
 
+from guavawalk.connection import tcp
+from guavawalk.connection.messages import Chunk, LoadRequest
 from guavawalk.connection.tcp import create_tcp_network
+from guavawalk.exception import LinkBroken
 
 # More than the kernel holds for one connection.
 MAX_SENT_BYTES = 32 * 1024 * 1024
@@ -53,3 +56,51 @@
             return sent
 
         assert anyio.run(scenario) < MAX_SENT_BYTES
+
+
+class TestOpeningLinks:
+    def test_new_link_replaces_the_oldest_without_a_handshake(self, monkeypatch):
+        async def scenario():
+            async def handler(link):
+                if await link.receive():
+                    link.session_id = b"s"
+                await anyio.sleep_forever()
+
+            network = create_tcp_network(lambda: 0)
+            async with anyio.create_task_group() as tasks:
+                address = await tasks.start(network.serve, "127.0.0.1:0", handler)
+                opened = await network.connect(address)
+                await opened.send(LoadRequest())
+                await anyio.sleep(0.05)
+                silent = [await network.connect(address) for _ in range(3)]
+                with anyio.fail_after(5):
+                    while silent[0].is_open():
+                        await anyio.sleep(0.01)
+                assert opened.is_open() and silent[1].is_open() and silent[2].is_open()
+                tasks.cancel_scope.cancel()
+
+        monkeypatch.setattr(tcp, "MAX_OPENING_LINKS", 2)
+        anyio.run(scenario)
+
+    def test_long_message_before_the_handshake_breaks_the_link(self):
+        async def scenario():
+            found = []
+
+            async def handler(link):
+                try:
+                    await link.receive()
+                except LinkBroken as error:
+                    found.append(str(error))
+
+            network = create_tcp_network(lambda: 0)
+            async with anyio.create_task_group() as tasks:
+                link = await network.connect(
+                    await tasks.start(network.serve, "127.0.0.1:0", handler)
+                )
+                await link.send(Chunk("a", 0, bytes(tcp.MAX_HANDSHAKE_FRAME_BYTES)))
+                while not found:
+                    await anyio.sleep(0.01)
+                tasks.cancel_scope.cancel()
+            return found[0]
+
+        assert "over the limit" in anyio.run(scenario)
--- a/tests/process/entry_processes.py
+++ b/tests/process/entry_processes.py
@@ -1,9 +1,11 @@
 """An entry and a sidecar in processes of their own, with the platform and a service beside them."""
 
 import json
+import resource
 import subprocess
 import sys
 from contextlib import contextmanager
+from functools import partial
 
 import anyio
 
@@ -21,6 +23,9 @@
 SECRET = "secret of the fleet"
 # Callers of the crowd use the first service, and ordinary ones the second.
 SERVICES = ("x", "o")
+# Limits on the descriptors of the processes.
+ENTRY_DESCRIPTORS = 1024
+SIDECAR_DESCRIPTORS = 128
 # The crowd has its time, and the process some to recover; a hung one is reported by this.
 TIMEOUT_S = 120
 
@@ -28,8 +33,9 @@
 class FleetProcess:
     """An entry or a sidecar; `address` is where callers connect, or entries."""
 
-    def __init__(self, folder, role, **settings):
+    def __init__(self, folder, role, max_descriptors, **settings):
         self.address = settings["listen"]
+        limit = (max_descriptors, max_descriptors)
         path = folder / f"{role}.json"
         path.write_text(json.dumps(settings))
         with (folder / f"{role}.log").open("wb") as output:
@@ -37,6 +43,7 @@
                 [sys.executable, "-m", "guavawalk", role, "--settings", str(path)],
                 stdout=output,
                 stderr=subprocess.STDOUT,
+                preexec_fn=partial(resource.setrlimit, resource.RLIMIT_NOFILE, limit),
             )
 
     async def caller(self):
@@ -111,8 +118,8 @@
                 }
                 sidecar = {"instance": "s", "listen": listens[0], **target_settings, **common}
                 entry = {"instance": "e", "listen": listens[1], **entry_settings, **common}
-                processes.append(FleetProcess(folder, "sidecar", **sidecar))
-                processes.append(FleetProcess(folder, "entry", **entry))
+                processes.append(FleetProcess(folder, "sidecar", SIDECAR_DESCRIPTORS, **sidecar))
+                processes.append(FleetProcess(folder, "entry", ENTRY_DESCRIPTORS, **entry))
                 while not await answers(processes[1]):
                     await anyio.sleep(0.1)
                 await scenario(processes[1], processes[0])
--- a/tests/process/test_untrusted_callers_of_entries.py
+++ b/tests/process/test_untrusted_callers_of_entries.py
@@ -14,6 +14,7 @@
     Crowd,
     alone,
     check_limits,
+    nothing,
 )
 from tests.process.test_untrusted_callers_large_crowds import ENDLESS_FORMS
 
@@ -46,6 +47,8 @@
         await send(BLOCK)
 
 
+# More connections than the sidecar may have descriptors.
+IDLE_CROWD = 160
 LINK_FORMS = {
     "frame_one_byte_short": frame_one_byte_short,
     "frames_of_one_byte": frames_of_one_byte,
@@ -96,3 +99,6 @@
         self, tmp_path, name
     ):
         play(tmp_path, [LINK_FORMS[name]], CROWD, at_sidecar=True)
+
+    def test_more_connections_than_descriptors(self, tmp_path):
+        play(tmp_path, [nothing], IDLE_CROWD, at_sidecar=True)
