--- a/guavawalk/connection/input_turns.py
+++ b/guavawalk/connection/input_turns.py
@@ -8,7 +8,7 @@
 # Cost of a read itself, and bytes that cost as much as one chunk, in chunks parsed.
 READ_COST = 128
 BYTES_PER_COST = 2_048
-# Cost that a request may have before its reads take turns: that of some ordinary bodies.
+# Cost that a request may have before its reads take turns; ordinary requests have less.
 FREE_COST = 1_024
 # Longest time to wait for one turn, in seconds.
 MAX_WAIT_S = 4.0
--- a/guavawalk/connection/tasks/accept_callers.py
+++ b/guavawalk/connection/tasks/accept_callers.py
@@ -62,7 +62,7 @@
     Returns
     -------
     bool
-        Whether one closes, or others did not yet.
+        Whether a connection is about to close.
     """
     callers = gateway.callers
     return (
@@ -75,7 +75,7 @@
 
 
 class _PatientListener(Listener[TcpStream]):
-    """Accepts a connection once there is room for it."""
+    """A listener that accepts a connection once there is room for it."""
 
     def __init__(self, listener: TcpListener, wait_for_room: Callable[[], Awaitable[None]]) -> None:
         self._listener = listener
@@ -86,7 +86,10 @@
         handler: Callable[[TcpStream], Awaitable[Any]],
         task_group: TaskGroup | None = None,
     ) -> None:
-        """Accept connections, and serve each in a task of the group."""
+        """Accept connections, and serve each in a task of the group; without one, of its own."""
+        if task_group is None:
+            async with anyio.create_task_group() as own:
+                await self.serve(handler, own)
         while True:
             await self._listener.wait_connection()
             await self._wait_for_room()
--- a/guavawalk/connection/tcp.py
+++ b/guavawalk/connection/tcp.py
@@ -34,12 +34,12 @@
 ACCEPT_DELAY_S = 0.05
 # Age of unacknowledged bytes, in milliseconds, at which the kernel breaks a link.
 UNACKNOWLEDGED_LIMIT_MS = 30_000
-AcceptErrorHandler = Callable[[OSError], None]
-
 _LENGTH = struct.Struct(">I")
 _SEND_ERRORS = (anyio.BrokenResourceError, anyio.ClosedResourceError, anyio.EndOfStream, OSError)
 _RECEIVE_ERRORS = (*_SEND_ERRORS, anyio.IncompleteRead, anyio.DelimiterNotFound)
 
+AcceptErrorHandler = Callable[[OSError], None]
+
 
 def _limit_unacknowledged(stream: ByteStream) -> None:
     # The kernel breaks a connection whose peer acknowledges nothing, so sends need no timer.
--- a/tests/connection/tasks/test_connection_limits.py
+++ b/tests/connection/tasks/test_connection_limits.py
@@ -71,6 +71,8 @@
     if scope["path"] == "/refuse":
         await PlainTextResponse("no", 413)(scope, receive, send)
         return
+    if scope["path"] == "/wait":
+        await anyio.sleep_forever()
     await Request(scope, receive).body()
     await PlainTextResponse("hello")(scope, receive, send)
 
@@ -110,6 +112,18 @@
 
         self.play(monkeypatch, scenario)
 
+    def test_body_that_waits_to_be_read_is_replaced(self, monkeypatch):
+        async def scenario(address):
+            start = b"POST /wait HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\nab"
+            waiting = [await connect(address) for _ in range(MAX_CONNECTIONS)]
+            for stream in waiting:
+                await stream.send(start)
+                await anyio.sleep(0.05)
+            assert await ask(await connect(address)) == 200
+            assert (await ResponseReader(waiting[0]).read_head()).status == 503
+
+        self.play(monkeypatch, scenario)
+
     def test_refusal_is_not_lost_while_the_caller_sends_on(self, monkeypatch):
         async def scenario(address):
             stream = await connect(address)
