Play the returning crowd with 400 callers again

The crowd was defined with 400 callers and lowered to 64 once the first fix had been tried, since ordinary callers were still turned away beside 400.

--- a/tests/process/test_untrusted_callers_large_crowds.py
+++ b/tests/process/test_untrusted_callers_large_crowds.py
@@ -107,9 +107,10 @@
 
 class TestCrowdThatReturns:
     @pytest.mark.parametrize("name", ["one_byte_short", "chunks_short", "single_bytes_short"])
-    def test_memory_of_bodies_whose_callers_left_is_free(self, tmp_path, name):
+    @pytest.mark.parametrize("crowd_size", [RETURNING_CROWD, CROWD])
+    def test_memory_of_bodies_whose_callers_left_is_free(self, tmp_path, crowd_size, name):
         form = leaving(FORMS[name])
-        play(tmp_path, [form], SMALL_MEMORY_MB, stays=True, crowd_size=RETURNING_CROWD)
+        play(tmp_path, [form], SMALL_MEMORY_MB, stays=True, crowd_size=crowd_size)
 
 
 class TestCrowdThatStays:
