Close one idle connection for each new one, however long its close takes

Callers: an ordinary client on an idle connection, of which nothing had to close, could find it closed when a gateway was at its limit of connections.

Cause: an idle connection closes some 6 ms after it was chosen, since a request that arrives meanwhile is still read. The next one was chosen after 10 ms, or as soon as any call ended, whether or not the first had closed.

--- a/guavawalk/connection/tasks/accept_callers.py
+++ b/guavawalk/connection/tasks/accept_callers.py
@@ -66,7 +66,8 @@
     """
     callers = gateway.callers
     return (
-        gateway.input.refused_open >= MAX_REFUSED_OPEN
+        callers.is_closing_idle
+        or gateway.input.refused_open >= MAX_REFUSED_OPEN
         or callers.close_longest_idle(MIN_IDLE_S)
         or gateway.input.refuse_inactive(anyio.current_time())
         or gateway.read_turns.refuse_costliest()
--- a/guavawalk/connection/tasks/serve_caller.py
+++ b/guavawalk/connection/tasks/serve_caller.py
@@ -67,7 +67,7 @@
 
 async def _serve_next(gateway: Gateway, stream: ByteStream, reader: RequestReader) -> bool:
     try:
-        request = await _next_request(gateway, reader)
+        request = await _next_request(gateway, stream, reader)
     except HttpInvalid as error:
         await _reject(gateway, stream, error)
         return False
@@ -85,10 +85,12 @@
     return not gateway.callers.is_refusing or await reader.look_again()
 
 
-async def _next_request(gateway: Gateway, reader: RequestReader) -> ReceivedRequest | None:
+async def _next_request(
+    gateway: Gateway, stream: ByteStream, reader: RequestReader
+) -> ReceivedRequest | None:
     """Return the next request; None if there is none or the wait for it was ended."""
     while True:
-        with gateway.callers.idle(reader.has_arrived):
+        with gateway.callers.idle(stream, reader.has_arrived):
             return await reader.next(gateway.routes.table.limits)
         # One that has arrived when the wait ends is still read, and answered.
         if not await reader.look_again():
--- a/guavawalk/process/gateway/callers.py
+++ b/guavawalk/process/gateway/callers.py
@@ -3,6 +3,7 @@
 import math
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
+from typing import NamedTuple
 
 import anyio
 from anyio.abc import ByteStream
@@ -21,6 +22,22 @@
 MIN_IDLE_S = 0.25
 
 
+class _IdleWait(NamedTuple):
+    """A connection's wait for its next request.
+
+    Attributes
+    ----------
+    has_arrived : callable
+        Returns whether a part of the request has arrived, read or not.
+    began_s : float
+        When it began, on the event loop's clock.
+    """
+
+    stream: ByteStream
+    has_arrived: Callable[[], bool]
+    began_s: float
+
+
 class CallerTracker:
     """Counts running calls and open connections.
 
@@ -47,8 +64,10 @@
         self.calls = 0
         self._streams: set[ByteStream] = set()
         self._forwarding: set[anyio.CancelScope] = set()
-        # By the scope of the wait: whether something has arrived, and when the wait began.
-        self._idle: dict[anyio.CancelScope, tuple[Callable[[], bool], float]] = {}
+        # By the scope of the wait.
+        self._idle: dict[anyio.CancelScope, _IdleWait] = {}
+        # Connections of which `close_longest_idle` has ended the wait, and that haven't closed yet.
+        self._closing: set[ByteStream] = set()
         self._changed = anyio.Event()
 
     @property
@@ -56,6 +75,11 @@
         """Number of open connections of callers."""
         return len(self._streams)
 
+    @property
+    def is_closing_idle(self) -> bool:
+        """Whether a connection is about to close, or to go on, after `close_longest_idle`."""
+        return bool(self._closing)
+
     @contextmanager
     def connection(self, stream: ByteStream) -> Iterator[None]:
         """Count a connection while it is open."""
@@ -64,6 +88,7 @@
             yield
         finally:
             self._streams.remove(stream)
+            self._closing.discard(stream)
             self._notify()
 
     @contextmanager
@@ -86,21 +111,26 @@
             self._forwarding.remove(scope)
 
     @contextmanager
-    def idle(self, has_arrived: Callable[[], bool]) -> Iterator[None]:
+    def idle(self, stream: ByteStream, has_arrived: Callable[[], bool]) -> Iterator[None]:
         """Mark a connection as waiting for its next request, so that `close_idle` ends the wait.
 
         Parameters
         ----------
+        stream : ByteStream
+            The connection.
         has_arrived : callable
             Returns whether a part of a request has arrived, read or not.
         """
+        self._closing.discard(stream)
         scope = anyio.CancelScope()
-        self._idle[scope] = (has_arrived, anyio.current_time())
+        self._idle[scope] = _IdleWait(stream, has_arrived, anyio.current_time())
         try:
             with scope:
                 yield
         finally:
             del self._idle[scope]
+            if not scope.cancelled_caught:
+                self._closing.discard(stream)
 
     def end_calls(self) -> None:
         """End the forwarding of all calls, and refuse new ones; each call is still answered."""
@@ -118,8 +148,8 @@
         """
         closed = 0
         ends_at_s = anyio.current_time() + IDLE_END_DELAY_S
-        for scope, (has_arrived, _) in self._idle.items():
-            if not has_arrived():
+        for scope, wait in self._idle.items():
+            if not wait.has_arrived():
                 scope.deadline = ends_at_s
                 closed += 1
         return closed
@@ -133,11 +163,12 @@
             Shortest time, in seconds, for which it has lasted.
         """
         now_s = anyio.current_time()
-        for scope, (has_arrived, began_s) in self._idle.items():
-            if now_s - began_s < min_idle_s:
+        for scope, wait in self._idle.items():
+            if now_s - wait.began_s < min_idle_s:
                 break
-            if scope.deadline == math.inf and not has_arrived():
+            if scope.deadline == math.inf and not wait.has_arrived():
                 scope.deadline = now_s + IDLE_END_DELAY_S
+                self._closing.add(wait.stream)
                 return True
         return False
 
--- a/tests/connection/tasks/test_connection_limits.py
+++ b/tests/connection/tasks/test_connection_limits.py
@@ -5,6 +5,7 @@
 
 import anyio
 import pytest
+from anyio.abc import SocketAttribute
 from starlette.requests import Request
 from starlette.responses import PlainTextResponse
 
@@ -12,7 +13,8 @@
 from guavawalk.connection.http_encoding import encode_request
 from guavawalk.connection.http_listener import create_h11_protocol
 from guavawalk.connection.response_reader import ResponseReader
-from guavawalk.connection.tasks import serve_probe
+from guavawalk.connection.socket_stream import create_listener
+from guavawalk.connection.tasks import accept_callers, serve_probe
 from guavawalk.connection.tasks.read_body import read_body
 from guavawalk.connection.tasks.serve_probe import (
     PageAnswer,
@@ -22,8 +24,9 @@
 from guavawalk.exception import RequestError
 from guavawalk.process import http_server
 from guavawalk.process.gateway.input_budget import InputBudget
-from soak.standins import listen
-from tests.gateway_standins import run_with_timeout
+from soak.standins import StandInTarget, answer_plain, listen
+from tests.gateway_calls import SAFE
+from tests.gateway_standins import GatewayHarness, run_with_timeout
 
 PAGE = encode_request("GET", b"/", ((b"Host", b"h"),))
 MAX_CONNECTIONS = 3
@@ -45,6 +48,23 @@
             await stream.receive()
 
 
+class TestCallerConnections:
+    def test_one_idle_connection_closes_for_a_new_one_when_it_is_slow_to_close(self, monkeypatch):
+        async def scenario():
+            harness = GatewayHarness(SAFE, max_descriptors=224)
+            async with harness.running(StandInTarget(answer_plain)):
+                listener = create_listener("127.0.0.1", 0, 8)
+                harness.address = f"127.0.0.1:{listener.extra(SocketAttribute.local_port)}"
+                harness.tasks.start_soon(accept_callers.accept_callers, harness.gateway, listener)
+                idle = [await harness.caller() for _ in range(2)]
+                assert [(await caller.ask())[0] for caller in idle] == [200, 200]
+                assert (await (await harness.caller()).ask())[0] == 200
+                assert (await idle[1].ask())[0] == 200
+
+        monkeypatch.setattr(accept_callers, "CLOSE_EVERY_S", 0.0005)
+        run_with_timeout(scenario)
+
+
 class TestPageConnections:
     def test_new_connection_replaces_the_one_that_is_idle_for_longest(self, monkeypatch):
         async def scenario():
--- a/tests/process/gateway/test_callers.py
+++ b/tests/process/gateway/test_callers.py
@@ -12,7 +12,7 @@
             callers, ended = create_caller_tracker(), []
 
             async def wait(name):
-                with callers.idle(lambda: False):
+                with callers.connection(name), callers.idle(name, lambda: False):
                     await anyio.sleep_forever()
                 ended.append(name)
 
