Test of a caller that doesn't read: hold most of the answer out of the kernel

The caller doesn't read, but the kernel takes what it sends: with the segments of loopback its send buffer starts at 3.9 MB here and may reach 4.19 MB, of an answer of 4.0 MB. How large it starts depends on the kernel's metrics of earlier connections. With an answer of 3.8 MB the old test failed in the same way here (KeyError: 'code_name').

The caller now announces segments of 1,000 bytes, with which the buffer took 85 kB. What is checked is the same, and holds with an answer of 0.4 MB as well.

--- a/tests/process/test_gateway_daemon.py
+++ b/tests/process/test_gateway_daemon.py
@@ -19,7 +19,7 @@
     encode_response,
     encode_response_head,
 )
-from guavawalk.connection.socket_stream import create_listener
+from guavawalk.connection.socket_stream import create_listener, create_stream
 from guavawalk.exception import TargetError, TargetLost
 from guavawalk.process import gateway_daemon
 from guavawalk.process.admin.client import create_admin_client
@@ -331,9 +331,13 @@
         async def scenario(daemon, store, target):
             store.put("op/config", DOCUMENT)
             await wait_until(daemon.ready)
-            caller = await daemon.caller()
-            raw = caller.stream.extra(anyio.abc.SocketAttribute.raw_socket)
+            host, port = daemon.callers.split(":")
+            raw = socket.socket()
             raw.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+            # With small segments the kernel holds far less of the answer than all of it.
+            raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, 1000)
+            raw.connect((host, int(port)))
+            caller = Caller(create_stream(raw))
             await caller.send()
             while not target.received:
                 await anyio.sleep(0.02)
