--- a/tests/connection/tasks/test_serve_caller.py
+++ b/tests/connection/tasks/test_serve_caller.py
@@ -6,7 +6,6 @@
 
 import anyio
 import pytest
-from anyio.abc import SocketAttribute
 
 from guavawalk.connection import streams
 from guavawalk.connection.caller_answer import CallerAnswer
@@ -36,7 +35,12 @@
     stay_silent,
 )
 from tests.gateway_calls import PLAN, RESUMABLE, SAFE, UNSAFE, make_registration
-from tests.gateway_standins import GatewayHarness, ask_once, run_with_timeout
+from tests.gateway_standins import (
+    GatewayHarness,
+    ask_once,
+    connect_slow_reader,
+    run_with_timeout,
+)
 
 
 async def break_first(target, stream, request):
@@ -485,9 +489,7 @@
             story = GatewayHarness(route)
             service = route.services[0].service
             async with story.running(StandInTarget(script), service=service):
-                caller = await story.caller()
-                raw = caller.stream.extra(SocketAttribute.raw_socket)
-                raw.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+                caller = connect_slow_reader(story.address)
                 await caller.send()
                 while not story.log.named("call_ended"):
                     await anyio.sleep(0.01)
--- a/tests/gateway_standins.py
+++ b/tests/gateway_standins.py
@@ -1,10 +1,12 @@
 """A gateway on loopback with stand-in targets, for tests of its tasks."""
 
+import socket
 from contextlib import asynccontextmanager
 from functools import partial
 
 import anyio
 
+from guavawalk.connection.socket_stream import create_stream
 from guavawalk.connection.tasks.serve_caller import serve_caller
 from guavawalk.exception import TargetLost
 from guavawalk.process.clock import create_clock
@@ -13,7 +15,17 @@
 from soak.standins import Caller, StandInTarget, listen
 from tests.gateway_calls import make_registration, make_table
 
-__all__ = ["GatewayHarness", "ListLog", "ask_once", "run_with_timeout"]
+__all__ = ["GatewayHarness", "ListLog", "ask_once", "connect_slow_reader", "run_with_timeout"]
+
+
+def connect_slow_reader(address):
+    """Connect a caller for which the kernel holds far less than 4 MB, whatever it has measured."""
+    host, port = address.split(":")
+    raw = socket.socket()
+    raw.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, 1000)
+    raw.connect((host, int(port)))
+    return Caller(create_stream(raw))
 
 
 def run_with_timeout(function, *args):
--- a/tests/process/test_gateway_daemon.py
+++ b/tests/process/test_gateway_daemon.py
@@ -2,7 +2,6 @@
 import os
 import resource
 import signal
-import socket
 import subprocess
 import sys
 import threading
@@ -19,7 +18,7 @@
     encode_response,
     encode_response_head,
 )
-from guavawalk.connection.socket_stream import create_listener, create_stream
+from guavawalk.connection.socket_stream import create_listener
 from guavawalk.exception import TargetError, TargetLost
 from guavawalk.process import gateway_daemon
 from guavawalk.process.admin.client import create_admin_client
@@ -36,7 +35,7 @@
     signed_headers,
     stay_silent,
 )
-from tests.gateway_standins import run_with_timeout
+from tests.gateway_standins import connect_slow_reader, run_with_timeout
 from tests.platform.test_registrations import ROW
 from tests.process.admin.keys import KEYS, READER
 
@@ -331,13 +330,7 @@
         async def scenario(daemon, store, target):
             store.put("op/config", DOCUMENT)
             await wait_until(daemon.ready)
-            host, port = daemon.callers.split(":")
-            raw = socket.socket()
-            raw.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
-            # With small segments the kernel holds far less of the answer than all of it.
-            raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, 1000)
-            raw.connect((host, int(port)))
-            caller = Caller(create_stream(raw))
+            caller = connect_slow_reader(daemon.callers)
             await caller.send()
             while not target.received:
                 await anyio.sleep(0.02)
