Entries and sidecars don't wait for the reader of their logs

Callers: once an entry had written some 200 lines that nobody read, it answered no request at all, and a sidecar none of its entries. A caller needs no valid key for that: each refused request, and each refused frame at a sidecar, is a line.

Cause: their log wrote to standard error in the event loop, and a pipe of 64 KiB whose reader is slow or gone blocks the write. Gateways have written from a bounded buffer for long.

A line with a field called name raised KeyError (order_given and order_failed have one), since logging takes fields as attributes of its record.

Entries and sidecars now write through the bounded log as well, which encodes their lines with the formatter of python-json-logger, and passes the fields as a message. A reader that has closed counts as one that is slow. Tests that read a log from a stream now flush it to a file.

--- a/guavawalk/process/entry_daemon.py
+++ b/guavawalk/process/entry_daemon.py
@@ -33,6 +33,7 @@
 from guavawalk.process.entry.view import create_fleet_view
 from guavawalk.process.gateway.input_budget import create_input_budget
 from guavawalk.process.http_server import serve_asgi
+from guavawalk.process.observe.bounded_log import write_log
 from guavawalk.process.observe.gauges import GaugeValues, report_gauges
 from guavawalk.process.observe.json_log import create_event_log
 from guavawalk.process.observe.log import EventLog
@@ -56,6 +57,7 @@
 # Interval between checks for links to sidecars that have been idle for too long, in seconds.
 IDLE_SWEEP_S = 5.0
 SEED_BITS = 64
+STDERR = 2
 # Memory of an entry that serves nobody, in MB.
 PROCESS_MB = 60
 # Factor by which the listener's limit on request heads exceeds the application's. The application
@@ -269,7 +271,7 @@
     platform = create_http_platform(settings.platform_url)
     stop = anyio.Event()
     shutdown = create_shutdown()
-    async with anyio.create_task_group() as tasks:
+    async with write_log(log, STDERR), anyio.create_task_group() as tasks:
 
         async def drain() -> None:
             await drain_entry(entry, settings.drain_notice_ms / 1000)
--- a/guavawalk/process/observe/bounded_log.py
+++ b/guavawalk/process/observe/bounded_log.py
@@ -7,10 +7,11 @@
 import logging
 import os
 import time
-from collections import deque
-from collections.abc import Callable
+from collections import defaultdict, deque
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
 from datetime import UTC, datetime
-from typing import Any
+from typing import Any, Protocol
 
 import anyio
 import msgspec
@@ -19,7 +20,7 @@
 from guavawalk import events
 from guavawalk.events import Event
 
-__all__ = ["BoundedLog", "create_bounded_log"]
+__all__ = ["BoundedLog", "LineEncoder", "create_bounded_log", "write_log"]
 
 # Capacity of the buffer in lines; at 300 bytes a line it stays below 1 MB.
 MAX_LINES = 2_000
@@ -38,13 +39,52 @@
 BATCH_BYTES = 65_536
 
 
+class LineEncoder(Protocol):
+    """Encodes an event as a line of a log."""
+
+    def __call__(self, event: Event, now_s: float, fields: dict[str, Any]) -> bytes:
+        """Return the line with its end; `now_s` is in seconds since the Unix epoch."""
+        ...
+
+
+class _CompactEncoder:
+    """Encodes JSON lines, and the members that all lines of an event share only once."""
+
+    def __init__(self, common: dict[str, Any]) -> None:
+        self._common = common
+        # JSON members that all lines of an event share, by its name, without the braces.
+        self._members: dict[str, bytes] = {}
+        self._encode = msgspec.json.Encoder().encode
+        self._second = 0
+        self._second_text = b""
+
+    def __call__(self, event: Event, now_s: float, fields: dict[str, Any]) -> bytes:
+        members = self._members.get(event.name)
+        if members is None:
+            common = {
+                "message": event.message,
+                "level": logging.getLevelName(event.level),
+                "event": event.number,
+                "event_name": event.name,
+                **self._common,
+            }
+            members = self._members[event.name] = self._encode(common)[1:-1]
+        rest = b"," + self._encode(fields)[1:] if fields else b"}"
+        return b'{"time":"%s",%s%s\n' % (self._time(now_s), members, rest)
+
+    def _time(self, now_s: float) -> bytes:
+        second = int(now_s)
+        if second != self._second:
+            self._second = second
+            self._second_text = f"{datetime.fromtimestamp(second, UTC):%Y-%m-%dT%H:%M:%S}".encode()
+        return b"%s.%03d+00:00" % (self._second_text, int((now_s - second) * 1000))
+
+
 class _EventLimiter:
     """Rate limit and drop count of one event.
 
     Attributes
     ----------
-    common_members : bytes
-        JSON members that all lines of the event share, without the braces.
     second : int
         The second, since the Unix epoch, in which `lines` were counted.
     lines : int
@@ -53,15 +93,21 @@
         Lines dropped since drops were last reported.
     """
 
-    def __init__(self, common_members: bytes) -> None:
-        self.common_members = common_members
+    def __init__(self) -> None:
         self.second = 0
         self.lines = 0
         self.dropped = 0
 
 
 class BoundedLog:
-    """Events as JSON lines on a file descriptor.
+    """Events as lines on a file descriptor.
+
+    Parameters
+    ----------
+    encode : LineEncoder
+        Encodes the lines.
+    now_s : callable
+        Returns seconds since the Unix epoch.
 
     Attributes
     ----------
@@ -74,16 +120,13 @@
     not apply from level WARNING on.
     """
 
-    def __init__(self, common: dict[str, Any], level: str, now_s: Callable[[], float]) -> None:
-        self._common = common
+    def __init__(self, encode: LineEncoder, level: str, now_s: Callable[[], float]) -> None:
+        self._encode = encode
         self._now_s = now_s
         self._lines: deque[bytes] = deque()
-        self._limiters: dict[str, _EventLimiter] = {}
-        self._encode = msgspec.json.Encoder().encode
+        self._limiters: defaultdict[str, _EventLimiter] = defaultdict(_EventLimiter)
         self._has_lines = anyio.Event()
         self._drops_reported_s = 0.0
-        self._second = 0
-        self._second_text = b""
         self._min_level = 0
         self.dropped = 0
         self.level = level
@@ -102,25 +145,12 @@
         if event.level < self._min_level:
             return
         now_s = self._now_s()
-        limiter = self._limiter(event)
+        limiter = self._limiters[event.name]
         if not self._has_room(event, limiter, int(now_s)):
             limiter.dropped += 1
             self.dropped += 1
             return
-        self._append(limiter, now_s, fields)
-
-    def _limiter(self, event: Event) -> _EventLimiter:
-        limiter = self._limiters.get(event.name)
-        if limiter is None:
-            common = {
-                "message": event.message,
-                "level": logging.getLevelName(event.level),
-                "event": event.number,
-                "event_name": event.name,
-                **self._common,
-            }
-            limiter = self._limiters[event.name] = _EventLimiter(self._encode(common)[1:-1])
-        return limiter
+        self._append(event, now_s, fields)
 
     def _has_room(self, event: Event, limiter: _EventLimiter, second: int) -> bool:
         if event.level >= logging.WARNING:
@@ -133,20 +163,10 @@
             and len(self._lines) < MAX_LINES - RESERVED_FOR_WARNINGS
         )
 
-    def _append(self, limiter: _EventLimiter, now_s: float, fields: dict[str, Any]) -> None:
-        rest = b"," + self._encode(fields)[1:] if fields else b"}"
-        self._lines.append(
-            b'{"time":"%s",%s%s\n' % (self._time(now_s), limiter.common_members, rest)
-        )
+    def _append(self, event: Event, now_s: float, fields: dict[str, Any]) -> None:
+        self._lines.append(self._encode(event, now_s, fields))
         self._has_lines.set()
 
-    def _time(self, now_s: float) -> bytes:
-        second = int(now_s)
-        if second != self._second:
-            self._second = second
-            self._second_text = f"{datetime.fromtimestamp(second, UTC):%Y-%m-%dT%H:%M:%S}".encode()
-        return b"%s.%03d+00:00" % (self._second_text, int((now_s - second) * 1000))
-
     async def write(self, descriptor: int) -> None:
         """Write buffered lines to a file descriptor until cancelled.
 
@@ -169,7 +189,8 @@
                 batch += self._lines.popleft()
             try:
                 written = os.write(descriptor, batch)
-            except BlockingIOError:
+            except OSError:
+                # It is full, or its reader has closed.
                 written = 0
             if written < len(batch):
                 self._lines.appendleft(bytes(batch[written:]))
@@ -187,7 +208,19 @@
         if counts:
             for limiter in self._limiters.values():
                 limiter.dropped = 0
-            self._append(self._limiter(events.LOG_LINES_DROPPED), now_s, {"dropped": counts})
+            self._append(events.LOG_LINES_DROPPED, now_s, {"dropped": counts})
+
+
+@asynccontextmanager
+async def write_log(log: BoundedLog, descriptor: int) -> AsyncIterator[None]:
+    """Write a log to a file descriptor while the block runs, and what is left at its end."""
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(log.write, descriptor)
+        try:
+            yield
+        finally:
+            tasks.cancel_scope.cancel()
+            log.flush(descriptor)
 
 
 def create_bounded_log(
@@ -197,4 +230,4 @@
 
     `now_s` returns seconds since the Unix epoch.
     """
-    return BoundedLog({"role": role, "instance": instance}, level, now_s)
+    return BoundedLog(_CompactEncoder({"role": role, "instance": instance}), level, now_s)
--- a/guavawalk/process/observe/json_log.py
+++ b/guavawalk/process/observe/json_log.py
@@ -1,50 +1,46 @@
-"""Writes structured logs: one JSON line for each numbered event."""
+"""Structured logs of entries and sidecars: one JSON line for each numbered event."""
 
 import logging
-import sys
-from typing import Any, TextIO
+import time
+from collections.abc import Callable
+from typing import Any
 
 from pythonjsonlogger.json import JsonFormatter
 
 from guavawalk.events import Event
-from guavawalk.process.observe.log import EventLog
+from guavawalk.process.observe.bounded_log import BoundedLog
 
 __all__ = ["create_event_log"]
 
 
-class JsonEventLog:
-    """Event log that writes JSON lines through a standard logger."""
+class _FormatterEncoder:
+    """Encodes events with the formatter of `python-json-logger`."""
 
-    def __init__(self, logger: logging.Logger, common: dict[str, Any]) -> None:
-        self._logger = logger
+    def __init__(self, common: dict[str, Any]) -> None:
         self._common = common
-
-    @property
-    def level(self) -> str:
-        """Name of the lowest level that is logged, one of `LOG_LEVELS`."""
-        return logging.getLevelName(self._logger.level)
-
-    @level.setter
-    def level(self, level: str) -> None:
-        self._logger.setLevel(level)
-
-    def emit(self, event: Event, **fields: Any) -> None:
-        """Write a line for an event with its fields, unless its level is too low."""
-        if not self._logger.isEnabledFor(event.level):
-            return
-        extra = {"event": event.number, "event_name": event.name, **self._common, **fields}
-        self._logger.log(event.level, event.message, extra=extra)
+        self._formatter = JsonFormatter(
+            "%(levelname)s %(message)s", timestamp="time", rename_fields={"levelname": "level"}
+        )
+
+    def __call__(self, event: Event, now_s: float, fields: dict[str, Any]) -> bytes:
+        members = {
+            "message": event.message,
+            "event": event.number,
+            "event_name": event.name,
+            **self._common,
+            **fields,
+        }
+        # As a message, unlike attributes of the record, they may have any names.
+        level = logging.getLevelName(event.level)
+        record = logging.makeLogRecord({"levelname": level, "msg": members, "created": now_s})
+        return self._formatter.format(record).encode() + b"\n"
 
 
 def create_event_log(
-    role: str, instance: str, level: str = "INFO", stream: TextIO | None = None
-) -> EventLog:
-    """Create a log that writes JSON lines to a stream; None for standard error."""
-    handler = logging.StreamHandler(stream or sys.stderr)
-    formatter = JsonFormatter(
-        "%(levelname)s %(message)s", timestamp="time", rename_fields={"levelname": "level"}
-    )
-    handler.setFormatter(formatter)
-    logger = logging.Logger(f"guavawalk.{role}.{instance}", level)
-    logger.addHandler(handler)
-    return JsonEventLog(logger, {"role": role, "instance": instance})
+    role: str, instance: str, level: str = "INFO", now_s: Callable[[], float] = time.time
+) -> BoundedLog:
+    """Create an empty log; run its `write` method as a task to write the lines.
+
+    `now_s` returns seconds since the Unix epoch.
+    """
+    return BoundedLog(_FormatterEncoder({"role": role, "instance": instance}), level, now_s)
--- a/guavawalk/process/sidecar_daemon.py
+++ b/guavawalk/process/sidecar_daemon.py
@@ -22,6 +22,7 @@
 from guavawalk.connection.version_reporting import create_version_reporting_network
 from guavawalk.process.admin.sidecar_node import create_sidecar_node
 from guavawalk.process.clock import Clock, create_clock
+from guavawalk.process.observe.bounded_log import write_log
 from guavawalk.process.observe.gauges import GaugeValues, report_gauges
 from guavawalk.process.observe.json_log import create_event_log
 from guavawalk.process.observe.log import EventLog
@@ -78,6 +79,7 @@
 # Time between two loads of the same weights in the fleet, in seconds.
 LOAD_SLOT_S = 1.0
 INCARNATION_BITS = 63
+STDERR = 2
 
 
 def create_incarnation() -> int:
@@ -249,7 +251,7 @@
         partial(log_failure, log, "link listener"),
     )
     create_target = create_http_engine if settings.target_kind == "model" else create_http_service
-    async with anyio.create_task_group() as tasks:
+    async with write_log(log, STDERR), anyio.create_task_group() as tasks:
         sidecar = create_sidecar(
             settings, create_target(settings.target_url), active, create_clock(), log, tasks
         )
--- a/tests/process/entry_processes.py
+++ b/tests/process/entry_processes.py
@@ -31,9 +31,12 @@
 
 
 class FleetProcess:
-    """An entry or a sidecar; `address` is where callers connect, or entries."""
+    """An entry or a sidecar; `address` is where callers connect, or entries.
 
-    def __init__(self, folder, role, max_descriptors, **settings):
+    With `reads_log` its log goes to a file, otherwise to a pipe that nobody reads.
+    """
+
+    def __init__(self, folder, role, max_descriptors, reads_log, **settings):
         self.address = settings["listen"]
         limit = (max_descriptors, max_descriptors)
         path = folder / f"{role}.json"
@@ -41,7 +44,7 @@
         with (folder / f"{role}.log").open("wb") as output:
             self.process = subprocess.Popen(
                 [sys.executable, "-m", "guavawalk", role, "--settings", str(path)],
-                stdout=output,
+                stdout=output if reads_log else subprocess.PIPE,
                 stderr=subprocess.STDOUT,
                 preexec_fn=partial(resource.setrlimit, resource.RLIMIT_NOFILE, limit),
             )
@@ -76,7 +79,7 @@
     finally:
         for process in processes:
             process.process.kill()
-            process.process.wait()
+            process.process.communicate()
 
 
 async def answers(entry):
@@ -89,7 +92,7 @@
         return False
 
 
-def run_with_fleet(folder, scenario, **entry_settings):
+def run_with_fleet(folder, scenario, reads_logs=True, **entry_settings):
     """Run `scenario(entry, sidecar)` once an entry serves requests through a sidecar."""
 
     async def run():
@@ -118,8 +121,9 @@
                 }
                 sidecar = {"instance": "s", "listen": listens[0], **target_settings, **common}
                 entry = {"instance": "e", "listen": listens[1], **entry_settings, **common}
-                processes.append(FleetProcess(folder, "sidecar", SIDECAR_DESCRIPTORS, **sidecar))
-                processes.append(FleetProcess(folder, "entry", ENTRY_DESCRIPTORS, **entry))
+                start = partial(FleetProcess, folder, reads_log=reads_logs)
+                processes.append(start("sidecar", SIDECAR_DESCRIPTORS, **sidecar))
+                processes.append(start("entry", ENTRY_DESCRIPTORS, **entry))
                 while not await answers(processes[1]):
                     await anyio.sleep(0.1)
                 await scenario(processes[1], processes[0])
--- a/tests/process/observe/test_bounded_log.py
+++ b/tests/process/observe/test_bounded_log.py
@@ -3,6 +3,7 @@
 
 from guavawalk import events
 from guavawalk.process.observe.bounded_log import MAX_LINES, MAX_LINES_PER_S, create_bounded_log
+from guavawalk.process.observe.json_log import create_event_log
 from tests.virtual import run_virtually
 
 
@@ -73,6 +74,12 @@
         assert piped.log.flush(piped.writer)
         assert [line["number"] for line in piped.lines()] == 5 * list(range(MAX_LINES_PER_S))
 
+    def test_closed_reader_raises_no_error(self):
+        piped = PipedLog()
+        os.close(piped.reader)
+        piped.log.emit(events.CALL_SENT)
+        assert piped.log.flush(piped.writer)
+
     def test_drops_are_logged_by_event(self):
         async def write(piped):
             import anyio
@@ -86,3 +93,14 @@
         run_virtually(write, piped)
         reports = [line for line in piped.lines() if line["event_name"] == "log_lines_dropped"]
         assert [line["dropped"] for line in reports] == [{"call_sent": 7}]
+
+
+class TestEventLog:
+    def test_fields_may_have_the_names_of_attributes_of_log_records(self, tmp_path):
+        log = create_event_log("sidecar", "s-1")
+        log.emit(events.ORDER_GIVEN, name="swap", args=(1,))
+        with (tmp_path / "log").open("wb") as file:
+            assert not log.flush(file.fileno())
+        line = json.loads((tmp_path / "log").read_text())
+        assert (line["event_name"], line["level"]) == ("order_given", "INFO")
+        assert (line["role"], line["name"], line["args"]) == ("sidecar", "swap", [1])
--- a/tests/process/observe/test_trace.py
+++ b/tests/process/observe/test_trace.py
@@ -44,8 +44,10 @@
 class TestDeployment:
     def test_entry_and_sidecar_share_the_trace_id(self, tmp_path, capsys):
         file = tmp_path / "log"
+        log = create_event_log("test", "test")
+        anyio.run(self._send_two, log)
         with file.open("w") as stream:
-            anyio.run(self._send_two, create_event_log("test", "test", stream=stream))
+            assert not log.flush(stream.fileno())
         events = [part.event for part in read_trace("story-1", [file]).lines]
         assert events == [2003, 2001]
         assert [part.event for part in read_trace("story-2", [file]).lines] == [2002]
--- a/tests/process/test_secrets.py
+++ b/tests/process/test_secrets.py
@@ -1,7 +1,7 @@
 """Tests that secrets appear in no log line and in no answer."""
 
-import io
 import json
+from pathlib import Path
 
 import anyio
 import httpcore
@@ -9,6 +9,7 @@
 from guavawalk.connection.tasks.admin import create_admin_app
 from guavawalk.process.admin.entry_node import create_entry_node
 from guavawalk.process.observe.json_log import create_event_log
+from guavawalk.process.observe.log import EventLog
 from guavawalk.tools.embedded import run_embedded
 from guavawalk.tools.plan import kestrel_lane_plan
 from tests.asgi import send_asgi_request
@@ -33,8 +34,7 @@
 )
 
 
-async def send_all_requests(logged: io.StringIO) -> list[str]:
-    log = create_event_log("test", "test", "DEBUG", logged)
+async def send_all_requests(log: EventLog) -> list[str]:
     answers = []
     async with run_embedded(kestrel_lane_plan(), log) as deployment:
         url = f"http://{deployment.entry_addresses['victoria']}"
@@ -50,19 +50,26 @@
     return answers
 
 
+def run_and_read(folder: Path) -> tuple[list[str], str]:
+    """Send all requests; return the answers and the log."""
+    log = create_event_log("test", "test", "DEBUG")
+    answers = anyio.run(send_all_requests, log)
+    file = folder / "log"
+    with file.open("w") as stream:
+        assert not log.flush(stream.fileno()) and not log.dropped
+    return answers, file.read_text()
+
+
 class TestSecretsAreKept:
-    def test_no_log_line_and_no_answer_holds_a_secret(self):
-        logged = io.StringIO()
-        answers = anyio.run(send_all_requests, logged)
-        lines = logged.getvalue()
+    def test_no_log_line_and_no_answer_holds_a_secret(self, tmp_path):
+        answers, lines = run_and_read(tmp_path)
         assert "request_ended" in lines
         assert "request_invalid" in lines
         for secret in SECRETS:
             assert secret not in lines
             assert not [answer for answer in answers if secret in answer]
 
-    def test_no_log_line_and_no_answer_holds_the_digest_of_a_key(self):
-        logged = io.StringIO()
-        answers = anyio.run(send_all_requests, logged)
+    def test_no_log_line_and_no_answer_holds_the_digest_of_a_key(self, tmp_path):
+        answers, lines = run_and_read(tmp_path)
         for key in KEYS:
-            assert key.key_digest not in logged.getvalue() + "".join(answers)
+            assert key.key_digest not in lines + "".join(answers)
