Logs: the limit of lines a second holds for warnings and errors as well

Callers that are refused make entries log a warning each (request_invalid), and links that are refused one at sidecars (link_rejected), of which the log wrote any number a second: only events below WARNING had a limit. 3,000 such warnings in one second left 3,000 lines; 300 are left now, as of other events. Lines of operators' actions (AUDIT) have no limit.

--- a/guavawalk/process/observe/bounded_log.py
+++ b/guavawalk/process/observe/bounded_log.py
@@ -26,7 +26,7 @@
 MAX_LINES = 2_000
 # Lines of the buffer that are reserved for levels WARNING and above.
 RESERVED_FOR_WARNINGS = 500
-# Maximum number of lines a second for each event below level WARNING. A busy process completes 100
+# Maximum number of lines a second for each event below level AUDIT. A busy process completes 100
 # requests a second and logs a line for each.
 MAX_LINES_PER_S = 300
 # Time over which lines are collected before they are written together, in seconds.
@@ -88,7 +88,7 @@
     second : int
         The second, since the Unix epoch, in which `lines` were counted.
     lines : int
-        Lines emitted in that second, dropped ones included; not counted from level WARNING on.
+        Lines emitted in that second, dropped ones included.
     dropped : int
         Lines dropped since drops were last reported.
     """
@@ -117,7 +117,7 @@
     Notes
     -----
     A line is dropped if the buffer is full, or if its event exceeds `MAX_LINES_PER_S`, which does
-    not apply from level WARNING on.
+    not apply to level AUDIT.
     """
 
     def __init__(self, encode: LineEncoder, level: str, now_s: Callable[[], float]) -> None:
@@ -153,15 +153,12 @@
         self._append(event, now_s, fields)
 
     def _has_room(self, event: Event, limiter: _EventLimiter, second: int) -> bool:
-        if event.level >= logging.WARNING:
-            return len(self._lines) < MAX_LINES
         if limiter.second != second:
             limiter.second, limiter.lines = second, 0
         limiter.lines += 1
-        return (
-            limiter.lines <= MAX_LINES_PER_S
-            and len(self._lines) < MAX_LINES - RESERVED_FOR_WARNINGS
-        )
+        reserved = 0 if event.level >= logging.WARNING else RESERVED_FOR_WARNINGS
+        is_limited = event.level < events.AUDIT and limiter.lines > MAX_LINES_PER_S
+        return not is_limited and len(self._lines) < MAX_LINES - reserved
 
     def _append(self, event: Event, now_s: float, fields: dict[str, Any]) -> None:
         self._lines.append(self._encode(event, now_s, fields))
--- a/tests/process/observe/test_bounded_log.py
+++ b/tests/process/observe/test_bounded_log.py
@@ -1,6 +1,8 @@
 import json
 import os
 
+import pytest
+
 from guavawalk import events
 from guavawalk.process.observe.bounded_log import MAX_LINES, MAX_LINES_PER_S, create_bounded_log
 from guavawalk.process.observe.json_log import create_event_log
@@ -44,13 +46,14 @@
         piped.log.emit(events.REGISTRY_LOST)
         assert [line["event_name"] for line in piped.lines()] == ["registry_lost"]
 
-    def test_limit_of_one_event_leaves_room_for_others(self):
+    @pytest.mark.parametrize("event", [events.CALL_SENT, events.REQUEST_INVALID])
+    def test_limit_of_one_event_leaves_room_for_others(self, event):
         piped = PipedLog()
         for _ in range(10 * MAX_LINES_PER_S):
-            piped.log.emit(events.CALL_SENT)
+            piped.log.emit(event)
         piped.log.emit(events.CALL_ENDED)
         names = [line["event_name"] for line in piped.lines()]
-        assert names.count("call_sent") == MAX_LINES_PER_S
+        assert names.count(event.name) == MAX_LINES_PER_S
         assert names[-1] == "call_ended"
         assert piped.log.dropped == 9 * MAX_LINES_PER_S
 
