Logs: bound the bytes that wait for a reader

A line holds the request id and other fields as a caller sent them in its head, up to 16 KiB, and the buffer counted lines only: 1,500 such lines, 24 MB, waited where 1 MB was meant. The buffer now takes 1 MB, a quarter of it for warnings alone; the new test failed before.

--- a/guavawalk/process/observe/bounded_log.py
+++ b/guavawalk/process/observe/bounded_log.py
@@ -22,10 +22,11 @@
 
 __all__ = ["BoundedLog", "LineEncoder", "create_bounded_log", "write_log"]
 
-# Capacity of the buffer in lines; at 300 bytes a line it stays below 1 MB.
+# Capacity of the buffer in lines, and in bytes: a line may hold what a caller sent in its head.
 MAX_LINES = 2_000
-# Lines of the buffer that are reserved for levels WARNING and above.
-RESERVED_FOR_WARNINGS = 500
+MAX_BYTES = 1_000_000
+# Share of the buffer that is reserved for levels WARNING and above.
+SHARE_FOR_WARNINGS = 0.25
 # Maximum number of lines a second for each event below level AUDIT. A busy process completes 100
 # requests a second and logs a line for each.
 MAX_LINES_PER_S = 300
@@ -124,6 +125,7 @@
         self._encode = encode
         self._now_s = now_s
         self._lines: deque[bytes] = deque()
+        self._held_bytes = 0
         self._limiters: defaultdict[str, _EventLimiter] = defaultdict(_EventLimiter)
         self._has_lines = anyio.Event()
         self._drops_reported_s = 0.0
@@ -156,12 +158,15 @@
         if limiter.second != second:
             limiter.second, limiter.lines = second, 0
         limiter.lines += 1
-        reserved = 0 if event.level >= logging.WARNING else RESERVED_FOR_WARNINGS
-        is_limited = event.level < events.AUDIT and limiter.lines > MAX_LINES_PER_S
-        return not is_limited and len(self._lines) < MAX_LINES - reserved
+        if event.level < events.AUDIT and limiter.lines > MAX_LINES_PER_S:
+            return False
+        share = 1.0 if event.level >= logging.WARNING else 1.0 - SHARE_FOR_WARNINGS
+        return len(self._lines) < share * MAX_LINES and self._held_bytes < share * MAX_BYTES
 
     def _append(self, event: Event, now_s: float, fields: dict[str, Any]) -> None:
-        self._lines.append(self._encode(event, now_s, fields))
+        line = self._encode(event, now_s, fields)
+        self._lines.append(line)
+        self._held_bytes += len(line)
         self._has_lines.set()
 
     async def write(self, descriptor: int) -> None:
@@ -189,6 +194,7 @@
             except OSError:
                 # It is full, or its reader has closed.
                 written = 0
+            self._held_bytes -= written
             if written < len(batch):
                 self._lines.appendleft(bytes(batch[written:]))
                 return True
--- a/tests/process/observe/test_bounded_log.py
+++ b/tests/process/observe/test_bounded_log.py
@@ -4,7 +4,12 @@
 import pytest
 
 from guavawalk import events
-from guavawalk.process.observe.bounded_log import MAX_LINES, MAX_LINES_PER_S, create_bounded_log
+from guavawalk.process.observe.bounded_log import (
+    MAX_BYTES,
+    MAX_LINES,
+    MAX_LINES_PER_S,
+    create_bounded_log,
+)
 from guavawalk.process.observe.json_log import create_event_log
 from tests.virtual import run_virtually
 
@@ -68,6 +73,19 @@
         assert len(lines) < MAX_LINES
         assert lines[-1]["event_name"] == "registry_lost"
 
+    def test_buffer_of_long_lines_is_bounded(self):
+        piped = PipedLog()
+        for second in range(10):
+            piped.now_s = 100.0 + second
+            for _ in range(MAX_LINES_PER_S):
+                piped.log.emit(events.CALL_SENT, trace_id="x" * 16_000)
+        piped.log.emit(events.REGISTRY_LOST)
+        lines = piped.lines()
+        assert 16_000 * len(lines) < MAX_BYTES
+        assert lines[-1]["event_name"] == "registry_lost"
+        piped.log.emit(events.CALL_ENDED)
+        assert len(piped.lines()) == 1
+
     def test_lines_are_complete_after_a_partial_write(self):
         piped = PipedLog()
         for second in range(5):
