Bound the links whose TLS handshake has not ended

Callers: with TLS between our processes, connections that sent nothing took all descriptors of a sidecar, and an ordinary request through it got no answer while they were open.

Cause: anyio's TLS listener does the handshake before our handler runs, so that these connections were not among the 64 opening links, and lasted 30 s each. It also wrote a traceback to standard error, past the bounded log, for each handshake that failed.

Both new tests failed before; they need no certificate, as no handshake ends in them.

The handshake now runs in the link's task, counted as opening, for 3 s at most. One that fails leaves a closed link, which its handler logs as broken.

--- a/guavawalk/connection/tcp.py
+++ b/guavawalk/connection/tcp.py
@@ -5,11 +5,12 @@
 import struct
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
+from functools import partial
 
 import anyio
 from anyio.abc import ByteStream, SocketAttribute, TaskStatus
 from anyio.streams.buffered import BufferedByteReceiveStream
-from anyio.streams.tls import TLSListener, TLSStream
+from anyio.streams.tls import TLSStream
 
 from guavawalk.connection.address import format_address, split_address
 from guavawalk.connection.codec import MAX_FRAME_BYTES, decode_message, encode_message
@@ -25,6 +26,8 @@
 CONNECT_TIMEOUT_S = 0.5
 # Connections that the kernel holds until they are accepted.
 BACKLOG = 1024
+# Longest time of a TLS handshake on an accepted link, in seconds.
+TLS_HANDSHAKE_TIMEOUT_S = 3.0
 # Longest frame that is accepted before the handshake has ended, in bytes.
 MAX_HANDSHAKE_FRAME_BYTES = 16 * 1024
 # Most accepted links whose handshake has not ended; a new one replaces the oldest.
@@ -95,23 +98,28 @@
 
 
 class _OpeningLinks:
-    """Accepted links whose handshake has not ended, with the scopes of their handlers."""
+    """Accepted links whose handshake has not ended, that of TLS included."""
 
     def __init__(self) -> None:
-        self._scopes: dict[TcpLink, anyio.CancelScope] = {}
+        # By the scope of the task that serves it: the link, None until TLS is in place.
+        self._links: dict[anyio.CancelScope, TcpLink | None] = {}
 
     @contextmanager
-    def link(self, link: TcpLink) -> Iterator[None]:
-        """Serve a link within the block, until it is replaced."""
-        self._scopes = {other: s for other, s in self._scopes.items() if not other.session_id}
-        if len(self._scopes) >= MAX_OPENING_LINKS:
-            self._scopes.pop(next(iter(self._scopes))).cancel()
+    def opening(self) -> Iterator[Callable[[TcpLink], None]]:
+        """Serve a link within the block, until it is replaced; yields a function that names it."""
+        opened = [scope for scope, link in self._links.items() if link and link.session_id]
+        for scope in opened:
+            del self._links[scope]
+        if len(self._links) >= MAX_OPENING_LINKS:
+            oldest = next(iter(self._links))
+            del self._links[oldest]
+            oldest.cancel()
         with anyio.CancelScope() as scope:
-            self._scopes[link] = scope
+            self._links[scope] = None
             try:
-                yield
+                yield partial(self._links.__setitem__, scope)
             finally:
-                self._scopes.pop(link, None)
+                self._links.pop(scope, None)
 
 
 def _ignore(error: OSError) -> None:
@@ -155,27 +163,39 @@
         host, port = split_address(address)
         listener = create_listener(host, port, BACKLOG)
         bound_port = listener.extra(SocketAttribute.local_port)
-        link_listener = TLSListener(listener, self._server_tls) if self._server_tls else listener
         opening = _OpeningLinks()
 
-        async def serve_stream(stream: ByteStream) -> None:
-            link = TcpLink(stream, self._version)
+        async def serve_stream(raw: ByteStream) -> None:
             try:
-                _limit_unacknowledged(stream)
-                with opening.link(link):
+                with opening.opening() as set_link:
+                    link = TcpLink(await self._secure(raw), self._version)
+                    set_link(link)
                     await handler(link)
             finally:
-                await link.aclose()
+                with anyio.move_on_after(1, shield=True):
+                    await anyio.aclose_forcefully(raw)
 
         async with listener, anyio.create_task_group() as links:
             task_status.started(format_address(host, bound_port))
             while True:
                 try:
-                    await link_listener.serve(serve_stream, links)
+                    await listener.serve(serve_stream, links)
                 except OSError as error:
                     self._on_accept_error(error)
                     await anyio.sleep(ACCEPT_DELAY_S)
 
+    async def _secure(self, stream: ByteStream) -> ByteStream:
+        """Return an accepted stream, with TLS if it is used; a closed one if that fails."""
+        try:
+            _limit_unacknowledged(stream)
+            if self._server_tls is None:
+                return stream
+            with anyio.fail_after(TLS_HANDSHAKE_TIMEOUT_S):
+                return await TLSStream.wrap(stream, server_side=True, ssl_context=self._server_tls)
+        except (*_SEND_ERRORS, TimeoutError):
+            await anyio.aclose_forcefully(stream)
+            return stream
+
 
 def create_tcp_network(
     version: Callable[[], int],
--- a/tests/connection/test_tcp.py
+++ b/tests/connection/test_tcp.py
@@ -1,6 +1,9 @@
 """Links over TCP."""
 
+import ssl
+
 import anyio
+import pytest
 
 from guavawalk.connection import tcp
 from guavawalk.connection.messages import Chunk, LoadRequest
@@ -82,6 +85,47 @@
         monkeypatch.setattr(tcp, "MAX_OPENING_LINKS", 2)
         anyio.run(scenario)
 
+    def test_new_connection_replaces_the_oldest_without_a_tls_handshake(self, monkeypatch):
+        async def scenario():
+            async def handler(link):
+                await anyio.sleep_forever()
+
+            network = create_tcp_network(lambda: 0, ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER))
+            async with anyio.create_task_group() as tasks:
+                address = await tasks.start(network.serve, "127.0.0.1:0", handler)
+                host, port = address.split(":")
+                silent = [await anyio.connect_tcp(host, int(port)) for _ in range(3)]
+                with anyio.fail_after(2), pytest.raises(anyio.EndOfStream):
+                    await silent[0].receive()
+                tasks.cancel_scope.cancel()
+
+        monkeypatch.setattr(tcp, "MAX_OPENING_LINKS", 2)
+        anyio.run(scenario)
+
+    def test_failed_tls_handshake_breaks_the_link_and_logs_no_traceback(self, caplog):
+        async def scenario():
+            found = []
+
+            async def handler(link):
+                with pytest.raises(LinkBroken):
+                    await link.receive()
+                found.append(link)
+
+            network = create_tcp_network(lambda: 0, ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER))
+            async with anyio.create_task_group() as tasks:
+                address = await tasks.start(network.serve, "127.0.0.1:0", handler)
+                host, port = address.split(":")
+                for _ in range(2):
+                    stream = await anyio.connect_tcp(host, int(port))
+                    await stream.send(b"GET / HTTP/1.1\r\n\r\n")
+                with anyio.fail_after(5):
+                    while len(found) < 2:
+                        await anyio.sleep(0.01)
+                tasks.cancel_scope.cancel()
+
+        anyio.run(scenario)
+        assert not caplog.records
+
     def test_long_message_before_the_handshake_breaks_the_link(self):
         async def scenario():
             found = []
