Entries report the memory and the turns of bodies, and lost log lines

Entries send the same six gauges now, and entries and sidecars log_lines_dropped, every 10 s as their others.

--- a/guavawalk/process/entry_daemon.py
+++ b/guavawalk/process/entry_daemon.py
@@ -34,7 +34,7 @@
 from guavawalk.process.gateway.input_budget import create_input_budget
 from guavawalk.process.http_server import serve_asgi
 from guavawalk.process.observe.bounded_log import write_log
-from guavawalk.process.observe.gauges import GaugeValues, report_gauges
+from guavawalk.process.observe.gauges import GaugeValues, InputGauges, report_gauges
 from guavawalk.process.observe.json_log import create_event_log
 from guavawalk.process.observe.log import EventLog
 from guavawalk.process.observe.observations import create_observations
@@ -233,7 +233,19 @@
 
 
 def _read_gauges(entry: Entry) -> GaugeValues:
-    return GaugeValues(entry.request_tracker.running, entry.active.stamp.version)
+    return GaugeValues(
+        running=entry.request_tracker.running,
+        version=entry.active.stamp.version,
+        input=InputGauges(
+            used_bytes=entry.input.used_bytes,
+            limit_bytes=entry.input.total_bytes,
+            waiting=entry.input.waiting,
+            refused=entry.input.refused,
+            turns_waiting=entry.read_turns.waiting,
+            turns_refused=entry.read_turns.refused,
+        ),
+        log_lines_dropped=entry.log.dropped,
+    )
 
 
 async def drain_entry(entry: Entry, notice_s: float = 0.0) -> None:
--- a/guavawalk/process/observe/__init__.py
+++ b/guavawalk/process/observe/__init__.py
@@ -5,7 +5,7 @@
 _EXPORTS = {
     "bounded_log": ["BoundedLog", "LineEncoder", "create_bounded_log", "write_log"],
     "exposition": ["MAX_SERIES", "Labels", "MetricSet", "create_metric_set"],
-    "gauges": ["GaugeValues", "report_gauges"],
+    "gauges": ["GaugeValues", "InputGauges", "report_gauges"],
     "heaviest": ["HeaviestKeys", "KeyWeight", "create_heaviest_keys"],
     "histograms": [
         "HistogramKey",
--- a/guavawalk/process/observe/log.py
+++ b/guavawalk/process/observe/log.py
@@ -18,9 +18,12 @@
     level : str
         Lowest level that is logged, one of `LOG_LEVELS`; events of level AUDIT are always
         logged.
+    dropped : int
+        Lines dropped since the start, since they were too many.
     """
 
     level: str
+    dropped: int
 
     def emit(self, event: Event, **fields: Any) -> None:
         """Log an event with its fields."""
@@ -32,6 +35,7 @@
 
     def __init__(self) -> None:
         self.level = "ERROR"
+        self.dropped = 0
 
     def emit(self, event: Event, **fields: Any) -> None:
         """Drop the event."""
--- a/guavawalk/process/observe/names.py
+++ b/guavawalk/process/observe/names.py
@@ -19,7 +19,7 @@
     kind : str
         `count`, `time`, `gauge`, or `observe` for a histogram.
     role : str
-        Kind of process that reports the metric; `both` for entries and sidecars.
+        Kinds of process that report the metric; `both` for entries and sidecars.
     meaning : str
         Description for the documentation.
     """
@@ -51,6 +51,35 @@
     MetricName("window", "gauge", "sidecar", "attempts that may run at once"),
     MetricName("version", "gauge", "both", "number of the configuration in force"),
     MetricName("resident_bytes", "gauge", "both", "memory of the process"),
+    MetricName(
+        "input_bytes",
+        "gauge",
+        "entry, gateway",
+        "memory of what callers have sent, reserved room included",
+    ),
+    MetricName("input_limit_bytes", "gauge", "entry, gateway", "most memory for what callers send"),
+    MetricName(
+        "input_waiting", "gauge", "entry, gateway", "connections not read for lack of that memory"
+    ),
+    MetricName(
+        "input_refused",
+        "gauge",
+        "entry, gateway",
+        "requests refused since the start to free that memory",
+    ),
+    MetricName(
+        "input_turns_waiting",
+        "gauge",
+        "entry, gateway",
+        "requests whose bodies wait for processor time",
+    ),
+    MetricName(
+        "input_turns_refused",
+        "gauge",
+        "entry, gateway",
+        "requests refused since the start for lack of processor time",
+    ),
+    MetricName("log_lines_dropped", "gauge", "all", "log lines dropped since the start"),
     MetricName(
         "calls_total{code}",
         "count",
@@ -193,26 +222,6 @@
     ),
     MetricName("calls_running", "gauge", "gateway", "calls under way"),
     MetricName("caller_connections", "gauge", "gateway", "callers' connections that are open"),
-    MetricName(
-        "input_bytes",
-        "gauge",
-        "gateway",
-        "memory of what callers have sent, reserved room included",
-    ),
-    MetricName("input_limit_bytes", "gauge", "gateway", "most memory for what callers send"),
-    MetricName("input_waiting", "gauge", "gateway", "connections not read for lack of that memory"),
-    MetricName(
-        "input_refused", "gauge", "gateway", "requests refused since the start to free that memory"
-    ),
-    MetricName(
-        "input_turns_waiting", "gauge", "gateway", "requests whose bodies wait for processor time"
-    ),
-    MetricName(
-        "input_turns_refused",
-        "gauge",
-        "gateway",
-        "requests refused since the start for lack of processor time",
-    ),
     MetricName(
         "calls_waiting{service}", "gauge", "gateway", "calls that wait for a slot at a target"
     ),
@@ -333,7 +342,6 @@
         "gateway",
         "suspects displaced by newer ones before others were told, since the start",
     ),
-    MetricName("log_lines_dropped", "gauge", "gateway", "log lines dropped since the start"),
     MetricName(
         "peak_memory_bytes", "gauge", "gateway", "largest resident memory of the process so far"
     ),
--- a/guavawalk/process/sidecar_daemon.py
+++ b/guavawalk/process/sidecar_daemon.py
@@ -216,6 +216,7 @@
         version=sidecar.active.stamp.version,
         queued=len(sidecar.queue),
         window=sidecar.window.size,
+        log_lines_dropped=sidecar.log.dropped,
     )
 
 
--- a/tests/process/observe/test_metrics.py
+++ b/tests/process/observe/test_metrics.py
@@ -5,7 +5,7 @@
 import anyio
 import pytest
 
-from guavawalk.process.observe.gauges import GaugeValues, report_gauges
+from guavawalk.process.observe.gauges import GaugeValues, InputGauges, report_gauges
 from guavawalk.process.observe.metrics import create_statsd_metrics
 
 
@@ -44,3 +44,17 @@
         assert found["walk.queued"] == "2|g"
         assert found["walk.window"] == "8|g"
         assert int(found["walk.resident_bytes"].partition("|")[0]) > 1_000_000
+
+    def test_gauges_of_an_entry_are_sent(self, daemon):
+        metrics = create_statsd_metrics(*daemon.getsockname(), "walk")
+        values = GaugeValues(1, 7, input=InputGauges(1, 2, 3, 4, 5, 6), log_lines_dropped=8)
+
+        async def report_once():
+            with anyio.move_on_after(0):
+                await report_gauges(metrics, lambda: values)
+
+        anyio.run(report_once)
+        found = dict(received(daemon).split(":") for _ in range(10))
+        assert found["walk.input_waiting"] == "3|g"
+        assert found["walk.input_turns_refused"] == "6|g"
+        assert found["walk.log_lines_dropped"] == "8|g"
