Leave descriptors for links and targets beside idle connections

Callers: with idle connections at the callers' and at the administration address of an entry, all 1,024 descriptors were in use, and a request beside them was reset.

Cause: each of the two addresses accepted 512 connections. A gateway keeps 220 descriptors for all but its callers, which its administration address alone could take.

An administration address now takes 48, as many as a page of a gateway, and an entry takes at most half of its limit on descriptors from callers.

--- a/guavawalk/connection/tasks/admin.py
+++ b/guavawalk/connection/tasks/admin.py
@@ -30,6 +30,8 @@
 
 BODY_LIMIT_BYTES = 16 * 1024
 BODY_TIMEOUT_S = 10.0
+# Most connections, so that those of callers, links and targets have descriptors.
+MAX_CONNECTIONS = 48
 
 Endpoint = Callable[[Request], Awaitable[Response]]
 
@@ -45,7 +47,8 @@
         Where to listen, `IP:port`; if it is empty, the API is off and this returns at once.
     """
     if address:
-        await serve_asgi(create_admin_app(node, keys), address)
+        app = create_admin_app(node, keys)
+        await serve_asgi(app, address, max_connections=MAX_CONNECTIONS)
 
 
 def create_admin_app(node: CommonNode, keys: Sequence[AdminKeySettings]) -> Starlette:
--- a/guavawalk/process/entry_daemon.py
+++ b/guavawalk/process/entry_daemon.py
@@ -1,6 +1,7 @@
 """Assembles, serves and shuts down the entry process."""
 
 import random
+import resource
 from functools import partial
 
 import anyio
@@ -177,11 +178,19 @@
         entry.limits.head_timeout_s,
         partial(_record_rejected, entry),
         stop,
+        _max_caller_connections(),
         task_status=task_status,
     )
     scope.cancel()
 
 
+def _max_caller_connections() -> int:
+    """Return how many connections of callers leave descriptors for all others."""
+    limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    has_limit = limit != resource.RLIM_INFINITY
+    return min(MAX_CONNECTIONS, limit // 2) if has_limit else MAX_CONNECTIONS
+
+
 def _record_rejected(entry: Entry, code: ResultCode) -> None:
     record_invalid(entry, RequestError(code, "no readable request"), "", "")
 
--- a/guavawalk/process/http_server.py
+++ b/guavawalk/process/http_server.py
@@ -10,7 +10,11 @@
 
 from guavawalk.codes import ResultCode
 from guavawalk.connection.address import format_address, split_address
-from guavawalk.connection.http_listener import HEAD_TIMEOUT_S, create_h11_protocol
+from guavawalk.connection.http_listener import (
+    HEAD_TIMEOUT_S,
+    MAX_CONNECTIONS,
+    create_h11_protocol,
+)
 
 __all__ = ["serve_asgi"]
 
@@ -42,6 +46,7 @@
     head_timeout_s: float = HEAD_TIMEOUT_S,
     on_rejected: Callable[[ResultCode], None] = _ignore,
     stop: anyio.Event | None = None,
+    max_connections: int = MAX_CONNECTIONS,
     *,
     task_status: TaskStatus[str] = anyio.TASK_STATUS_IGNORED,
 ) -> None:
@@ -63,13 +68,15 @@
     stop : anyio.Event, optional
         Once set, the listener closes, and the call returns after the answers in progress have
         been sent.
+    max_connections : int
+        Most connections; beyond, new ones replace others or are closed.
     """
     host, port = split_address(address)
     config = uvicorn.Config(
         app,
         host=host,
         port=port,
-        http=create_h11_protocol(on_rejected, head_timeout_s),
+        http=create_h11_protocol(on_rejected, head_timeout_s, max_connections),
         ws="none",
         lifespan="off",
         log_config=None,
--- a/tests/connection/tasks/test_connection_limits.py
+++ b/tests/connection/tasks/test_connection_limits.py
@@ -11,7 +11,6 @@
 
 from guavawalk.codes import ResultCode
 from guavawalk.connection.http_encoding import encode_request
-from guavawalk.connection.http_listener import create_h11_protocol
 from guavawalk.connection.response_reader import ResponseReader
 from guavawalk.connection.socket_stream import create_listener
 from guavawalk.connection.tasks import accept_callers, serve_probe
@@ -22,8 +21,8 @@
     serve_pages,
 )
 from guavawalk.exception import RequestError
-from guavawalk.process import http_server
 from guavawalk.process.gateway.input_budget import InputBudget
+from guavawalk.process.http_server import serve_asgi
 from soak.standins import StandInTarget, answer_plain, listen
 from tests.gateway_calls import SAFE
 from tests.gateway_standins import GatewayHarness, run_with_timeout
@@ -98,29 +97,26 @@
 
 
 class TestHttpListener:
-    def play(self, monkeypatch, scenario):
-        def create_protocol(on_rejected, head_timeout_s):
-            return create_h11_protocol(on_rejected, head_timeout_s, MAX_CONNECTIONS)
-
+    def play(self, scenario):
         async def run():
             async with anyio.create_task_group() as tasks:
-                address = await tasks.start(http_server.serve_asgi, hello, "127.0.0.1:0")
+                serve = partial(serve_asgi, hello, max_connections=MAX_CONNECTIONS)
+                address = await tasks.start(serve, "127.0.0.1:0")
                 await scenario(address)
                 tasks.cancel_scope.cancel()
 
-        monkeypatch.setattr(http_server, "create_h11_protocol", create_protocol)
         run_with_timeout(run)
 
-    def test_new_connection_replaces_the_one_that_is_idle_for_longest(self, monkeypatch):
+    def test_new_connection_replaces_the_one_that_is_idle_for_longest(self):
         async def scenario(address):
             idle = [await connect(address) for _ in range(MAX_CONNECTIONS)]
             assert await ask(await connect(address)) == 200
             await closes(idle[0])
             assert await ask(idle[1]) == 200
 
-        self.play(monkeypatch, scenario)
+        self.play(scenario)
 
-    def test_body_that_makes_no_progress_is_replaced(self, monkeypatch):
+    def test_body_that_makes_no_progress_is_replaced(self):
         async def scenario(address):
             start = b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\nab"
             stalled = [await connect(address) for _ in range(MAX_CONNECTIONS)]
@@ -130,9 +126,9 @@
             assert await ask(await connect(address)) == 200
             assert (await ResponseReader(stalled[0]).read_head()).status == 408
 
-        self.play(monkeypatch, scenario)
+        self.play(scenario)
 
-    def test_body_that_waits_to_be_read_is_replaced(self, monkeypatch):
+    def test_body_that_waits_to_be_read_is_replaced(self):
         async def scenario(address):
             start = b"POST /wait HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\nab"
             waiting = [await connect(address) for _ in range(MAX_CONNECTIONS)]
@@ -142,16 +138,16 @@
             assert await ask(await connect(address)) == 200
             assert (await ResponseReader(waiting[0]).read_head()).status == 503
 
-        self.play(monkeypatch, scenario)
+        self.play(scenario)
 
-    def test_refusal_is_not_lost_while_the_caller_sends_on(self, monkeypatch):
+    def test_refusal_is_not_lost_while_the_caller_sends_on(self):
         async def scenario(address):
             stream = await connect(address)
             size = 8 * 1024 * 1024
             start = b"POST /refuse HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n" % size
             assert await ask(stream, start + bytes(size)) == 413
 
-        self.play(monkeypatch, scenario)
+        self.play(scenario)
 
 
 def make_request(*parts, announced=0):
--- a/tests/process/entry_processes.py
+++ b/tests/process/entry_processes.py
@@ -6,6 +6,7 @@
 import sys
 from contextlib import contextmanager
 from functools import partial
+from typing import NamedTuple
 
 import anyio
 
@@ -30,6 +31,16 @@
 TIMEOUT_S = 120
 
 
+class Address(NamedTuple):
+    """An address where a process accepts connections."""
+
+    address: str
+
+    async def caller(self):
+        host, port = self.address.split(":")
+        return Caller(await anyio.connect_tcp(host, int(port)))
+
+
 class FleetProcess:
     """An entry or a sidecar; `address` is where callers connect, or entries.
 
@@ -50,8 +61,7 @@
             )
 
     async def caller(self):
-        host, port = self.address.split(":")
-        return Caller(await anyio.connect_tcp(host, int(port)))
+        return await Address(self.address).caller()
 
 
 def plan():
--- a/tests/process/test_untrusted_callers_of_entries.py
+++ b/tests/process/test_untrusted_callers_of_entries.py
@@ -6,7 +6,9 @@
 import pytest
 
 from guavawalk.connection.codec import MAX_FRAME_BYTES
-from tests.process.entry_processes import answers, run_with_fleet
+from guavawalk.version.documents import digest_bytes
+from soak.fleet import free_ports
+from tests.process.entry_processes import Address, answers, run_with_fleet
 from tests.process.test_untrusted_callers import (
     BLOCK,
     CROWD,
@@ -47,8 +49,9 @@
         await send(BLOCK)
 
 
-# More connections than the sidecar may have descriptors.
+# More connections than the sidecar may have descriptors, and twice this than the entry.
 IDLE_CROWD = 160
+ENTRY_IDLE_CROWD = 560
 LINK_FORMS = {
     "frame_one_byte_short": frame_one_byte_short,
     "frames_of_one_byte": frames_of_one_byte,
@@ -92,6 +95,25 @@
     def test_large_crowd_of_all_forms(self, tmp_path):
         play(tmp_path, list(LARGE_FORMS.values()), LARGE_CROWD)
 
+    def test_idle_connections_of_callers_and_of_the_administration(self, tmp_path):
+        (port,) = free_ports(1)
+        admin = Address(f"127.0.0.1:{port}")
+
+        async def scenario(entry, sidecar):
+            crowd = Crowd()
+            async with anyio.create_task_group() as callers:
+                for _ in range(ENTRY_IDLE_CROWD):
+                    callers.start_soon(crowd.run, entry, nothing)
+                    callers.start_soon(crowd.run, admin, nothing)
+                await crowd.wait_stalled(entry)
+                check(entry, sidecar)
+                callers.cancel_scope.cancel()
+            assert await answers(entry)
+
+        key = {"name": "o", "key_digest": digest_bytes(b"k1")}
+        settings = {**SETTINGS, "admin_listen": admin.address, "admin_keys": [key]}
+        run_with_fleet(tmp_path, scenario, **settings)
+
 
 class TestSidecar:
     @pytest.mark.parametrize("name", LINK_FORMS)
