Entry: read no requests ahead without end

Clients: small requests that are sent one after the other without waiting for answers filled an entry's memory, without end: nothing is over a limit, and no key beyond the client's own is needed.

Cause: uvicorn reads on whenever the application awaits the next message of a request, or its end. Each request of some 100 bytes so let 4 KiB more in, and the parser kept them (41 MB of 82 MB in use were its buffers, by tracemalloc).

Flow control now reads no further while 4 KiB or more wait behind the running request, and goes on when its answer is complete.

--- a/guavawalk/connection/http_listener.py
+++ b/guavawalk/connection/http_listener.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable
 
 import h11
+from uvicorn.protocols.http.flow_control import FlowControl
 from uvicorn.protocols.http.h11_impl import H11Protocol
 
 from guavawalk.codes import ResultCode, describe_code
@@ -37,6 +38,9 @@
 SHORT_READ_BYTES = 4_096
 BODY_READ_BYTES = 16_384
 DISCARD_READ_BYTES = 65_536
+# Bytes behind a request from which on no more are read while it runs. uvicorn reads on whenever the
+# application awaits the caller's next message or its end, and the parser keeps what it gets.
+MAX_AHEAD_BYTES = 4_096
 # Time after which a caller may retry a request that gave way to a new connection, in milliseconds.
 REPLACED_RETRY_MS = 1_000
 
@@ -81,6 +85,18 @@
             self._transport.close()
 
 
+class _BoundedFlow(FlowControl):
+    """Flow control that doesn't read on while enough waits behind the running request."""
+
+    def __init__(self, transport: asyncio.Transport, ahead_bytes: Callable[[], int]) -> None:
+        super().__init__(transport)
+        self._ahead_bytes = ahead_bytes
+
+    def resume_reading(self) -> None:
+        if self._ahead_bytes() < MAX_AHEAD_BYTES:
+            super().resume_reading()
+
+
 def create_h11_protocol(
     on_rejected: RejectionHandler,
     head_timeout_s: float = HEAD_TIMEOUT_S,
@@ -112,6 +128,7 @@
         def connection_made(self, transport) -> None:
             transport = _LingeringTransport(transport, self._has_unread_input)
             super().connection_made(transport)
+            self.flow = _BoundedFlow(transport, self._ahead_bytes)
             self._received_s = self.loop.time()
             if len(self.connections) > max_connections and not self._replace_other():
                 transport.abort()
@@ -145,6 +162,9 @@
                 # The rest of a refused body, which may have no end, is not parsed.
                 self.transport.close()
             super().on_response_complete()
+            # The next request has been taken from what waited, if it has arrived as a whole.
+            if not self.transport.is_closing():
+                self.flow.resume_reading()
 
         def connection_lost(self, exc: Exception | None) -> None:
             self._disarm_head_timer()
@@ -157,6 +177,10 @@
             code = ResultCode.HEADERS_TOO_LARGE if too_large else ResultCode.BAD_REQUEST
             self._reject(code)
 
+        def _ahead_bytes(self) -> int:
+            is_received = self.conn.their_state is h11.DONE
+            return len(self.conn.trailing_data[0]) if is_received else 0
+
         def _has_unread_input(self) -> bool:
             return self.conn.their_state in (h11.SEND_BODY, h11.ERROR)
 
--- a/tests/process/test_untrusted_callers_of_entries.py
+++ b/tests/process/test_untrusted_callers_of_entries.py
@@ -49,6 +49,15 @@
         await send(BLOCK)
 
 
+async def small_requests_without_end(send):
+    while True:
+        await send(SMALL_REQUEST * 100)
+
+
+SMALL_REQUEST = (
+    b"POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer k1\r\n"
+    b"Content-Length: 1\r\n\r\nx"
+)
 # More connections than the sidecar may have descriptors, and twice this than the entry.
 IDLE_CROWD = 160
 ENTRY_IDLE_CROWD = 560
@@ -95,6 +104,9 @@
     def test_large_crowd_of_all_forms(self, tmp_path):
         play(tmp_path, list(LARGE_FORMS.values()), LARGE_CROWD)
 
+    def test_large_crowd_of_small_requests_without_end(self, tmp_path):
+        play(tmp_path, [small_requests_without_end], LARGE_CROWD)
+
     def test_idle_connections_of_callers_and_of_the_administration(self, tmp_path):
         (port,) = free_ports(1)
         admin = Address(f"127.0.0.1:{port}")
