An entry keeps a descriptor for the link of each caller's connection

An entry accepted 512 connections with 1,024 descriptors, and each request in flight has a link as well. The limit is now the one of gateways: half of the descriptors that are not reserved, 402 of 1,024.

--- a/guavawalk/process/entry_daemon.py
+++ b/guavawalk/process/entry_daemon.py
@@ -32,6 +32,7 @@
 from guavawalk.process.entry.retry import create_retry_budget
 from guavawalk.process.entry.state import Entry, EntryLimits, create_request_tracker
 from guavawalk.process.entry.view import create_fleet_view
+from guavawalk.process.gateway.callers import max_caller_connections
 from guavawalk.process.gateway.input_budget import create_input_budget
 from guavawalk.process.http_server import serve_asgi
 from guavawalk.process.observe.bounded_log import write_log
@@ -178,17 +179,18 @@
         entry.limits.head_timeout_s,
         partial(_record_rejected, entry),
         stop,
-        _max_caller_connections(),
+        _max_connections(),
         task_status=task_status,
     )
     scope.cancel()
 
 
-def _max_caller_connections() -> int:
-    """Return how many connections of callers leave descriptors for all others."""
+def _max_connections() -> int:
+    """Return how many callers' connections leave descriptors for links and all others."""
     limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
-    has_limit = limit != resource.RLIM_INFINITY
-    return min(MAX_CONNECTIONS, limit // 2) if has_limit else MAX_CONNECTIONS
+    if limit == resource.RLIM_INFINITY:
+        return MAX_CONNECTIONS
+    return min(MAX_CONNECTIONS, max_caller_connections(limit))
 
 
 def _record_rejected(entry: Entry, code: ResultCode) -> None:
