--- a/tests/process/test_untrusted_callers_of_entries.py
+++ b/tests/process/test_untrusted_callers_of_entries.py
@@ -54,6 +54,12 @@
         await send(SMALL_REQUEST * 100)
 
 
+async def small_requests_without_a_target(send):
+    while True:
+        await send(REQUEST_WITHOUT_A_TARGET * 100)
+
+
+REQUEST_WITHOUT_A_TARGET = b"GET /x/1 HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer k1\r\n\r\n"
 SMALL_REQUEST = (
     b"POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer k1\r\n"
     b"Content-Length: 1\r\n\r\nx"
@@ -107,6 +113,9 @@
     def test_large_crowd_of_small_requests_without_end(self, tmp_path):
         play(tmp_path, [small_requests_without_end], LARGE_CROWD)
 
+    def test_large_crowd_of_small_requests_without_a_target(self, tmp_path):
+        play(tmp_path, [small_requests_without_a_target], LARGE_CROWD)
+
     def test_idle_connections_of_callers_and_of_the_administration(self, tmp_path):
         (port,) = free_ports(1)
         admin = Address(f"127.0.0.1:{port}")
