Logs: tell where a list of targets was taken and what it changed

The logs could not tell whether the restarted gateways read an old list, never read, or read and then took an older list from another gateway: targets_fetched named a revision only, and a read of the registry left no line.

targets_read (4029) is new; targets_fetched has the same fields: position of the list and of what was known, the revision of its last change, and the targets that it added and removed.

--- a/guavawalk/connection/tasks/follow_registry.py
+++ b/guavawalk/connection/tasks/follow_registry.py
@@ -12,19 +12,18 @@
 import anyio
 
 from guavawalk import events
-from guavawalk.connection.registry import WATCH_MARGIN_S, Registry, RouteUpdate, TargetUpdate
+from guavawalk.connection.registry import WATCH_MARGIN_S, Registry, RouteUpdate
+from guavawalk.connection.tasks.apply_targets import LAPSE_WINDOW_S, apply_read, apply_watch
 from guavawalk.connection.tasks.registry_news import apply_evacuations, observe_era
 from guavawalk.exception import HistoryGone, PlatformUnavailable
-from guavawalk.process.gateway.target_end import EndEvidence, record_target_end
 from guavawalk.version.evacuations import MAX_EVACUATIONS, Evacuations
 from guavawalk.version.position import RegistryPosition
-from guavawalk.version.registrations import ListedTargets, Registration
 from guavawalk.version.routes import RouteTable
 
 if TYPE_CHECKING:
     from guavawalk.process.gateway.state import Gateway
 
-__all__ = ["apply_routes", "apply_target_list", "follow_routes", "follow_targets"]
+__all__ = ["apply_routes", "follow_routes", "follow_targets"]
 
 # Time that is left after a watch whose answer was lost, in seconds: in it this gateway reads the
 # registry again, and the others fetch from it what is new.
@@ -39,15 +38,10 @@
 # retries don't overload a registry that refuses calls.
 MIN_PAUSE_S = 0.1
 MAX_PAUSE_S = 0.8
-# Registrations that lapsed while the registry was unavailable are renewed within this time of its
-# recovery, in seconds. A registration that disappears within it may still have a live target.
-LAPSE_WINDOW_S = 2.5
 # Bounds of the pause before everything is read again in a new era, or after the history is gone, in
 # seconds: all watching gateways notice it at the same time, and must not read at the same time.
 MIN_REREAD_S = 0.05
 MAX_REREAD_S = 0.4
-# Most ids of ignored registrations in one log line.
-MAX_LOGGED_IDS = 8
 
 
 class _RegistryHealth:
@@ -241,154 +235,12 @@
             if not await health.accepts_era(update.era, is_read):
                 as_of = None
                 continue
-            if is_read:
-                gateway.targets.begin_read(RegistryPosition(update.era, update.as_of))
-                if removed := _absent_ids(gateway, update):
-                    # No entry tells the revision of a removal; that of the list is later.
-                    update = update._replace(removed=removed, last_change=update.as_of)
             as_of = update.as_of
-            gateway.targets.is_loaded = True
-            await _apply_targets(gateway, update, health.has_just_recovered())
+            apply = apply_read if is_read else apply_watch
+            await apply(gateway, update, health.has_just_recovered())
         except HistoryGone:
             as_of = None
             await _pause_before_reread()
         except PlatformUnavailable as error:
             as_of = None
             await health.record_failure(error)
-
-
-async def apply_target_list(gateway: Gateway, listed: ListedTargets, source: str) -> None:
-    """Apply the registrations of another gateway if their position is later than the one here.
-
-    Parameters
-    ----------
-    source : str
-        Address of the gateway, for the log.
-
-    Notes
-    -----
-    Targets that are not on the list are removed at once, unless the registry has just been
-    unavailable, or a new era has just begun. Those whose registrations may only have lapsed are on
-    it, with the time for which they are still used.
-    """
-    # A list of an earlier era may arrive while the first read of a new one is being applied.
-    if listed.position <= gateway.targets.position or listed.era < gateway.targets.era_read.era:
-        return
-    observe_era(gateway, listed.era, source)
-    era_read = RegistryPosition(listed.era, listed.era_read_revision or listed.revision)
-    gateway.targets.begin_read(era_read)
-    update = TargetUpdate(
-        listed.registrations,
-        (),
-        listed.revision,
-        listed.revision,
-        era=listed.era,
-        item_revisions=listed.revisions_by_id(),
-    )
-    update = update._replace(removed=_absent_ids(gateway, update))
-    gateway.targets.is_loaded = True
-    gateway.log.emit(events.TARGETS_FETCHED, peer=source, era=listed.era, revision=listed.revision)
-    now_s = gateway.clock.now_s()
-    # The other gateway may have read the registry before the entries that lapsed were back.
-    has_just_recovered = gateway.duty.has_failed_since(now_s - LAPSE_WINDOW_S)
-    await _apply_targets(gateway, update, has_just_recovered)
-    for target_id, left_s in listed.lapsing:
-        target = gateway.targets.get(target_id)
-        if target is not None:
-            target.usable_until_s = min(target.usable_until_s, now_s + left_s)
-
-
-def _absent_ids(gateway: Gateway, update: TargetUpdate) -> tuple[str, ...]:
-    """Return the ids of the known targets whose present starts a complete update does not list."""
-    targets = gateway.targets
-    absent = set(targets.ids())
-    for registration in update.registered:
-        known = targets.get(registration.target_id)
-        if known is None:
-            continue
-        item_revision = update.item_revisions.get(registration.target_id, 0)
-        is_same_start = registration.start_name == known.registration.start_name
-        if is_same_start or not targets.is_outdated(registration, item_revision):
-            absent.discard(registration.target_id)
-    return tuple(absent)
-
-
-def _drop_outdated(gateway: Gateway, update: TargetUpdate) -> TargetUpdate:
-    """Return an update without the older copies of registrations that must not be applied."""
-    revisions = update.item_revisions
-    outdated = {
-        registration.target_id
-        for registration in update.registered
-        if gateway.targets.is_outdated(registration, revisions.get(registration.target_id, 0))
-    }
-    if not outdated:
-        return update
-    gateway.metrics.count("registrations_outdated_total", len(outdated))
-    gateway.log.emit(
-        events.REGISTRATIONS_OUTDATED,
-        targets=sorted(outdated)[:MAX_LOGGED_IDS],
-        count=len(outdated),
-        era=update.era,
-        revision=update.as_of,
-    )
-    kept = (entry for entry in update.registered if entry.target_id not in outdated)
-    return update._replace(registered=tuple(kept))
-
-
-async def _apply_targets(gateway: Gateway, update: TargetUpdate, has_just_recovered: bool) -> None:
-    targets = gateway.targets
-    now_s = gateway.clock.now_s()
-    for problem in update.problems:
-        gateway.metrics.count("registry_entries_invalid_total", what="targets")
-        gateway.log.emit(events.REGISTRATION_INVALID, reason=problem, revision=update.as_of)
-    update = _drop_outdated(gateway, update)
-    changed = [
-        registration
-        for registration in update.registered
-        if _put(gateway, registration, update.item_revisions.get(registration.target_id, 0))
-    ]
-    for registration in changed:
-        _log_registered(gateway, registration, update)
-    if changed:
-        gateway.peers.count_missing_loads()
-    era_settled_s = gateway.eras.settled_s
-    has_lapsed = has_just_recovered or now_s < era_settled_s
-    for target_id in update.removed:
-        target = targets.get(target_id)
-        if targets.remove(target_id, now_s, has_lapsed, era_settled_s):
-            if targets.get(target_id) is None and not target.registration.draining:
-                record_target_end(gateway, target, EndEvidence.LAPSED)
-            gateway.log.emit(
-                events.TARGET_GONE,
-                target=target_id,
-                reason="entry lapsed" if has_lapsed else "entry removed",
-                era=update.era,
-                revision=update.as_of,
-            )
-            await gateway.connections.discard_target(target_id)
-    gateway.dispatcher.dispatch_all()
-    position = RegistryPosition(update.era, update.last_change)
-    if position > targets.position:
-        targets.position = position
-        gateway.peers.report_news()
-
-
-def _put(gateway: Gateway, registration: Registration, item_revision: int) -> bool:
-    """Add or update a target; return whether its registration is new or has changed."""
-    for ended in gateway.targets.replaced_by(registration):
-        if not ended.registration.draining:
-            record_target_end(gateway, ended, EndEvidence.RESTARTED)
-    return gateway.targets.put(registration, item_revision)
-
-
-def _log_registered(gateway: Gateway, registration: Registration, update: TargetUpdate) -> None:
-    gateway.log.emit(
-        events.TARGET_REGISTERED,
-        target=registration.target_id,
-        service=registration.service,
-        address=registration.address,
-        data_centre=registration.data_centre,
-        draining=registration.draining,
-        era=update.era,
-        revision=update.last_change,
-    )
--- a/guavawalk/connection/tasks/gossip.py
+++ b/guavawalk/connection/tasks/gossip.py
@@ -18,9 +18,10 @@
 
 from guavawalk import events
 from guavawalk.connection.http_client import create_http_client
+from guavawalk.connection.tasks.apply_targets import apply_target_list
 from guavawalk.connection.tasks.crash_news import apply_crash_news, apply_part_news
 from guavawalk.connection.tasks.datagrams import send_datagram
-from guavawalk.connection.tasks.follow_registry import apply_routes, apply_target_list
+from guavawalk.connection.tasks.follow_registry import apply_routes
 from guavawalk.connection.tasks.registry_news import apply_evacuations, observe_era
 from guavawalk.exception import RegistrationInvalid, TargetError
 from guavawalk.process.gateway.centres import (
--- a/guavawalk/events.py
+++ b/guavawalk/events.py
@@ -155,6 +155,9 @@
 TARGETS_FETCHED = _event(
     4017, "targets_fetched", logging.INFO, "newer registrations were fetched from another gateway"
 )
+TARGETS_READ = _event(
+    4029, "targets_read", logging.INFO, "all registrations were read from the registry"
+)
 TARGET_ENDED = _event(4019, "target_ended", logging.INFO, "there is evidence that a target ended")
 TARGET_LEAVES = _event(4020, "target_leaves", logging.INFO, "a target says that it leaves")
 TARGET_QUIET = _event(
--- a/tests/connection/tasks/test_crashing_requests.py
+++ b/tests/connection/tasks/test_crashing_requests.py
@@ -5,7 +5,7 @@
 import anyio
 import pytest
 
-from guavawalk.connection.tasks.follow_registry import apply_target_list
+from guavawalk.connection.tasks.apply_targets import apply_target_list
 from guavawalk.exception import TargetLost
 from guavawalk.process.gateway.tracked_target import CutCall
 from guavawalk.version.registrations import ListedTargets
--- a/tests/connection/tasks/test_follow_registry.py
+++ b/tests/connection/tasks/test_follow_registry.py
@@ -1,12 +1,8 @@
 import anyio
 import pytest
 
-from guavawalk.connection.tasks.follow_registry import (
-    apply_routes,
-    apply_target_list,
-    follow_routes,
-    follow_targets,
-)
+from guavawalk.connection.tasks.apply_targets import apply_target_list
+from guavawalk.connection.tasks.follow_registry import apply_routes, follow_routes, follow_targets
 from guavawalk.platform.store import create_store
 from guavawalk.process.gateway.centres import CentreSummary
 from guavawalk.process.gateway.loads import TargetLoad
--- a/tests/connection/tasks/test_odd_entries.py
+++ b/tests/connection/tasks/test_odd_entries.py
@@ -10,7 +10,8 @@
 
 from guavawalk.connection.response_reader import BodyFraming, ResponseHead
 from guavawalk.connection.streams import open_stream
-from guavawalk.connection.tasks.follow_registry import apply_target_list, follow_targets
+from guavawalk.connection.tasks.apply_targets import apply_target_list
+from guavawalk.connection.tasks.follow_registry import follow_targets
 from guavawalk.connection.tasks.gossip import make_report, receive_reports, send_reports
 from guavawalk.exception import ConfigurationError, HttpInvalid, TargetConnectError
 from guavawalk.platform.configuration import decode_configuration
