--- a/guavawalk/connection/registry.py
+++ b/guavawalk/connection/registry.py
@@ -1,5 +1,6 @@
 """Interface through which a gateway reads routes and registrations of targets from the registry."""
 
+from collections.abc import Mapping
 from typing import NamedTuple, Protocol
 
 from guavawalk.version.registrations import Registration
@@ -54,13 +55,16 @@
     as_of : int
         Revision up to which the update is complete; the next watch starts after it.
     last_change : int
-        Highest revision of a change in the update; 0 if it has none.
+        Highest revision of a change in the update; 0 if it has none. A read lists no removals, so
+        registrations may have been removed after it.
     problems : tuple of str
         A text for each registration that could not be decoded.
     era : int
         Era of the registry that gave the update; 0 if it states none.
     item_revisions : dict of str to int
-        Revision of the last change of each registration's entry, by target id.
+        Revision of the last change of each entry, by target id; invalid entries are included.
+    digest : int
+        Digest of all entries at `as_of`; 0 if unknown.
     """
 
     registered: tuple[Registration, ...]
@@ -70,6 +74,20 @@
     problems: tuple[str, ...] = ()
     era: int = 0
     item_revisions: dict[str, int] = {}
+    digest: int = 0
+
+    def entries_after(self, before: Mapping[str, int]) -> dict[str, int]:
+        """Return the revisions of all entries after the update, by target id; 0 if unknown.
+
+        Parameters
+        ----------
+        before : mapping of str to int
+            Revisions of the entries before it; empty for a read.
+        """
+        removed = frozenset(self.removed)
+        entries = {key: revision for key, revision in before.items() if key not in removed}
+        entries.update((registration.target_id, 0) for registration in self.registered)
+        return entries | self.item_revisions
 
 
 class Registry(Protocol):
--- a/guavawalk/connection/tasks/apply_targets.py
+++ b/guavawalk/connection/tasks/apply_targets.py
@@ -8,6 +8,7 @@
 from guavawalk.connection.registry import TargetUpdate
 from guavawalk.connection.tasks.registry_news import observe_era
 from guavawalk.process.gateway.target_end import EndEvidence, record_target_end
+from guavawalk.version.list_state import ListState
 from guavawalk.version.position import RegistryPosition
 from guavawalk.version.registrations import ListedTargets, Registration
 
@@ -48,7 +49,7 @@
 
 
 async def apply_target_list(gateway: Gateway, listed: ListedTargets, source: str) -> None:
-    """Apply the registrations of another gateway if their position is later than the one here.
+    """Apply the registrations of another gateway if its list is newer than the one here.
 
     Parameters
     ----------
@@ -62,7 +63,8 @@
     it, with the time for which they are still used.
     """
     # A list of an earlier era may arrive while the first read of a new one is being applied.
-    if listed.position <= gateway.targets.position or listed.era < gateway.targets.era_read.era:
+    is_newer = listed.state.is_newer_than(gateway.targets.list_state)
+    if not is_newer or listed.era < gateway.targets.era_read.era:
         return
     observe_era(gateway, listed.era, source)
     era_read = RegistryPosition(listed.era, listed.era_read_revision or listed.revision)
@@ -71,9 +73,10 @@
         listed.registrations,
         (),
         listed.revision,
-        listed.revision,
+        listed.revision if listed.last_change is None else listed.last_change,
         era=listed.era,
         item_revisions=listed.revisions_by_id(),
+        digest=listed.digest,
     )
     update = update._replace(removed=_absent_ids(gateway, update))
     before, known_ids = gateway.targets.position, gateway.targets.ids()
@@ -159,9 +162,8 @@
             )
             await gateway.connections.discard_target(target_id)
     gateway.dispatcher.dispatch_all()
-    position = RegistryPosition(update.era, update.last_change)
-    if position > targets.position:
-        targets.position = position
+    state = ListState(update.era, update.as_of, update.digest)
+    if targets.record_list(state, update.last_change):
         gateway.peers.report_news()
 
 
@@ -203,6 +205,7 @@
         "era": update.era,
         "revision": update.as_of,
         "last_change": update.last_change,
+        "digest": f"{update.digest:x}",
         "before_era": before.era,
         "before_revision": before.revision,
         "added": _logged_ids(added),
--- a/guavawalk/connection/tasks/follow_registry.py
+++ b/guavawalk/connection/tasks/follow_registry.py
@@ -17,6 +17,7 @@
 from guavawalk.connection.tasks.registry_news import apply_evacuations, observe_era
 from guavawalk.exception import HistoryGone, PlatformUnavailable
 from guavawalk.version.evacuations import MAX_EVACUATIONS, Evacuations
+from guavawalk.version.list_state import digest_entries
 from guavawalk.version.position import RegistryPosition
 from guavawalk.version.routes import RouteTable
 
@@ -222,6 +223,8 @@
     """Read the registrations, and watch them while this gateway has to, until cancelled."""
     health = _RegistryHealth(gateway, "targets")
     as_of: int | None = None
+    # Revisions of all entries in the registry, by target id.
+    entries: dict[str, int] = {}
     while True:
         if gateway.targets.is_loaded and await _wait_for_duty(gateway):
             as_of = None
@@ -236,6 +239,8 @@
                 as_of = None
                 continue
             as_of = update.as_of
+            entries = update.entries_after({} if is_read else entries)
+            update = update._replace(digest=digest_entries(entries))
             apply = apply_read if is_read else apply_watch
             await apply(gateway, update, health.has_just_recovered())
         except HistoryGone:
--- a/guavawalk/connection/tasks/gossip.py
+++ b/guavawalk/connection/tasks/gossip.py
@@ -1,8 +1,7 @@
 """Gossip between gateways: sends and applies the reports of gateways and summaries of data centres.
 
 Both are UDP datagrams; a lost one is made up for by the next. Routes and registrations that are
-newer at another gateway than here, and that the registry has not delivered, are fetched from that
-gateway over HTTP.
+newer at another gateway than here are fetched from it by `fetch_newer`.
 """
 
 from __future__ import annotations
@@ -12,18 +11,13 @@
 from typing import TYPE_CHECKING
 
 import anyio
-import msgspec
-import msgspec.msgpack
 from anyio.abc import UDPSocket
 
 from guavawalk import events
-from guavawalk.connection.http_client import create_http_client
-from guavawalk.connection.tasks.apply_targets import apply_target_list
 from guavawalk.connection.tasks.crash_news import apply_crash_news, apply_part_news
 from guavawalk.connection.tasks.datagrams import send_datagram
-from guavawalk.connection.tasks.follow_registry import apply_routes
+from guavawalk.connection.tasks.fetch_newer import fetch_newer, is_ahead, reject_message
 from guavawalk.connection.tasks.registry_news import apply_evacuations, observe_era
-from guavawalk.exception import RegistrationInvalid, TargetError
 from guavawalk.process.gateway.centres import (
     SUMMARY_TAG,
     CentreSummary,
@@ -32,22 +26,16 @@
 )
 from guavawalk.process.gateway.crash_news import CRASH_NEWS_TAG, PART_NEWS_TAG
 from guavawalk.process.gateway.loads import measure_load, sum_loads
-from guavawalk.process.gateway.pages import ROUTES_PATH, TARGETS_PATH, decode_target_list
 from guavawalk.process.gateway.queue_reports import sum_received, sum_waiting
 from guavawalk.process.gateway.reports import PeerReport, decode_report, encode_report
-from guavawalk.version.position import NO_POSITION, RegistryPosition
-from guavawalk.version.routes import RouteTable
+from guavawalk.process.gateway.version_sources import reported_list
+from guavawalk.version.position import NO_POSITION
 
 if TYPE_CHECKING:
     from guavawalk.process.gateway.state import Gateway
 
 __all__ = ["make_report", "make_summary", "receive_reports", "send_reports"]
 
-# Delay before a newer version that another gateway reports is fetched from it, in seconds, if this
-# gateway watches the registry, or the other one is in another data centre: by then the registry, or
-# a watching gateway of this data centre, has usually delivered it.
-FETCH_DELAY_S = 0.25
-FETCH_TIMEOUT_S = 1.0
 # Pause after a fetch, in seconds: changes in quick succession are fetched together.
 FETCH_PAUSE_S = 0.05
 # Shortest time between two reports, in seconds, while there is news.
@@ -95,11 +83,12 @@
         sequence=sequence,
         age_s=round(now_s - gateway.started_s, 1),
         routes_version=gateway.routes.table.version,
-        targets_revision=gateway.targets.position.revision,
+        targets_revision=gateway.targets.last_change,
         is_leaving=gateway.callers.is_refusing,
         target_loads=tuple(load for load in loads if load.running or load.failed),
         admitted=gateway.quotas.admitted.changed_since(since_change),
         sent_parts=gateway.targets.pop_sent_parts(MAX_REPORTED_PARTS),
+        list_state=gateway.targets.list_state,
         addresses=() if since_change else gateway.peers.named_addresses(),
         data_centre=gateway.settings.data_centre,
         is_registry_failing=gateway.duty.is_failing(),
@@ -131,12 +120,13 @@
         incarnation=own.incarnation,
         sequence=sequence,
         routes_version=gateway.routes.table.version,
-        targets_revision=gateway.targets.position.revision,
+        targets_revision=gateway.targets.last_change,
         live=tuple(report.address for report in reports),
         silent=gateway.peers.silent_count(),
         target_loads=sum_loads((*own.target_loads, *gateway.peers.target_loads())),
         admitted=gateway.quotas.admitted_in_centre.changed_since(since_change),
         sent_parts=gateway.peers.pop_summary_parts(MAX_SUMMARY_PARTS),
+        list_state=gateway.targets.list_state,
         contacts=gateway.peers.uncovered_contacts(),
         registry_era=gateway.targets.position.era,
         evacuations=gateway.evacuations.state,
@@ -233,22 +223,22 @@
     Routes and registrations that are newer there than here are fetched. Datagrams that can't be
     decoded are logged and dropped.
     """
-    is_ahead = anyio.Event()
+    has_news = anyio.Event()
 
-    async def fetch_newer() -> None:
-        nonlocal is_ahead
+    async def fetch_news() -> None:
+        nonlocal has_news
         while True:
-            await is_ahead.wait()
-            is_ahead = anyio.Event()
+            await has_news.wait()
+            has_news = anyio.Event()
             try:
-                await _fetch_newer(gateway)
+                await fetch_newer(gateway)
             except Exception as error:
                 # A page that can't be used must not end the task that receives reports.
-                _reject(gateway, "", error)
+                reject_message(gateway, "", error)
             await anyio.sleep(FETCH_PAUSE_S)
 
     async with anyio.create_task_group() as tasks:
-        tasks.start_soon(fetch_newer)
+        tasks.start_soon(fetch_news)
         async for data, (host, port) in socket:
             try:
                 if data.startswith(CRASH_NEWS_TAG):
@@ -269,16 +259,10 @@
                     _apply_report(gateway, news)
             except Exception as error:
                 # Nor must a datagram, whatever it holds.
-                _reject(gateway, f"{host}:{port}", error)
+                reject_message(gateway, f"{host}:{port}", error)
                 continue
-            if _is_ahead(gateway, news):
-                is_ahead.set()
-
-
-def _reject(gateway: Gateway, peer: str, error: Exception) -> None:
-    gateway.metrics.count("peer_messages_rejected_total")
-    reason = f"{type(error).__name__}: {error}"[:200]
-    gateway.log.emit(events.LINK_REJECTED, peer=peer, reason=reason)
+            if is_ahead(gateway, news):
+                has_news.set()
 
 
 def _apply_report(gateway: Gateway, report: PeerReport) -> None:
@@ -334,56 +318,11 @@
 
 
 def _apply_registry_news(gateway: Gateway, news: PeerReport | CentreSummary, source: str) -> None:
-    """Take the registry's era and the evacuations that another gateway has told."""
-    targets_position = RegistryPosition(news.registry_era, news.targets_revision)
-    position = max(targets_position, news.evacuations.position)
+    """Take the era, the evacuations and the state of the list that another gateway reports."""
+    list_state = reported_list(news)
+    gateway.targets.confirm(list_state)
+    position = max(list_state.position, news.evacuations.position)
     if position != NO_POSITION:
         observe_era(gateway, position.era, source)
     if news.evacuations.position != NO_POSITION:
         apply_evacuations(gateway, news.evacuations, source)
-
-
-def _is_ahead(gateway: Gateway, news: PeerReport | CentreSummary) -> bool:
-    return (
-        news.routes_version > gateway.routes.table.version
-        or RegistryPosition(news.registry_era, news.targets_revision) > gateway.targets.position
-    )
-
-
-async def _fetch_newer(gateway: Gateway) -> None:
-    """Fetch routes and registrations from the gateways where they are newest, if still newer."""
-    peers, routes, targets = gateway.peers, gateway.routes, gateway.targets
-    is_near = (
-        peers.newest_routes().is_local
-        if peers.newest_routes().number > routes.table.version
-        else peers.newest_targets().is_local
-    )
-    if not is_near or gateway.duty.is_watcher():
-        await anyio.sleep(FETCH_DELAY_S)
-    source = peers.newest_routes()
-    if source.number > routes.table.version:
-        body = await _fetch(gateway, source.address, ROUTES_PATH)
-        if body is not None:
-            apply_routes(gateway, msgspec.msgpack.decode(body, type=RouteTable), source.address)
-    source = peers.newest_targets()
-    if source.position > targets.position:
-        body = await _fetch(gateway, source.address, TARGETS_PATH)
-        if body is not None:
-            listed, problems = decode_target_list(body)
-            for problem in problems:
-                _reject(gateway, source.address, RegistrationInvalid("", problem))
-            await apply_target_list(gateway, listed, source.address)
-
-
-async def _fetch(gateway: Gateway, address: str, path: str) -> bytes | None:
-    """Return a page of another gateway; None if it can't be had, so that this gateway watches."""
-    client = create_http_client(address)
-    try:
-        answer = await client.get(path, FETCH_TIMEOUT_S)
-    except TargetError as error:
-        gateway.log.emit(events.PEER_UNREACHABLE, peer=address, reason=str(error))
-        gateway.duty.take_over()
-        return None
-    finally:
-        await client.aclose()
-    return answer.body
--- a/guavawalk/platform/store.py
+++ b/guavawalk/platform/store.py
@@ -267,11 +267,12 @@
         registered.pop(target_id, None)
         removed.pop(target_id, None)
         if item.is_removed:
+            item_revisions.pop(target_id, None)
             removed[target_id] = True
             continue
+        item_revisions[target_id] = item.revision
         try:
             registered[target_id] = decode_registration(item.key, item.value)
-            item_revisions[target_id] = item.revision
         except RegistrationInvalid as error:
             # An invalid entry names no usable target, so the target counts as removed.
             removed[target_id] = True
--- a/guavawalk/process/gateway/centres.py
+++ b/guavawalk/process/gateway/centres.py
@@ -24,6 +24,7 @@
 from guavawalk.process.gateway.targets import TargetTable
 from guavawalk.process.spread.ranking import rank_nodes
 from guavawalk.version.evacuations import NO_EVACUATIONS, Evacuations
+from guavawalk.version.list_state import NO_LIST, ListState
 
 __all__ = [
     "SUMMARY_TAG",
@@ -65,7 +66,8 @@
     routes_version : int
         Version of the routes in force at the relay; 0 before any.
     targets_revision : int
-        Revision of the last change of registrations that the relay has applied; 0 before any.
+        Revision of the last change of registrations that the relay knows; 0 before any. Only
+        earlier builds order lists by it.
     live : tuple of str
         Addresses of the gateways whose reports reach the relay, itself included.
     silent : int
@@ -77,8 +79,9 @@
         that have not changed may be absent.
     sent_parts : tuple of (str, str)
         Pairs of a target's id and the id of a prompt part sent there since the previous summary.
-    suspects : tuple of int
-        Not used any more; it keeps the place of the fields behind it. See `CrashNews`.
+    list_state : ListState
+        How far the registrations are complete that the relay knows. Earlier builds have a tuple of
+        integers in its place, which they don't read, and send an empty one.
     contacts : tuple of str
         Gateways of other data centres that reported to this one and are in no summary. They may
         not have found the gateways beside them yet.
@@ -103,7 +106,7 @@
     target_loads: tuple[TargetLoad, ...] = ()
     admitted: dict[str, Amount] = {}
     sent_parts: tuple[tuple[str, str], ...] = ()
-    suspects: tuple[int, ...] = ()
+    list_state: ListState = NO_LIST
     contacts: tuple[Address, ...] = ()
     registry_era: Number = 0
     evacuations: Evacuations = NO_EVACUATIONS
--- a/guavawalk/process/gateway/pages.py
+++ b/guavawalk/process/gateway/pages.py
@@ -18,6 +18,7 @@
     "METRICS_PATH",
     "ROUTES_PATH",
     "TARGETS_PATH",
+    "TARGET_LIST_PATH",
     "Pages",
     "decode_target_list",
     "metric_pages",
@@ -30,7 +31,11 @@
 
 METRICS_PATH = "/metrics"
 ROUTES_PATH = "/routes"
+TARGET_LIST_PATH = "/target-list"
+# Page for gateways of earlier builds, which reject a list with more fields than they know.
 TARGETS_PATH = "/targets"
+# Number of fields that earlier builds know.
+EARLIER_FIELDS = 6
 OK_STATUS = 200
 UNREADY_STATUS = 503
 
@@ -44,6 +49,8 @@
     era: Number = 0
     item_revisions: tuple[Number, ...] = ()
     era_read_revision: Number = 0
+    digest: Number = 0
+    last_change: Number | None = None
 
 
 def readiness_pages(gateway: Gateway) -> Pages:
@@ -67,17 +74,28 @@
     def routes() -> PageAnswer:
         return PageAnswer(OK_STATUS, msgspec.msgpack.encode(gateway.routes.table))
 
+    def target_list() -> PageAnswer:
+        listed = gateway.targets.listed(gateway.clock.now_s())
+        return PageAnswer(OK_STATUS, msgspec.msgpack.encode(listed))
+
     def targets() -> PageAnswer:
-        return PageAnswer(
-            OK_STATUS, msgspec.msgpack.encode(gateway.targets.listed(gateway.clock.now_s()))
-        )
+        listed = gateway.targets.listed(gateway.clock.now_s())
+        # Earlier builds compare the revision with the last change that reports state.
+        listed = listed._replace(revision=gateway.targets.last_change)
+        return PageAnswer(OK_STATUS, msgspec.msgpack.encode(listed[:EARLIER_FIELDS]))
 
-    return {ROUTES_PATH.encode(): routes, TARGETS_PATH.encode(): targets}
+    return {
+        ROUTES_PATH.encode(): routes,
+        TARGET_LIST_PATH.encode(): target_list,
+        TARGETS_PATH.encode(): targets,
+    }
 
 
 def decode_target_list(body: bytes) -> tuple[ListedTargets, list[str]]:
     """Return the registrations on another gateway's page, and the problems of those left out.
 
+    The page of an earlier build has no digest, and its revision is that of the last change.
+
     Raises
     ------
     msgspec.DecodeError
@@ -98,5 +116,7 @@
         raw.era,
         tuple(item_revisions),
         raw.era_read_revision,
+        raw.digest,
+        raw.last_change,
     )
     return listed, problems
--- a/guavawalk/process/gateway/peers.py
+++ b/guavawalk/process/gateway/peers.py
@@ -23,11 +23,13 @@
 from guavawalk.process.gateway.reports import PeerReport, is_later
 from guavawalk.process.gateway.targets import TargetTable
 from guavawalk.process.gateway.version_sources import (
+    ListSource,
     VersionSource,
     newest_routes,
     newest_targets,
 )
 from guavawalk.process.spread.ranking import rank_nodes
+from guavawalk.version.list_state import NO_LIST, ListState
 
 __all__ = ["PeerTable", "create_peer_table"]
 
@@ -312,9 +314,15 @@
         """Return the gateway with the newest routes, one of the same data centre if there is."""
         return newest_routes(self.live_reports(), self.centres.live_summaries())
 
-    def newest_targets(self) -> VersionSource:
-        """Return the gateway with the newest registrations, of the same data centre if possible."""
-        return newest_targets(self.live_reports(), self.centres.live_summaries())
+    def newest_targets(self, known: ListState = NO_LIST) -> ListSource:
+        """Return a gateway with the newest registrations, of the same data centre if possible.
+
+        Parameters
+        ----------
+        known : ListState, optional
+            The list known here; a gateway nearby is preferred only if its list is newer.
+        """
+        return newest_targets(self.live_reports(), self.centres.live_summaries(), known)
 
     def report_interval_s(self) -> float:
         """Return the time between two reports within the data centre, in seconds."""
--- a/guavawalk/process/gateway/reports.py
+++ b/guavawalk/process/gateway/reports.py
@@ -9,6 +9,7 @@
 from guavawalk.process.gateway.loads import TargetLoad
 from guavawalk.process.gateway.queue_reports import WaitingCalls
 from guavawalk.version.evacuations import NO_EVACUATIONS, Evacuations
+from guavawalk.version.list_state import NO_LIST, ListState
 
 __all__ = ["PeerReport", "decode_report", "encode_report", "is_later"]
 
@@ -29,7 +30,8 @@
     routes_version : int
         Version of the routes in force; 0 before any.
     targets_revision : int
-        Revision of the last change of registrations that it has applied; 0 before any.
+        Revision of the last change of registrations that it knows; 0 before any. Only earlier
+        builds order lists by it.
     is_leaving : bool
         Whether the process shuts down and refuses calls.
     target_loads : tuple of TargetLoad
@@ -38,8 +40,9 @@
         Running totals of admitted amounts by workspace; those that have not changed may be absent.
     sent_parts : tuple of (str, str)
         Pairs of a target's id and the id of a prompt part sent there since the previous report.
-    suspects : tuple of int
-        Not used any more; it keeps the place of the fields behind it. See `CrashNews`.
+    list_state : ListState
+        How far the registrations are complete that it knows. Earlier builds have a tuple of
+        integers in its place, which they don't read, and send an empty one.
     addresses : tuple of str
         Gateways whose reports it receives; empty in reports that hold only changes of `admitted`.
     data_centre : str
@@ -66,7 +69,7 @@
     target_loads: tuple[TargetLoad, ...] = ()
     admitted: dict[str, Amount] = {}
     sent_parts: tuple[tuple[str, str], ...] = ()
-    suspects: tuple[int, ...] = ()
+    list_state: ListState = NO_LIST
     addresses: tuple[Address, ...] = ()
     data_centre: str = ""
     is_registry_failing: bool = False
--- a/guavawalk/process/gateway/targets.py
+++ b/guavawalk/process/gateway/targets.py
@@ -8,6 +8,7 @@
 from guavawalk.process.gateway.tracked_target import MAX_CACHED_PARTS, TrackedTarget
 from guavawalk.request.call import Call, PromptPart
 from guavawalk.request.target_choice import TargetSnapshot
+from guavawalk.version.list_state import NO_LIST, ListState
 from guavawalk.version.position import NO_POSITION, RegistryPosition
 from guavawalk.version.registrations import ListedTargets, Registration
 
@@ -37,8 +38,11 @@
     ----------
     is_loaded : bool
         Whether the registry has been read once.
-    position : RegistryPosition
-        Position of the registry at the last change that was applied; `NO_POSITION` before any.
+    list_state : ListState
+        How far the registrations are complete; `NO_LIST` before any are known.
+    last_change : int
+        Revision of the last known change of a registration in the present era; 0 if none is known.
+        Earlier builds, which don't send a `ListState`, compare it.
     era_read : RegistryPosition
         Earliest known position at which all registrations were read in the present era; entries up
         to it may come from an older copy of the registry.
@@ -49,7 +53,8 @@
     def __init__(self, lapsed_use_s: float) -> None:
         self._lapsed_use_s = lapsed_use_s
         self.is_loaded = False
-        self.position = NO_POSITION
+        self.list_state = NO_LIST
+        self.last_change = 0
         self.era_read = NO_POSITION
         self.evacuated: frozenset[str] = frozenset()
         # When evacuations ended, by data centre.
@@ -89,6 +94,33 @@
         is_later = 0 < before.registration.started_at_ms < registration.started_at_ms
         return [before] if is_later else []
 
+    @property
+    def position(self) -> RegistryPosition:
+        """Position of the registry up to which the registrations are complete."""
+        return self.list_state.position
+
+    def record_list(self, state: ListState, last_change: int) -> bool:
+        """Record the state of a list whose registrations were applied.
+
+        Returns
+        -------
+        bool
+            Whether the list is later than the one known before, and not known to be equal.
+        """
+        is_newer = state.is_newer_than(self.list_state)
+        if state.position < self.position:
+            return False
+        if state.era > self.list_state.era:
+            self.last_change = last_change
+        self.last_change = max(self.last_change, last_change)
+        self.list_state = state
+        return is_newer
+
+    def confirm(self, state: ListState) -> None:
+        """Record that another gateway has the same registrations, complete at a later position."""
+        if state.confirms(self.list_state):
+            self.list_state = state
+
     def begin_read(self, position: RegistryPosition) -> None:
         """Note that registrations follow that were read in an era.
 
@@ -199,12 +231,14 @@
         )
         registrations = tuple(target.registration for target in self._targets.values())
         return ListedTargets(
-            self.position.revision,
+            self.list_state.revision,
             registrations,
             lapsing,
-            self.position.era,
+            self.list_state.era,
             tuple(target.item_revision for target in self._targets.values()),
-            self.era_read.revision if self.era_read.era == self.position.era else 0,
+            self.era_read.revision if self.era_read.era == self.list_state.era else 0,
+            self.list_state.digest,
+            self.last_change,
         )
 
     def expire(self, now_s: float) -> list[str]:
--- a/guavawalk/process/gateway/version_sources.py
+++ b/guavawalk/process/gateway/version_sources.py
@@ -5,36 +5,51 @@
 
 from guavawalk.process.gateway.centres import CentreSummary
 from guavawalk.process.gateway.reports import PeerReport
-from guavawalk.version.position import RegistryPosition
+from guavawalk.version.list_state import NO_LIST, ListState
 
-__all__ = ["VersionSource", "newest_routes", "newest_targets"]
+__all__ = [
+    "ListSource",
+    "VersionSource",
+    "newest_routes",
+    "newest_targets",
+    "reported_list",
+]
 
 
 class VersionSource(NamedTuple):
-    """A gateway that has a version or revision.
+    """A gateway that has a version of the routes.
 
     Attributes
     ----------
     address : str
         `IP:port` of its pages; empty if no other gateway is known.
     number : int
-        The version or revision; 0 if no other gateway is known.
+        The version; 0 if no other gateway is known.
     is_local : bool
         Whether it is in the same data centre.
-    era : int
-        Era of the registry that a revision belongs to; 0 for a version of the routes, which has
-        none.
     """
 
     address: str = ""
     number: int = 0
     is_local: bool = False
-    era: int = 0
 
-    @property
-    def position(self) -> RegistryPosition:
-        """Position of the registry that a revision stands for."""
-        return RegistryPosition(self.era, self.number)
+
+class ListSource(NamedTuple):
+    """A gateway that has a list of registrations.
+
+    Attributes
+    ----------
+    address : str
+        `IP:port` of its pages; empty if no other gateway is known.
+    state : ListState
+        State of its list; `NO_LIST` if no other gateway is known.
+    is_local : bool
+        Whether it is in the same data centre.
+    """
+
+    address: str = ""
+    state: ListState = NO_LIST
+    is_local: bool = False
 
 
 def newest_routes(
@@ -43,25 +58,42 @@
     """Return the gateway with the newest routes, a local one if there is: one with a report."""
     sources = [VersionSource(report.address, report.routes_version, True) for report in reports]
     sources += [VersionSource(summary.relay, summary.routes_version) for summary in summaries]
-    return _newest(sources)
+    return max(
+        sources, key=lambda source: (source.number, source.is_local), default=VersionSource()
+    )
 
 
 def newest_targets(
-    reports: Iterable[PeerReport], summaries: Iterable[CentreSummary]
-) -> VersionSource:
-    """Return the gateway with the newest registrations, a local one if there is."""
-    sources = [
-        VersionSource(report.address, report.targets_revision, True, report.registry_era)
-        for report in reports
-    ]
-    sources += [
-        VersionSource(summary.relay, summary.targets_revision, False, summary.registry_era)
-        for summary in summaries
-    ]
-    return _newest(sources)
-
-
-def _newest(sources: Iterable[VersionSource]) -> VersionSource:
-    return max(
-        sources, key=lambda source: (source.position, source.is_local), default=VersionSource()
+    reports: Iterable[PeerReport], summaries: Iterable[CentreSummary], known: ListState = NO_LIST
+) -> ListSource:
+    """Return a gateway with the newest registrations, a local one if there is.
+
+    Parameters
+    ----------
+    known : ListState, optional
+        The list known here. A local gateway is chosen only if its list is newer, though the newest
+        one of all may be at a later position.
+    """
+    sources = [ListSource(report.address, reported_list(report), True) for report in reports]
+    sources += [ListSource(summary.relay, reported_list(summary)) for summary in summaries]
+    newest = max(
+        sources, key=lambda source: (source.state.position, source.is_local), default=ListSource()
+    )
+    equal = (
+        source
+        for source in sources
+        if source.is_local
+        and newest.state.confirms(source.state)
+        and source.state.is_newer_than(known)
     )
+    return newest if newest.is_local else next(equal, newest)
+
+
+def reported_list(news: PeerReport | CentreSummary) -> ListState:
+    """Return the state of the sender's list of registrations.
+
+    An earlier build states only the last change that it knows, up to which its list is complete.
+    """
+    if news.list_state != NO_LIST:
+        return news.list_state
+    return ListState(news.registry_era, news.targets_revision)
--- a/guavawalk/version/__init__.py
+++ b/guavawalk/version/__init__.py
@@ -27,6 +27,7 @@
     "evacuations": ["MAX_EVACUATIONS", "NO_EVACUATIONS", "Evacuations"],
     "group": ["create_target_group", "groups_of_targets"],
     "active": ["ActiveVersion", "ActivationResult", "create_active_version"],
+    "list_state": ["NO_LIST", "ListState", "digest_entries"],
     "position": ["NO_POSITION", "RegistryPosition"],
     "publish": ["published_values", "render_documents"],
     "registrations": ["ListedTargets", "Registration"],
--- a/guavawalk/version/registrations.py
+++ b/guavawalk/version/registrations.py
@@ -3,7 +3,7 @@
 from typing import NamedTuple
 
 from guavawalk.bounded import Address, Amount, Count, Name, Number, TargetId
-from guavawalk.version.position import RegistryPosition
+from guavawalk.version.list_state import ListState
 
 __all__ = ["ListedTargets", "Registration"]
 
@@ -50,18 +50,22 @@
     Attributes
     ----------
     revision : int
-        The registry's revision at the last change of a registration.
+        Revision of the registry up to which the list is complete.
     lapsing : tuple of (str, float)
         Ids of those whose registration may only have lapsed, and the time in seconds for which
         each is still used.
     era : int
-        The registry's era at that change.
+        Era of the registry that the list belongs to.
     item_revisions : tuple of int
         Revision of each registration's entry within the era, in the order of `registrations`; 0
         where the entry was not seen in this era. Empty if none is known.
     era_read_revision : int
         Revision of the registry at its first known read in the era; entries up to it may come from
         an older copy.
+    digest : int
+        Digest of the entries that the list was made from; 0 if unknown.
+    last_change : int, optional
+        Revision of the last known change of a registration; None if not stated.
     """
 
     revision: int
@@ -70,11 +74,13 @@
     era: int = 0
     item_revisions: tuple[int, ...] = ()
     era_read_revision: int = 0
+    digest: int = 0
+    last_change: int | None = None
 
     @property
-    def position(self) -> RegistryPosition:
-        """Position of the registry at the last change of a registration."""
-        return RegistryPosition(self.era, self.revision)
+    def state(self) -> ListState:
+        """How far the list is complete, and the digest of its entries."""
+        return ListState(self.era, self.revision, self.digest)
 
     def revisions_by_id(self) -> dict[str, int]:
         """Return the known revisions of the entries by target id."""
--- a/tests/connection/tasks/test_follow_registry.py
+++ b/tests/connection/tasks/test_follow_registry.py
@@ -7,7 +7,7 @@
 from guavawalk.process.gateway.centres import CentreSummary
 from guavawalk.process.gateway.loads import TargetLoad
 from guavawalk.process.gateway.reports import PeerReport
-from guavawalk.version.position import RegistryPosition
+from guavawalk.version.list_state import ListState
 from guavawalk.version.registrations import ListedTargets
 from soak.standins import StandInStore, listen
 from tests.gateway_calls import make_registration, make_route, make_table
@@ -241,7 +241,7 @@
             story = GatewayHarness()
             gateway = story.gateway
             gateway.targets.put(make_registration("i-old"))
-            gateway.targets.position = RegistryPosition(0, 10)
+            gateway.targets.list_state = ListState(0, 10)
             gateway.targets.put(make_registration("i-lapsing"))
             listed = (make_registration("i-new"), make_registration("i-lapsing"))
             await apply_target_list(gateway, ListedTargets(10, listed), "peer")
--- a/tests/connection/tasks/test_gossip.py
+++ b/tests/connection/tasks/test_gossip.py
@@ -7,7 +7,7 @@
 from guavawalk.connection.tasks.serve_probe import serve_pages
 from guavawalk.exception import RequestError
 from guavawalk.process.gateway.pages import peer_pages
-from guavawalk.version.position import RegistryPosition
+from guavawalk.version.list_state import ListState
 from guavawalk.version.routes import Quota
 from tests.gateway_calls import make_call, make_registration, make_route, make_table
 from tests.gateway_standins import GatewayHarness, run_with_timeout
@@ -92,7 +92,7 @@
     def test_newer_registrations_are_fetched(self):
         async def use(one, two):
             one.gateway.targets.put(make_registration("i-7"))
-            one.gateway.targets.position = RegistryPosition(0, 9)
+            one.gateway.targets.list_state = ListState(0, 9)
             await until(lambda: two.gateway.targets.get("i-7") is not None)
             assert two.gateway.targets.position == (0, 9)
 
--- a/tests/connection/tasks/test_lost_answers.py
+++ b/tests/connection/tasks/test_lost_answers.py
@@ -20,9 +20,6 @@
 from tests.platform.test_registrations import ROW
 from tests.virtual import run_virtually
 
-STORE_ADDRESS = "10.9.0.1:1"
-# Nothing listens here.
-CUT_OFF_ADDRESS = "10.9.0.2:1"
 # Bounds of the small deployments, in seconds: when gateways have caught up after a disruption, and
 # when a change is in force otherwise. An answer takes the delay; the slow one the largest dose.
 CONTACT_S = 3.0
@@ -63,37 +60,74 @@
         self.store = StandInStore()
         self.store.delay_s = ANSWER_DELAY_S
         self.network = MemoryNetwork(tasks)
-        self.network.listen(STORE_ADDRESS, self.store.serve)
-        self.gateways = []
+        self.harnesses = []
         self.write(7)
         self._tasks = tasks
-        self._layout = layout
+        self._scopes = []
+        self._starts = 0
+        self._places = [
+            (place.data_centre, number < place.cut_off)
+            for place in layout
+            for number in range(place.gateways)
+        ]
+
+    @property
+    def gateways(self):
+        return [harness.gateway for harness in self.harnesses]
 
     def start(self):
-        for place in self._layout:
-            for number in range(place.gateways):
-                registry = CUT_OFF_ADDRESS if number < place.cut_off else STORE_ADDRESS
-                self._start_gateway(place.data_centre, create_store(registry))
-
-    def _start_gateway(self, data_centre, registry):
-        address = f"10.0.{len(self.gateways)}.1:2"
-        seeds = ("10.0.0.1:2", "10.0.2.1:2")
-        gateway = GatewayHarness(
+        for number in range(len(self._places)):
+            self.harnesses.append(None)
+            self._scopes.append(None)
+            self.start_gateway(number)
+
+    def start_gateway(self, number):
+        """Start a gateway, or start one again after `kill`."""
+        data_centre, is_cut_off = self._places[number]
+        address = f"10.0.{number}.1:2"
+        harness = GatewayHarness(
             peer_listen=address,
-            peers=seeds,
+            peers=("10.0.0.1:2", "10.0.2.1:2"),
             data_centre=data_centre,
             contact_ms=int(CONTACT_S * 1000),
-        ).gateway
+        )
+        gateway = harness.gateway
         gateway.routes.table = gateway.routes.table._replace(version=0)
         gateway.targets.is_loaded = False
         gateway.evacuations.is_known = False
-        self.gateways.append(gateway)
+        self.harnesses[number] = harness
+        self._scopes[number] = anyio.CancelScope()
+        self._starts += 1
+        if not is_cut_off:
+            self.reconnect(number)
         self.network.listen(address, partial(serve_pages, peer_pages(gateway)))
-        socket = self.network.bind(address)
-        self._tasks.start_soon(follow_routes, gateway, registry)
-        self._tasks.start_soon(follow_targets, gateway, registry)
-        self._tasks.start_soon(send_reports, gateway, socket, 1)
-        self._tasks.start_soon(receive_reports, gateway, socket)
+        registry = create_store(self._store_address(number))
+        socket, scope = self.network.bind(address), self._scopes[number]
+        self._tasks.start_soon(self._run, gateway, registry, socket, self._starts, scope)
+
+    async def _run(self, gateway, registry, socket, incarnation, scope):
+        with scope:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(follow_routes, gateway, registry)
+                tasks.start_soon(follow_targets, gateway, registry)
+                tasks.start_soon(send_reports, gateway, socket, incarnation)
+                tasks.start_soon(receive_reports, gateway, socket)
+
+    def kill(self, number):
+        """End a gateway at once."""
+        self._scopes[number].cancel()
+        self.network.kill(f"10.0.{number}.1:2")
+
+    def cut_off(self, number):
+        """Cut a gateway off from the store until `reconnect`."""
+        self.network.kill(self._store_address(number))
+
+    def reconnect(self, number):
+        self.network.listen(self._store_address(number), self.store.serve)
+
+    @staticmethod
+    def _store_address(number):
+        return f"10.9.{number}.1:1"
 
     def write(self, version):
         """Publish a version, register a target named after it, and remove the others."""
--- a/tests/connection/tasks/test_registry_news.py
+++ b/tests/connection/tasks/test_registry_news.py
@@ -5,6 +5,7 @@
 from guavawalk.connection.tasks.registry_news import apply_evacuations, observe_era
 from guavawalk.process.gateway.reports import decode_report, encode_report
 from guavawalk.version.evacuations import Evacuations
+from guavawalk.version.list_state import ListState
 from guavawalk.version.position import RegistryPosition
 from tests.connection.tasks.test_follow_registry import follow, until
 from tests.connection.tasks.test_gossip import with_data_centres, with_gateways
@@ -158,13 +159,13 @@
         async def use(one, two):
             for story in (one, two):
                 story.gateway.targets.put(make_registration("i-1"), 40)
-                story.gateway.targets.position = RegistryPosition(0, 50)
+                story.gateway.targets.list_state = ListState(0, 50)
                 observe_era(story.gateway, 0, "registry")
             two.gateway.targets.remove("i-1", 0.0, has_lapsed=False)
             two.gateway.targets.put(make_registration("i-2"), 45)
             one.gateway.targets.begin_read(RegistryPosition(1, 9))
             one.gateway.targets.put(make_registration("i-1"), 4)
-            one.gateway.targets.position = RegistryPosition(1, 9)
+            one.gateway.targets.list_state = ListState(1, 9)
             await until(lambda: two.gateway.targets.position == (1, 9))
             # The other gateway did not know that the target had gone.
             assert two.gateway.targets.ids() == {"i-2"}
@@ -177,11 +178,12 @@
     def test_report_carries_era_and_evacuations(self):
         async def run():
             gateway = GatewayHarness().gateway
-            gateway.targets.position = RegistryPosition(2, 9)
+            gateway.targets.record_list(ListState(2, 9, 5), last_change=7)
             state = Evacuations(RegistryPosition(2, 11), ("c",))
             apply_evacuations(gateway, state, "registry")
             report = decode_report(encode_report(make_report(gateway, 1, 1)))
-            return (report.registry_era, report.targets_revision), report.evacuations, state
+            return report, state
 
-        position, found, state = run_with_timeout(run)
-        assert position == (2, 9) and found == state
+        report, state = run_with_timeout(run)
+        assert (report.registry_era, report.targets_revision) == (2, 7)
+        assert (report.list_state, report.evacuations) == ((2, 9, 5), state)
--- /dev/null
+++ b/tests/connection/tasks/test_stale_lists.py
@@ -0,0 +1,205 @@
+"""Tests that a list of targets which is older than another never replaces it, in virtual time."""
+
+import anyio
+import pytest
+
+from tests.connection.tasks.test_lost_answers import (
+    CONTACT_S,
+    MANY_BESIDE_TWO_WATCHERS,
+    Place,
+    play,
+    start_calmly,
+)
+from tests.platform.test_configuration import DOCUMENT
+from tests.platform.test_registrations import ROW
+
+TWO_DATA_CENTRES = (Place("a", 3), Place("b", 4))
+ONE_IN_EACH_OF_FOUR = tuple(Place(name, 1) for name in "abcd")
+LAYOUTS = pytest.mark.parametrize(
+    "layout",
+    [MANY_BESIDE_TWO_WATCHERS, TWO_DATA_CENTRES],
+    ids=["one data centre", "two data centres"],
+)
+# Time from the end of a process until it is started again, in seconds.
+RESTART_S = 0.15
+
+
+def put(fleet, target_id, **fields):
+    number = sum(map(ord, target_id)) % 250
+    fleet.store.put(f"servers/{target_id}", {**ROW, "address": f"10.2.0.{number}:1", **fields})
+
+
+def used_ids(gateway):
+    """Return the ids of the targets that calls are sent to."""
+    now_s = anyio.current_time()
+    return {
+        target.registration.target_id
+        for target in gateway.targets
+        if target.usable_until_s > now_s and not target.registration.draining
+    }
+
+
+def survivor(fleet):
+    """Return the number of a gateway that doesn't watch the registry."""
+    return next(
+        number
+        for number, gateway in reversed(list(enumerate(fleet.gateways)))
+        if not gateway.duty.is_watcher()
+    )
+
+
+async def restart_others(fleet, kept, change, away_s=RESTART_S):
+    """Make a change while all gateways but one are away."""
+    numbers = [number for number in range(len(fleet.gateways)) if number != kept]
+    for number in numbers:
+        fleet.kill(number)
+    await anyio.sleep(away_s / 2)
+    change()
+    await anyio.sleep(away_s / 2)
+    for number in numbers:
+        fleet.start_gateway(number)
+
+
+def lines(fleet, name):
+    return [line for harness in fleet.harnesses for line in harness.log.named(name)]
+
+
+class TestChangesWhileWatchersRestart:
+    @LAYOUTS
+    def test_removed_target_is_not_used_again_by_an_older_list(self, layout):
+        async def use(fleet):
+            await start_calmly(fleet)
+            for target_id in ("i-1", "i-2"):
+                put(fleet, target_id)
+            await anyio.sleep(CONTACT_S)
+            for target_id, left in (("i-1", {"i-7", "i-2"}), ("i-2", {"i-7"})):
+                await restart_others(
+                    fleet,
+                    survivor(fleet),
+                    lambda key=target_id: fleet.store.remove(f"servers/{key}"),
+                )
+                await anyio.sleep(CONTACT_S)
+                assert [used_ids(gateway) for gateway in fleet.gateways] == [left] * len(
+                    fleet.gateways
+                )
+
+        play(use, layout)
+
+    @LAYOUTS
+    def test_target_whose_entry_became_invalid_is_not_used_again(self, layout):
+        async def use(fleet):
+            await start_calmly(fleet)
+            put(fleet, "i-1")
+            await anyio.sleep(CONTACT_S)
+            change = lambda: fleet.store.put("servers/i-1", b"{}")  # noqa: E731
+            await restart_others(fleet, survivor(fleet), change)
+            await anyio.sleep(CONTACT_S)
+            assert all(used_ids(gateway) == {"i-7"} for gateway in fleet.gateways)
+
+        play(use, layout)
+
+    @LAYOUTS
+    def test_target_that_started_again_under_its_id_is_used(self, layout):
+        async def use(fleet):
+            await start_calmly(fleet)
+            put(fleet, "i-1", born=5)
+
+            def start_again():
+                fleet.store.remove("servers/i-1")
+                put(fleet, "i-1", born=9)
+
+            await anyio.sleep(CONTACT_S)
+            await restart_others(fleet, survivor(fleet), start_again)
+            await anyio.sleep(CONTACT_S)
+            for gateway in fleet.gateways:
+                assert used_ids(gateway) == {"i-7", "i-1"}
+                assert gateway.targets.get("i-1").registration.started_at_ms == 9
+
+        play(use, layout)
+
+    @LAYOUTS
+    def test_removal_after_the_first_read_of_a_new_era(self, layout):
+        async def use(fleet):
+            await start_calmly(fleet)
+            put(fleet, "i-1")
+            fleet.store.roll_back(fleet.store.items, fleet.store.revision)
+            await anyio.sleep(CONTACT_S)
+            change = lambda: fleet.store.remove("servers/i-1")  # noqa: E731
+            await restart_others(fleet, survivor(fleet), change)
+            await anyio.sleep(CONTACT_S)
+            assert all(used_ids(gateway) == {"i-7"} for gateway in fleet.gateways)
+
+        play(use, layout)
+
+    @LAYOUTS
+    def test_lifted_evacuation_and_newer_routes(self, layout):
+        async def use(fleet):
+            await start_calmly(fleet)
+            fleet.store.put("op/evacuate/c", {})
+            await anyio.sleep(CONTACT_S)
+            assert all(gateway.targets.evacuated == {"c"} for gateway in fleet.gateways)
+
+            def change():
+                fleet.store.remove("op/evacuate/c")
+                fleet.store.put("op/config", {**DOCUMENT, "version": 8})
+
+            await restart_others(fleet, survivor(fleet), change)
+            await anyio.sleep(CONTACT_S)
+            assert not any(gateway.targets.evacuated for gateway in fleet.gateways)
+            assert {gateway.routes.table.version for gateway in fleet.gateways} == {8}
+
+        play(use, layout)
+
+    def test_removal_while_one_gateway_is_cut_off_from_the_registry(self):
+        async def use(fleet):
+            await start_calmly(fleet)
+            put(fleet, "i-1")
+            await anyio.sleep(CONTACT_S)
+            fleet.cut_off(0)
+            await anyio.sleep(1.0)
+            change = lambda: fleet.store.remove("servers/i-1")  # noqa: E731
+            await restart_others(fleet, 0, change, away_s=1.0)
+            await anyio.sleep(CONTACT_S)
+            assert all(used_ids(gateway) == {"i-7"} for gateway in fleet.gateways)
+            fleet.reconnect(0)
+            await anyio.sleep(CONTACT_S)
+            assert all(used_ids(gateway) == {"i-7"} for gateway in fleet.gateways)
+
+        play(use, ONE_IN_EACH_OF_FOUR)
+
+
+class TestEqualLists:
+    @LAYOUTS
+    def test_are_not_fetched_while_others_write_and_gateways_restart(self, layout):
+        async def use(fleet):
+            await start_calmly(fleet)
+            put(fleet, "i-1")
+            fleet.store.put("servers/i-invalid", b"{}")
+            await anyio.sleep(CONTACT_S)
+            for harness in fleet.harnesses:
+                harness.log.lines.clear()
+            await restart_others(fleet, survivor(fleet), lambda: None)
+            for number in range(150):
+                fleet.store.put(f"notes/{number % 7}", {})
+                if number % 40 == 0:
+                    restarted = number // 40 % len(fleet.gateways)
+                    fleet.kill(restarted)
+                    fleet.start_gateway(restarted)
+                await anyio.sleep(0.02)
+            await anyio.sleep(CONTACT_S)
+            assert not lines(fleet, "targets_fetched")
+            states = {gateway.targets.list_state.digest for gateway in fleet.gateways}
+            assert len(states) == 1 and 0 not in states
+
+        play(use, layout)
+
+    def test_are_complete_at_later_positions_without_a_fetch(self):
+        async def use(fleet):
+            await start_calmly(fleet)
+            for _ in range(5):
+                fleet.store.put("notes/1", {})
+            await anyio.sleep(CONTACT_S)
+            for gateway in fleet.gateways:
+                assert gateway.targets.position.revision == fleet.store.revision
+
+        play(use, MANY_BESIDE_TWO_WATCHERS)
--- a/tests/process/gateway/test_peers.py
+++ b/tests/process/gateway/test_peers.py
@@ -7,7 +7,8 @@
 from guavawalk.process.gateway.quota import create_quota_windows
 from guavawalk.process.gateway.reports import PeerReport, decode_report, encode_report
 from guavawalk.process.gateway.targets import create_target_table
-from guavawalk.process.gateway.version_sources import VersionSource
+from guavawalk.process.gateway.version_sources import ListSource, VersionSource
+from guavawalk.version.list_state import ListState
 from tests.gateway_calls import make_registration
 
 
@@ -264,7 +265,25 @@
         fixture.peers.centres.apply(summary, 0.0)
         fixture.report(1, routes_version=7, targets_revision=2)
         assert fixture.peers.newest_routes() == VersionSource("10.0.0.2:1", 7, True)
-        assert fixture.peers.newest_targets() == VersionSource("10.0.9.1:1", 3, False)
+        assert fixture.peers.newest_targets() == ListSource("10.0.9.1:1", ListState(0, 3), False)
+
+    @pytest.mark.parametrize(
+        ("known", "expected"),
+        [
+            (ListState(0, 5, 1), "10.0.0.2:1"),
+            (ListState(0, 8, 3), "10.0.9.1:1"),
+        ],
+        ids=["nearby list is newer", "only the far list is newer"],
+    )
+    def test_gateway_nearby_with_an_equal_list_goes_before_a_later_one_far_away(
+        self, known, expected
+    ):
+        fixture = PeerFixture()
+        summary = CentreSummary("b", "10.0.9.1:1", 1, 1, list_state=ListState(0, 9, 2))
+        fixture.peers.centres.apply(summary, 0.0)
+        fixture.report(1, list_state=ListState(0, 7, 2))
+        fixture.report(1, address="10.0.0.3:1", list_state=ListState(0, 6, 4))
+        assert fixture.peers.newest_targets(known).address == expected
 
 
 class TestSharingAddresses:
--- a/tests/process/gateway/test_registry_eras.py
+++ b/tests/process/gateway/test_registry_eras.py
@@ -1,5 +1,6 @@
 from guavawalk.process.gateway.registry_eras import ERA_SETTLE_S, create_registry_eras
 from guavawalk.process.gateway.targets import create_target_table
+from guavawalk.version.list_state import ListState
 from guavawalk.version.position import RegistryPosition
 from tests.gateway_calls import make_registration
 
@@ -90,9 +91,9 @@
         table = table_in_era(0, READY, make_registration("i-2"))
         table.begin_read(RegistryPosition(1, 60))
         table.put(READY, 50)
-        table.position = RegistryPosition(1, 60)
+        table.list_state = ListState(1, 60)
         listed = table.listed(0.0)
-        assert (listed.position, listed.era_read_revision) == ((1, 60), 60)
+        assert (listed.state.position, listed.era_read_revision) == ((1, 60), 60)
         assert listed.revisions_by_id() == {"i-1": 50, "i-2": 0}
 
     def test_earliest_read_of_an_era_counts(self):
