An answer of the registry doesn't replace a later list taken during the call

A gateway that fetches a list without a target while its own read or watch is under way put the target back when the older answer arrived, and sent it calls until the next change (read at a gateway that doesn't watch) or the end of the next watch.

Cause: lists of other gateways are compared with what is known here, answers of the registry were applied whatever they said. The position stayed that of the later list, so no list of another gateway counted as newer and corrected it.

Change: an answer is dropped, and counted, if a list at a later position was taken during the call. Its revision still moves the watch, and its entries the digest, so the next answer is complete.

Evidence: both tests of TestAnswersThatArriveLate failed before, with the target back.

--- a/guavawalk/connection/tasks/follow_registry.py
+++ b/guavawalk/connection/tasks/follow_registry.py
@@ -228,6 +228,7 @@
     while True:
         if gateway.targets.is_loaded and await _wait_for_duty(gateway):
             as_of = None
+        known = gateway.targets.position
         try:
             if as_of is None:
                 update = await registry.read_targets()
@@ -241,6 +242,11 @@
             as_of = update.as_of
             entries = update.entries_after({} if is_read else entries)
             update = update._replace(digest=digest_entries(entries))
+            later = gateway.targets.position
+            if later > known and later > RegistryPosition(update.era, update.as_of):
+                # Another gateway's list, taken during the call, has these changes and later ones.
+                gateway.metrics.count("registry_answers_superseded_total", what="targets")
+                continue
             apply = apply_read if is_read else apply_watch
             await apply(gateway, update, health.has_just_recovered())
         except HistoryGone:
--- a/guavawalk/process/observe/names.py
+++ b/guavawalk/process/observe/names.py
@@ -172,6 +172,13 @@
         "unusable entries in the registry, each time they are read: `routes`, `evacuations`"
         " or `targets`",
     ),
+    MetricName(
+        "registry_answers_superseded_total{what}",
+        "count",
+        "gateway",
+        "answers of the registry that were dropped since a later list was taken from another"
+        " gateway meanwhile",
+    ),
     MetricName(
         "registry_answers_outdated_total{what}",
         "count",
--- a/tests/connection/tasks/test_stale_lists.py
+++ b/tests/connection/tasks/test_stale_lists.py
@@ -3,6 +3,10 @@
 import anyio
 import pytest
 
+from guavawalk.connection.registry import TargetUpdate
+from guavawalk.connection.tasks.apply_targets import apply_target_list
+from guavawalk.connection.tasks.follow_registry import follow_targets
+from guavawalk.version.registrations import ListedTargets
 from tests.connection.tasks.test_lost_answers import (
     CONTACT_S,
     MANY_BESIDE_TWO_WATCHERS,
@@ -10,8 +14,11 @@
     play,
     start_calmly,
 )
+from tests.gateway_calls import make_registration
+from tests.gateway_standins import GatewayHarness
 from tests.platform.test_configuration import DOCUMENT
 from tests.platform.test_registrations import ROW
+from tests.virtual import run_virtually
 
 TWO_DATA_CENTRES = (Place("a", 3), Place("b", 4))
 ONE_IN_EACH_OF_FOUR = tuple(Place(name, 1) for name in "abcd")
@@ -203,3 +210,56 @@
                 assert gateway.targets.position.revision == fleet.store.revision
 
         play(use, MANY_BESIDE_TWO_WATCHERS)
+
+
+class SlowRegistry:
+    """A registry whose next answer, to a read or a watch, arrives when a test sets `is_due`."""
+
+    def __init__(self, *updates):
+        self.updates = list(updates)
+        self.is_due = anyio.Event()
+        self.watched_after = []
+
+    async def read_targets(self):
+        return await self._answer()
+
+    async def watch_targets(self, after, wait_s):
+        self.watched_after.append(after)
+        return await self._answer()
+
+    async def _answer(self):
+        await self.is_due.wait()
+        self.is_due = anyio.Event()
+        return self.updates.pop(0)
+
+
+class TestAnswersThatArriveLate:
+    def ids_after(self, *updates, answered):
+        """Return the ids known after a number of answers, the last of them after a later list."""
+
+        async def run():
+            gateway = GatewayHarness(peers=()).gateway
+            gateway.targets.is_loaded = False
+            registry = SlowRegistry(*updates)
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(follow_targets, gateway, registry)
+                for number in range(answered):
+                    await anyio.sleep(CONTACT_S)
+                    if number == answered - 1:
+                        listed = ListedTargets(9, (make_registration("i-stays"),), digest=3)
+                        await apply_target_list(gateway, listed, "peer")
+                    registry.is_due.set()
+                await anyio.sleep(CONTACT_S)
+                tasks.cancel_scope.cancel()
+            return gateway.targets.ids(), registry.watched_after
+
+        return run_virtually(run)
+
+    def test_read_that_began_before_a_later_list_was_fetched_adds_nothing(self):
+        read = TargetUpdate((make_registration("i-left"),), (), 5, 5, item_revisions={"i-left": 5})
+        assert self.ids_after(read, answered=1) == ({"i-stays"}, [5])
+
+    def test_watch_that_began_before_a_later_list_was_fetched_changes_nothing(self):
+        read = TargetUpdate((), (), 5, 5)
+        watch = TargetUpdate((make_registration("i-left"),), ("i-stays",), 7, 7)
+        assert self.ids_after(read, watch, answered=2) == ({"i-stays"}, [5, 7])
