A target that another gateway takes for lapsed is not used again where it was removed

Cause: the healed gateway has just had failures, so it keeps a target whose entry is missing for 1.5 s, and its list says so. Gateways that fetched the list added the target, though they had seen its removal.

Change: a lapsed registration on a list adds no target to a gateway that knows a list already.

Evidence: TestHealedGateway with another registration that changes, and the test of apply_target_list, failed before.

--- a/guavawalk/connection/tasks/apply_targets.py
+++ b/guavawalk/connection/tasks/apply_targets.py
@@ -60,7 +60,8 @@
     -----
     Targets that are not on the list are removed at once, unless the registry has just been
     unavailable, or a new era has just begun. Those whose registrations may only have lapsed are on
-    it, with the time for which they are still used.
+    it, with the time for which they are still used; one that is not known here is not added, since
+    this gateway may have seen its removal.
     """
     # A list of an earlier era may arrive while the first read of a new one is being applied.
     is_newer = listed.state.is_newer_than(gateway.targets.list_state)
@@ -70,7 +71,7 @@
     era_read = RegistryPosition(listed.era, listed.era_read_revision or listed.revision)
     gateway.targets.begin_read(era_read)
     update = TargetUpdate(
-        listed.registrations,
+        _without_unknown_lapsing(gateway, listed),
         (),
         listed.revision,
         listed.revision if listed.last_change is None else listed.last_change,
@@ -92,6 +93,18 @@
             target.usable_until_s = min(target.usable_until_s, now_s + left_s)
 
 
+def _without_unknown_lapsing(gateway: Gateway, listed: ListedTargets) -> tuple[Registration, ...]:
+    """Return the listed registrations but those that lapsed and are not known here.
+
+    A gateway that knows no list yet takes them all.
+    """
+    targets = gateway.targets
+    if not targets.is_loaded:
+        return listed.registrations
+    unknown = frozenset(target_id for target_id, _ in listed.lapsing) - targets.ids()
+    return tuple(entry for entry in listed.registrations if entry.target_id not in unknown)
+
+
 def _absent_ids(gateway: Gateway, update: TargetUpdate) -> tuple[str, ...]:
     """Return the ids of the known targets whose present starts a complete update does not list."""
     targets = gateway.targets
--- a/tests/connection/tasks/test_follow_registry.py
+++ b/tests/connection/tasks/test_follow_registry.py
@@ -236,6 +236,22 @@
 
         assert run_with_timeout(run) == (6, 6)
 
+    @pytest.mark.parametrize("is_loaded", [True, False])
+    def test_removed_target_that_another_gateway_takes_for_lapsed_is_not_used_again(
+        self, is_loaded
+    ):
+        async def run():
+            gateway = GatewayHarness().gateway
+            gateway.targets.is_loaded = is_loaded
+            listed = tuple(map(make_registration, ("i-new", "i-lapsed")))
+            lapsing = (("i-lapsed", 1.5),)
+            await apply_target_list(gateway, ListedTargets(11, listed, lapsing), "peer")
+            return gateway.targets.ids()
+
+        # A gateway that knows no list yet has not seen a removal.
+        expected = {"i-new"} if is_loaded else {"i-new", "i-lapsed"}
+        assert run_with_timeout(run) == expected
+
     def test_only_newer_target_lists_are_applied(self):
         async def run():
             story = GatewayHarness()
--- a/tests/connection/tasks/test_stale_lists.py
+++ b/tests/connection/tasks/test_stale_lists.py
@@ -263,3 +263,29 @@
         read = TargetUpdate((), (), 5, 5)
         watch = TargetUpdate((make_registration("i-left"),), ("i-stays",), 7, 7)
         assert self.ids_after(read, watch, answered=2) == ({"i-stays"}, [5, 7])
+
+
+class TestHealedGateway:
+    @pytest.mark.parametrize("changes", ["none", "another registration"])
+    def test_removal_that_it_takes_for_a_lapse_is_not_undone_at_others(self, changes):
+        async def use(fleet):
+            await start_calmly(fleet)
+            put(fleet, "i-1")
+            await anyio.sleep(CONTACT_S)
+            watcher = next(n for n, one in enumerate(fleet.gateways) if one.duty.is_watcher())
+            fleet.cut_off(watcher)
+            fleet.network.cut(f"10.0.{watcher}.1:2")
+            fleet.store.remove("servers/i-1")
+            await anyio.sleep(5.5)
+            others = [one for n, one in enumerate(fleet.gateways) if n != watcher]
+            assert not any("i-1" in used_ids(gateway) for gateway in others)
+            fleet.reconnect(watcher)
+            fleet.network.heal(f"10.0.{watcher}.1:2")
+            for number in range(60):
+                if changes != "none" and number < 20:
+                    put(fleet, "i-2", capacity=number + 1)
+                await anyio.sleep(0.05)
+                assert not any("i-1" in used_ids(gateway) for gateway in others)
+            assert lines(fleet, "target_gone")[-1]["target"] == "i-1"
+
+        play(use, MANY_BESIDE_TWO_WATCHERS)
--- a/tests/memory_network.py
+++ b/tests/memory_network.py
@@ -102,6 +102,8 @@
 
     def __init__(self, tasks):
         self.sockets = {}
+        # Listener and socket at the addresses that are cut off.
+        self._cut = {}
         self._tasks = tasks
         self._listeners = {}
         self._connections = {}
@@ -123,6 +125,15 @@
             scope.cancel()
             stream.close()
 
+    def cut(self, address):
+        """Refuse connections and drop datagrams to an address until `heal`."""
+        self._cut[address] = self._listeners[address], self.sockets[address]
+        self.kill(address)
+
+    def heal(self, address):
+        """Accept connections and datagrams to an address again."""
+        self._listeners[address], self.sockets[address] = self._cut.pop(address)
+
     async def open_stream(self, address, timeout_s=1.0):
         """Connect to an address; stand-in for `connection.streams.open_stream`.
 
