A list between two pages of a read doesn't undo what the later page told

What callers could see: a target that registered, or began to drain, while a gateway read the registry in several pages was dropped or ready again there for a moment, when a list of a position between the two pages was fetched.

Cause: since a list is ordered by the revision up to which it is complete, the one of such a read is that of its first page, and the entries of later pages may be later.

Change: entries here that were written after the position of a fetched list stay as they are.

--- a/guavawalk/connection/tasks/apply_targets.py
+++ b/guavawalk/connection/tasks/apply_targets.py
@@ -70,16 +70,7 @@
     observe_era(gateway, listed.era, source)
     era_read = RegistryPosition(listed.era, listed.era_read_revision or listed.revision)
     gateway.targets.begin_read(era_read)
-    update = TargetUpdate(
-        _without_unknown_lapsing(gateway, listed),
-        (),
-        listed.revision,
-        listed.revision if listed.last_change is None else listed.last_change,
-        era=listed.era,
-        item_revisions=listed.revisions_by_id(),
-        digest=listed.digest,
-    )
-    update = update._replace(removed=_absent_ids(gateway, update))
+    update = _list_update(gateway, listed)
     before, known_ids = gateway.targets.position, gateway.targets.ids()
     now_s = gateway.clock.now_s()
     # The other gateway may have read the registry before the entries that lapsed were back.
@@ -89,10 +80,28 @@
     gateway.log.emit(events.TARGETS_FETCHED, peer=source, **change)
     for target_id, left_s in listed.lapsing:
         target = gateway.targets.get(target_id)
-        if target is not None:
+        if target is not None and target.item_revision <= listed.revision:
             target.usable_until_s = min(target.usable_until_s, now_s + left_s)
 
 
+def _list_update(gateway: Gateway, listed: ListedTargets) -> TargetUpdate:
+    """Return another gateway's list as an update of the targets known here."""
+    # The pages of a read are no snapshot: entries from one may be later than the list can tell of.
+    later_ids = gateway.targets.ids_written_after(listed.revision)
+    entries = _without_unknown_lapsing(gateway, listed)
+    update = TargetUpdate(
+        tuple(entry for entry in entries if entry.target_id not in later_ids),
+        (),
+        listed.revision,
+        listed.revision if listed.last_change is None else listed.last_change,
+        era=listed.era,
+        item_revisions=listed.revisions_by_id(),
+        digest=listed.digest,
+    )
+    removed = frozenset(_absent_ids(gateway, update)) - later_ids
+    return update._replace(removed=tuple(removed))
+
+
 def _without_unknown_lapsing(gateway: Gateway, listed: ListedTargets) -> tuple[Registration, ...]:
     """Return the listed registrations but those that lapsed and are not known here.
 
--- a/guavawalk/process/gateway/targets.py
+++ b/guavawalk/process/gateway/targets.py
@@ -264,6 +264,14 @@
         """Return the ids of all targets."""
         return frozenset(self._targets)
 
+    def ids_written_after(self, revision: int) -> frozenset[str]:
+        """Return the ids of the targets whose entries are later than a revision of this era."""
+        return frozenset(
+            target_id
+            for target_id, target in self._targets.items()
+            if target.item_revision > revision
+        )
+
     def set_evacuated(self, data_centres: frozenset[str], now_s: float) -> None:
         """Replace the evacuated data centres; record the end where one is no longer evacuated."""
         ended = self.evacuated - data_centres
--- a/tests/connection/tasks/test_stale_lists.py
+++ b/tests/connection/tasks/test_stale_lists.py
@@ -4,7 +4,7 @@
 import pytest
 
 from guavawalk.connection.registry import TargetUpdate
-from guavawalk.connection.tasks.apply_targets import apply_target_list
+from guavawalk.connection.tasks.apply_targets import apply_read, apply_target_list
 from guavawalk.connection.tasks.follow_registry import follow_targets
 from guavawalk.version.registrations import ListedTargets
 from tests.connection.tasks.test_lost_answers import (
@@ -265,6 +265,26 @@
         assert self.ids_after(read, watch, answered=2) == ({"i-stays"}, [5, 7])
 
 
+class TestPagesThatAreNoSnapshot:
+    @pytest.mark.parametrize("listed", [(), (make_registration("i-1"),)], ids=["absent", "ready"])
+    def test_later_entry_of_a_read_is_kept_when_a_list_between_is_fetched(self, listed):
+        async def run():
+            gateway = GatewayHarness().gateway
+            # The first page is of revision 100; on the second is an entry written after it.
+            entry = make_registration("i-1", draining=True)
+            read = TargetUpdate((entry,), (), 100, 102, item_revisions={"i-1": 102}, digest=1)
+            await apply_read(gateway, read, has_just_recovered=False)
+            revisions = (90,) * len(listed)
+            between = ListedTargets(101, listed, item_revisions=revisions, digest=2)
+            await apply_target_list(gateway, between, "peer")
+            kept = gateway.targets.get("i-1")
+            await apply_target_list(gateway, ListedTargets(103, (), digest=3), "peer")
+            return kept, gateway.targets.ids()
+
+        kept, after_removal = run_virtually(run)
+        assert kept.registration.draining and not after_removal
+
+
 class TestHealedGateway:
     @pytest.mark.parametrize("changes", ["none", "another registration"])
     def test_removal_that_it_takes_for_a_lapse_is_not_undone_at_others(self, changes):
