--- a/guavawalk/connection/tasks/fetch_newer.py
+++ b/guavawalk/connection/tasks/fetch_newer.py
@@ -18,7 +18,7 @@
     TARGETS_PATH,
     decode_target_list,
 )
-from guavawalk.process.gateway.version_sources import reported_list
+from guavawalk.process.gateway.version_sources import reported_list_state
 from guavawalk.version.routes import RouteTable
 
 if TYPE_CHECKING:
@@ -37,9 +37,9 @@
 
 def is_ahead(gateway: Gateway, news: PeerReport | CentreSummary) -> bool:
     """Return whether the sender has newer routes or registrations than this gateway."""
-    return news.routes_version > gateway.routes.table.version or reported_list(news).is_newer_than(
-        gateway.targets.list_state
-    )
+    return news.routes_version > gateway.routes.table.version or reported_list_state(
+        news
+    ).is_newer_than(gateway.targets.list_state)
 
 
 async def fetch_newer(gateway: Gateway) -> None:
--- a/guavawalk/connection/tasks/gossip.py
+++ b/guavawalk/connection/tasks/gossip.py
@@ -28,7 +28,7 @@
 from guavawalk.process.gateway.loads import measure_load, sum_loads
 from guavawalk.process.gateway.queue_reports import sum_received, sum_waiting
 from guavawalk.process.gateway.reports import PeerReport, decode_report, encode_report
-from guavawalk.process.gateway.version_sources import reported_list
+from guavawalk.process.gateway.version_sources import reported_list_state
 from guavawalk.version.position import NO_POSITION
 
 if TYPE_CHECKING:
@@ -319,7 +319,7 @@
 
 def _apply_registry_news(gateway: Gateway, news: PeerReport | CentreSummary, source: str) -> None:
     """Take the era, the evacuations and the state of the list that another gateway reports."""
-    list_state = reported_list(news)
+    list_state = reported_list_state(news)
     gateway.targets.confirm(list_state)
     position = max(list_state.position, news.evacuations.position)
     if position != NO_POSITION:
--- a/guavawalk/process/gateway/targets.py
+++ b/guavawalk/process/gateway/targets.py
@@ -107,9 +107,9 @@
         bool
             Whether the list is later than the one known before, and not known to be equal.
         """
-        is_newer = state.is_newer_than(self.list_state)
         if state.position < self.position:
             return False
+        is_newer = state.is_newer_than(self.list_state)
         if state.era > self.list_state.era:
             self.last_change = last_change
         self.last_change = max(self.last_change, last_change)
--- a/guavawalk/process/gateway/version_sources.py
+++ b/guavawalk/process/gateway/version_sources.py
@@ -12,7 +12,7 @@
     "VersionSource",
     "newest_routes",
     "newest_targets",
-    "reported_list",
+    "reported_list_state",
 ]
 
 
@@ -74,8 +74,8 @@
         The list known here. A local gateway is chosen only if its list is newer, though the newest
         one of all may be at a later position.
     """
-    sources = [ListSource(report.address, reported_list(report), True) for report in reports]
-    sources += [ListSource(summary.relay, reported_list(summary)) for summary in summaries]
+    sources = [ListSource(report.address, reported_list_state(report), True) for report in reports]
+    sources += [ListSource(summary.relay, reported_list_state(summary)) for summary in summaries]
     newest = max(
         sources, key=lambda source: (source.state.position, source.is_local), default=ListSource()
     )
@@ -89,7 +89,7 @@
     return newest if newest.is_local else next(equal, newest)
 
 
-def reported_list(news: PeerReport | CentreSummary) -> ListState:
+def reported_list_state(news: PeerReport | CentreSummary) -> ListState:
     """Return the state of the sender's list of registrations.
 
     An earlier build states only the last change that it knows, up to which its list is complete.
--- a/tests/connection/tasks/test_stale_lists.py
+++ b/tests/connection/tasks/test_stale_lists.py
@@ -1,5 +1,7 @@
 """Tests that a list of targets which is older than another never replaces it, in virtual time."""
 
+from functools import partial
+
 import anyio
 import pytest
 
@@ -80,11 +82,8 @@
                 put(fleet, target_id)
             await anyio.sleep(CONTACT_S)
             for target_id, left in (("i-1", {"i-7", "i-2"}), ("i-2", {"i-7"})):
-                await restart_others(
-                    fleet,
-                    survivor(fleet),
-                    lambda key=target_id: fleet.store.remove(f"servers/{key}"),
-                )
+                change = partial(fleet.store.remove, f"servers/{target_id}")
+                await restart_others(fleet, survivor(fleet), change)
                 await anyio.sleep(CONTACT_S)
                 assert [used_ids(gateway) for gateway in fleet.gateways] == [left] * len(
                     fleet.gateways
@@ -98,7 +97,7 @@
             await start_calmly(fleet)
             put(fleet, "i-1")
             await anyio.sleep(CONTACT_S)
-            change = lambda: fleet.store.put("servers/i-1", b"{}")  # noqa: E731
+            change = partial(fleet.store.put, "servers/i-1", b"{}")
             await restart_others(fleet, survivor(fleet), change)
             await anyio.sleep(CONTACT_S)
             assert all(used_ids(gateway) == {"i-7"} for gateway in fleet.gateways)
@@ -131,7 +130,7 @@
             put(fleet, "i-1")
             fleet.store.roll_back(fleet.store.items, fleet.store.revision)
             await anyio.sleep(CONTACT_S)
-            change = lambda: fleet.store.remove("servers/i-1")  # noqa: E731
+            change = partial(fleet.store.remove, "servers/i-1")
             await restart_others(fleet, survivor(fleet), change)
             await anyio.sleep(CONTACT_S)
             assert all(used_ids(gateway) == {"i-7"} for gateway in fleet.gateways)
@@ -164,7 +163,7 @@
             await anyio.sleep(CONTACT_S)
             fleet.cut_off(0)
             await anyio.sleep(1.0)
-            change = lambda: fleet.store.remove("servers/i-1")  # noqa: E731
+            change = partial(fleet.store.remove, "servers/i-1")
             await restart_others(fleet, 0, change, away_s=1.0)
             await anyio.sleep(CONTACT_S)
             assert all(used_ids(gateway) == {"i-7"} for gateway in fleet.gateways)
@@ -195,8 +194,8 @@
                 await anyio.sleep(0.02)
             await anyio.sleep(CONTACT_S)
             assert not lines(fleet, "targets_fetched")
-            states = {gateway.targets.list_state.digest for gateway in fleet.gateways}
-            assert len(states) == 1 and 0 not in states
+            digests = {gateway.targets.list_state.digest for gateway in fleet.gateways}
+            assert len(digests) == 1 and 0 not in digests
 
         play(use, layout)
 
@@ -213,7 +212,7 @@
 
 
 class SlowRegistry:
-    """A registry whose next answer, to a read or a watch, arrives when a test sets `is_due`."""
+    """A registry whose next answer to a read or a watch is sent when `is_due` is set."""
 
     def __init__(self, *updates):
         self.updates = list(updates)
@@ -286,8 +285,8 @@
 
 
 class TestHealedGateway:
-    @pytest.mark.parametrize("changes", ["none", "another registration"])
-    def test_removal_that_it_takes_for_a_lapse_is_not_undone_at_others(self, changes):
+    @pytest.mark.parametrize("is_another_changed", [False, True])
+    def test_removal_that_it_takes_for_a_lapse_is_not_undone_at_others(self, is_another_changed):
         async def use(fleet):
             await start_calmly(fleet)
             put(fleet, "i-1")
@@ -302,7 +301,7 @@
             fleet.reconnect(watcher)
             fleet.network.heal(f"10.0.{watcher}.1:2")
             for number in range(60):
-                if changes != "none" and number < 20:
+                if is_another_changed and number < 20:
                     put(fleet, "i-2", capacity=number + 1)
                 await anyio.sleep(0.05)
                 assert not any("i-1" in used_ids(gateway) for gateway in others)
