Entry: open a bounded number of links to one sidecar at once

Cause: each request in flight opened a link of its own and kept its descriptor until the handshake timed out.

Change: 32 links to an address are opened at once. Other requests wait, and take a link that is released meanwhile. Resuming and withdrawing is not limited.

--- a/guavawalk/process/entry/links.py
+++ b/guavawalk/process/entry/links.py
@@ -3,6 +3,8 @@
 from collections import deque
 from typing import NamedTuple
 
+import anyio
+
 from guavawalk.connection.handshake import Identity, perform_handshake
 from guavawalk.connection.link import Link, Network
 from guavawalk.exception import LinkBroken, LinkRefused, RequestError
@@ -12,6 +14,9 @@
 
 IDLE_LIMIT_S = 20.0
 MAX_IDLE_LINKS_PER_ADDRESS = 64
+# Requests beyond wait for a link. A sidecar that accepts no more would otherwise have a descriptor
+# of this process for each of them until the handshake times out.
+MAX_OPENING_LINKS_PER_ADDRESS = 32
 
 
 class IdleLink(NamedTuple):
@@ -29,22 +34,33 @@
         self._identity = identity
         self._clock = clock
         self._idle: dict[str, deque[IdleLink]] = {}
+        self._opening: dict[str, anyio.CapacityLimiter] = {}
 
     async def acquire(self, address: str) -> Link:
         """Return an idle link, or a new one after its handshake.
 
+        At most `MAX_OPENING_LINKS_PER_ADDRESS` links are opened at once.
+
         Raises
         ------
         LinkRefused
             If the connection or the handshake failed; nothing after the handshake was sent.
         """
-        idle = self._idle.get(address)
-        while idle:
+        if (link := await self._take_idle(address)) is not None:
+            return link
+        if address not in self._opening:
+            self._opening[address] = anyio.CapacityLimiter(MAX_OPENING_LINKS_PER_ADDRESS)
+        async with self._opening[address]:
+            # One may have been released meanwhile.
+            return await self._take_idle(address) or await self.open(address)
+
+    async def _take_idle(self, address: str) -> Link | None:
+        while idle := self._idle.get(address):
             link, idle_since_s = idle.pop()
             if link.is_open() and self._clock.now_s() - idle_since_s < IDLE_LIMIT_S:
                 return link
             await link.aclose()
-        return await self.open(address)
+        return None
 
     async def open(self, address: str) -> Link:
         """Return a new link after its handshake.
@@ -73,6 +89,9 @@
     async def close_idle(self, older_than_s: float = IDLE_LIMIT_S) -> None:
         """Close the links that have been idle for at least `older_than_s`; 0 closes all."""
         now_s = self._clock.now_s()
+        for address, opening in list(self._opening.items()):
+            if not opening.borrowed_tokens:
+                del self._opening[address]
         for address, idle in list(self._idle.items()):
             while idle and now_s - idle[0].idle_since_s >= older_than_s:
                 await idle.popleft().link.aclose()
