HTTP listener: a new connection waits while all others run requests

Cause: at the limit of connections a new one replaces one that is idle or makes no progress. If all run requests it was closed unread; that a caller has left is noticed only when its request ends, and the crowd's had not ended yet.

Change: up to 64 new connections wait for 1 s until another ends or becomes idle, and are then refused with 503 as not run.

Both cases of test_new_connection_waits_while_all_others_run_requests failed before, by a reset.

--- a/guavawalk/connection/http_listener.py
+++ b/guavawalk/connection/http_listener.py
@@ -7,6 +7,7 @@
 import asyncio
 import json
 import sys
+from collections import deque
 from collections.abc import Callable
 
 import h11
@@ -41,6 +42,10 @@
 # Bytes behind a request from which on no more are read while it runs. uvicorn reads on whenever the
 # application awaits the caller's next message or its end, and the parser keeps what it gets.
 MAX_AHEAD_BYTES = 4_096
+# Most new connections that wait for another to end, and for how long, in seconds. A caller that
+# leaves during its request is noticed only when the request ends.
+MAX_HELD_CONNECTIONS = 64
+HOLD_S = 1.0
 # Time after which a caller may retry a request that gave way to a new connection, in milliseconds.
 REPLACED_RETRY_MS = 1_000
 
@@ -114,14 +119,17 @@
         connection's start or from the first bytes of a further request. An idle connection
         between requests is not limited by it.
     max_connections : int
-        Most connections; beyond, a new one replaces an idle one or one that makes no progress, or
-        is closed if there is none.
+        Most connections; beyond, a new one replaces an idle one or one that makes no progress. If
+        there is none, up to `MAX_HELD_CONNECTIONS` wait for a connection to end; others are closed.
     """
+    held: deque[H11Protocol] = deque()
 
     class RejectingH11Protocol(H11Protocol):
         """Answers unreadable or slow request heads with a result code and closes the connection."""
 
         _head_timer = None
+        _hold_timer = None
+        _held_data = b""
         _received_s = 0.0
         _is_dense = False
 
@@ -130,8 +138,11 @@
             super().connection_made(transport)
             self.flow = _BoundedFlow(transport, self._ahead_bytes)
             self._received_s = self.loop.time()
-            if len(self.connections) > max_connections and not self._replace_other():
-                transport.abort()
+            if len(self.connections) - len(held) > max_connections and not self._replace_other():
+                if len(held) < MAX_HELD_CONNECTIONS:
+                    self._hold()
+                else:
+                    transport.abort()
                 return
             self._arm_head_timer()
 
@@ -139,6 +150,10 @@
             if self.transport.is_lingering:
                 self.transport.discard(data)
                 return
+            if self in held:
+                self._held_data += data
+                self.flow.pause_reading()
+                return
             self._received_s = self.loop.time()
             cycle, size = self.cycle, len(self.cycle.body) if self.cycle else 0
             super().data_received(data)
@@ -162,13 +177,19 @@
                 # The rest of a refused body, which may have no end, is not parsed.
                 self.transport.close()
             super().on_response_complete()
+            if held and self.is_idle():
+                self.transport.close()
             # The next request has been taken from what waited, if it has arrived as a whole.
             if not self.transport.is_closing():
                 self.flow.resume_reading()
 
         def connection_lost(self, exc: Exception | None) -> None:
             self._disarm_head_timer()
+            if self in held:
+                self._end_hold()
             super().connection_lost(exc)
+            if held and len(self.connections) - len(held) < max_connections:
+                held[0]._serve_held()
 
         def send_400_response(self, msg: str) -> None:
             # uvicorn calls this while it handles the exception from h11, which holds the status.
@@ -211,9 +232,30 @@
                 ended._reject(ResultCode.REQUEST_TIMEOUT)
             return True
 
+        def _hold(self) -> None:
+            held.append(self)
+            self._hold_timer = self.loop.call_later(HOLD_S, self._hold_timed_out)
+
+        def _end_hold(self) -> None:
+            held.remove(self)
+            self._hold_timer.cancel()
+
+        def _hold_timed_out(self) -> None:
+            self._end_hold()
+            self._reject(ResultCode.QUEUE_FULL, REPLACED_RETRY_MS)
+
+        def _serve_held(self) -> None:
+            self._end_hold()
+            self._arm_head_timer()
+            self.flow.resume_reading()
+            if self._held_data:
+                data, self._held_data = self._held_data, b""
+                self.data_received(data)
+
         def is_idle(self) -> bool:
             """Return whether no request is running, or arriving beyond its head."""
-            return self.conn.their_state is h11.IDLE and not self.transport.is_closing()
+            is_idle = self.conn.their_state is h11.IDLE and not self.transport.is_closing()
+            return is_idle and self not in held
 
         def is_stalled(self, since_s: float) -> bool:
             """Return whether a body is awaited of which nothing has arrived since a time."""
--- a/tests/connection/tasks/test_connection_limits.py
+++ b/tests/connection/tasks/test_connection_limits.py
@@ -92,6 +92,8 @@
         return
     if scope["path"] == "/wait":
         await anyio.sleep_forever()
+    if scope["path"] == "/slow":
+        await anyio.sleep(0.5)
     await Request(scope, receive).body()
     await PlainTextResponse("hello")(scope, receive, send)
 
@@ -140,6 +142,17 @@
 
         self.play(scenario)
 
+    @pytest.mark.parametrize(("path", "status"), [(b"/slow", 200), (b"/wait", 503)])
+    def test_new_connection_waits_while_all_others_run_requests(self, path, status):
+        async def scenario(address):
+            running = [await connect(address) for _ in range(MAX_CONNECTIONS)]
+            for stream in running:
+                await stream.send(encode_request("GET", path, ((b"Host", b"h"),)))
+            await anyio.sleep(0.1)
+            assert await ask(await connect(address)) == status
+
+        self.play(scenario)
+
     def test_refusal_is_not_lost_while_the_caller_sends_on(self):
         async def scenario(address):
             stream = await connect(address)
