A list of targets is applied as a whole before connections close

While the idle connections of a removed target were closed, another task could apply an earlier list and put targets back; the table then had the later position.

Cause: closing awaits, stood between the removals, and the position was recorded after them.

Change: an update is applied and recorded without an await, then connections are closed.

--- a/guavawalk/connection/tasks/apply_targets.py
+++ b/guavawalk/connection/tasks/apply_targets.py
@@ -39,13 +39,14 @@
     if removed := _absent_ids(gateway, update):
         # Entries don't state when others were removed; the list has been read since.
         update = update._replace(removed=removed, last_change=update.as_of)
-    await _apply_targets(gateway, update, has_just_recovered)
+    gone_ids = _apply_targets(gateway, update, has_just_recovered)
     gateway.log.emit(events.TARGETS_READ, **_list_change(gateway, update, before, known_ids))
+    await _close_connections(gateway, gone_ids)
 
 
 async def apply_watch(gateway: Gateway, update: TargetUpdate, has_just_recovered: bool) -> None:
     """Apply the changes that a watch has reported; see `apply_read`."""
-    await _apply_targets(gateway, update, has_just_recovered)
+    await _close_connections(gateway, _apply_targets(gateway, update, has_just_recovered))
 
 
 async def apply_target_list(gateway: Gateway, listed: ListedTargets, source: str) -> None:
@@ -75,13 +76,14 @@
     now_s = gateway.clock.now_s()
     # The other gateway may have read the registry before the entries that lapsed were back.
     has_just_recovered = gateway.duty.has_failed_since(now_s - LAPSE_WINDOW_S)
-    await _apply_targets(gateway, update, has_just_recovered)
+    gone_ids = _apply_targets(gateway, update, has_just_recovered)
     change = _list_change(gateway, update, before, known_ids)
     gateway.log.emit(events.TARGETS_FETCHED, peer=source, **change)
     for target_id, left_s in listed.lapsing:
         target = gateway.targets.get(target_id)
         if target is not None and target.item_revision <= listed.revision:
             target.usable_until_s = min(target.usable_until_s, now_s + left_s)
+    await _close_connections(gateway, gone_ids)
 
 
 def _list_update(gateway: Gateway, listed: ListedTargets) -> TargetUpdate:
@@ -151,7 +153,11 @@
     return update._replace(registered=tuple(kept))
 
 
-async def _apply_targets(gateway: Gateway, update: TargetUpdate, has_just_recovered: bool) -> None:
+def _apply_targets(gateway: Gateway, update: TargetUpdate, has_just_recovered: bool) -> list[str]:
+    """Apply an update; return the ids of the targets whose idle connections are to be closed.
+
+    Nothing is awaited, so that an update from another task is applied wholly before or after.
+    """
     targets = gateway.targets
     targets.is_loaded = True
     now_s = gateway.clock.now_s()
@@ -170,6 +176,7 @@
         gateway.peers.count_missing_loads()
     era_settled_s = gateway.eras.settled_s
     has_lapsed = has_just_recovered or now_s < era_settled_s
+    gone_ids = []
     for target_id in update.removed:
         target = targets.get(target_id)
         if targets.remove(target_id, now_s, has_lapsed, era_settled_s):
@@ -182,11 +189,17 @@
                 era=update.era,
                 revision=update.as_of,
             )
-            await gateway.connections.discard_target(target_id)
+            gone_ids.append(target_id)
     gateway.dispatcher.dispatch_all()
     state = ListState(update.era, update.as_of, update.digest)
     if targets.record_list(state, update.last_change):
         gateway.peers.report_news()
+    return gone_ids
+
+
+async def _close_connections(gateway: Gateway, target_ids: Iterable[str]) -> None:
+    for target_id in target_ids:
+        await gateway.connections.discard_target(target_id)
 
 
 def _put(gateway: Gateway, registration: Registration, item_revision: int) -> bool:
--- a/tests/connection/tasks/test_stale_lists.py
+++ b/tests/connection/tasks/test_stale_lists.py
@@ -264,6 +264,29 @@
         assert self.ids_after(read, watch, answered=2) == ({"i-stays"}, [5, 7])
 
 
+class TestUpdatesOfTwoTasks:
+    def test_list_is_not_mixed_with_one_that_is_applied_while_connections_close(self):
+        async def run():
+            gateway = GatewayHarness().gateway
+            listed = tuple(map(make_registration, ("i-1", "i-2")))
+            for registration in listed:
+                gateway.targets.put(registration)
+
+            async def discard_slowly(target_id):
+                await anyio.sleep(1.0)
+
+            gateway.connections.discard_target = discard_slowly
+            later, earlier = ListedTargets(9, (), digest=9), ListedTargets(8, listed, digest=8)
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(apply_target_list, gateway, later, "peer")
+                await anyio.sleep(0.5)
+                tasks.start_soon(apply_target_list, gateway, earlier, "other")
+            return gateway.targets
+
+        targets = run_virtually(run)
+        assert not targets.ids() and targets.list_state == (0, 9, 9)
+
+
 class TestPagesThatAreNoSnapshot:
     @pytest.mark.parametrize("listed", [(), (make_registration("i-1"),)], ids=["absent", "ready"])
     def test_later_entry_of_a_read_is_kept_when_a_list_between_is_fetched(self, listed):
