--- a/review/13/case.py
+++ b/review/13/case.py
@@ -1,4 +1,4 @@
-"""One client asks for a version of the weights that no server has; others must still be served."""
+"""Two machines lose their link to the store; the others of the zone must still drop a key."""
 
 import asyncio
 import sys
@@ -12,83 +12,100 @@
     UNFIT,
     Client,
     Gateway,
+    Link,
     Server,
     Store,
     configuration,
     run_case,
 )
 
-SERVICE = "brushmodel"
-WEIGHTS = "1"
-REQUESTS = 60
-# The rule counts from this number of requests on; served less than this part as often breaks it.
-LEAST_REQUESTS = 20
-LEAST_SHARE = 0.25
+CONFIG_S = 2.0
+GATEWAYS = 4
 
 
 async def work(server, request, echo):
-    """Run a request, unless it asks for other weights."""
-    wanted = request.header("Expect-Version")
-    if wanted not in ("", WEIGHTS):
-        server.record.write(f"421 to {request.header('Request-Id')} at {server.server_id}")
-        return 421, [*echo, ("Not-Executed", "1")], b""
+    """Run a status request."""
     server.runs.append(request.header("Request-Id"))
     await asyncio.sleep(0.02)
-    return 200, [*echo, ("Server-Stamp", "stamp"), ("Weight-Versions", WEIGHTS)], b"done"
+    return 200, [*echo, ("Server-Stamp", "stamp")], b"done"
 
 
-def with_added_route(version):
-    """Return a configuration with one more route, to a service of its own."""
-    document = configuration(version)
-    route = document["routes"][1] | {"name": "photo", "prefix": "/photo/", "service": SERVICE}
-    document["routes"].append(route)
-    document["services"].append({"name": SERVICE, "healthPath": "/healthz", "maxConnections": 370})
-    return document
-
-
-async def ask(record, gateway, request_id, path, headers=()):
-    """Send one request and return its status."""
+async def ask(record, gateway, request_id, acknowledged_s):
+    """Send one status request with the dropped key; return when it was sent."""
     client = await Client.connect(gateway.address)
-    await client.send(request_id, path, "GET", headers=headers)
+    sent_s = record.now_s()
+    await client.send(request_id, "/status/1", "GET")
     answer = await client.receive()
     client.close()
-    record.write(f"{request_id} {path} {dict(headers)}: {answer.status} {answer.problem}")
-    return answer.status
+    record.write(
+        f"{request_id} at {gateway.name}, sent {sent_s - acknowledged_s:.3f} s after the"
+        f" acknowledgement: {answer.status} {answer.problem}"
+    )
+    return sent_s
 
 
 async def play(record, folder, gateways, has_trouble):
-    """Add a route, send one request with `Expect-Version`, then sound ones on both routes."""
+    """Cut the machines that watch the store, take the key away, and ask the others with it."""
     store = Store()
     await store.start()
-    servers = [Server(f"i-{number}", record, work) for number in range(1, 7)]
-    for number, server in enumerate(servers):
-        server.service = "commission-desk" if number < 3 else SERVICE
+    servers = [Server(f"i-{number}", record, work) for number in (1, 2, 3, 4)]
+    for server in servers:
         await server.start()
+    for server in servers[:3]:
         store.put(f"servers/{server.server_id}", server.entry())
     store.put("op/config", configuration(5))
-    gateway = Gateway(folder, "edge-1", store)
-    gateways.append(gateway)
-    gateway.start([gateway.control])
-    await gateway.wait_ready()
-    await asyncio.sleep(1.0)
-    store.put("op/config", with_added_route(7))
-    await asyncio.sleep(3.0)
-    if await ask(record, gateway, "before", "/photo/0") != 200:
+    links = [Link(store.address) for _ in range(GATEWAYS)]
+    for number, link in enumerate(links, 1):
+        await link.start()
+        gateways.append(Gateway(folder, f"edge-{number}", link))
+    for gateway in gateways:
+        gateway.start([gateway.control for gateway in gateways[:3]])
+    for gateway in gateways:
+        await gateway.wait_ready()
+    await asyncio.sleep(4.0)
+    for link in links:
+        link.watches = 0
+    await asyncio.sleep(4.0)
+    cut = [number for number, link in enumerate(links) if link.watches]
+    record.write(f"machines that watch the store: {[gateways[number].name for number in cut]}")
+    if len(cut) != 2:
         return UNFIT
 
-    headers = (("Expect-Version", "2"),) if has_trouble else ()
-    await ask(record, gateway, "versioned", "/photo/1", headers)
-    served = {"/status/": 0, "/photo/": 0}
-    for number in range(REQUESTS):
-        for prefix in served:
-            request_id = f"{prefix.strip('/')}-{number}"
-            served[prefix] += await ask(record, gateway, request_id, f"{prefix}{number}") == 200
-        await asyncio.sleep(0.3)
+    # Planned work: a server is added, and the configuration changes twice.
+    for number in cut:
+        links[number].watches = 0
+    store.put("servers/i-4", servers[3].entry())
+    store.put("op/config", configuration(7))
+    async with asyncio.timeout(1.0):
+        while any(links[number].watches < 2 for number in cut):
+            await asyncio.sleep(0.005)
+    if has_trouble:
+        for number in cut:
+            links[number].cut()
+        record.write("cut")
+    dropped = configuration(9)
+    dropped["tenants"][0]["apiKeys"] = ["k-studio-2"]
+    store.put("op/config", dropped)
+    acknowledged_s = record.now_s()
+    record.write("the configuration without the key is acknowledged")
+
+    in_touch = [gateway for number, gateway in enumerate(gateways) if number not in cut]
+    sent = {}
+    while record.now_s() < acknowledged_s + 4.0:
+        for gateway in in_touch:
+            request_id = f"r{len(sent)}"
+            sent[request_id] = await ask(record, gateway, request_id, acknowledged_s)
+        await asyncio.sleep(0.02)
+    for link in links:
+        link.heal()
+    runs = {request_id for server in servers for request_id in server.runs}
+    late = [each for each in runs if sent[each] > acknowledged_s + CONFIG_S]
     record.write(
-        f"served of {REQUESTS}: first route {served['/status/']}, added {served['/photo/']}"
+        f"{len(sent)} sent with the dropped key, {len(runs)} run, {len(late)} of them late"
     )
-    is_broken = REQUESTS >= LEAST_REQUESTS and served["/photo/"] < LEAST_SHARE * served["/status/"]
-    return BROKEN if is_broken else HELD
+    for request_id in late:
+        record.write(f"late: {request_id}, {sent[request_id] - acknowledged_s:.3f} s")
+    return BROKEN if late else HELD
 
 
 run_case(play)
