--- a/review/stage_3.py
+++ b/review/stage_3.py
@@ -486,7 +486,7 @@
 
 
 def run_case(play):
-    """Run a case and exit with its result; end all processes that it started.
+    """Run a case and end this process with its result; end all processes that it started.
 
     Parameters
     ----------
@@ -502,7 +502,8 @@
     result = UNFIT
     with tempfile.TemporaryDirectory() as folder:
         try:
-            result = asyncio.run(_play(play, record, folder, gateways, has_trouble))
+            loop = asyncio.new_event_loop()
+            result = loop.run_until_complete(_play(play, record, folder, gateways, has_trouble))
         except Exception as error:
             record.write(f"the case could not run: {type(error).__name__}: {error}")
             for gateway in gateways:
@@ -513,7 +514,8 @@
             for gateway in gateways:
                 gateway.kill()
     record.write(f"result: {('held', 'broken', 'could not run')[result]}")
-    sys.exit(result)
+    # The tasks of stand-ins that still wait have nothing left to do.
+    os._exit(result)
 
 
 async def _play(play, record, folder, gateways, has_trouble):
