--- a/review/stage_3.py
+++ b/review/stage_3.py
@@ -494,6 +494,7 @@
         Called with the record, a folder, the list of gateways to end and whether there is trouble;
         returns `HELD`, `BROKEN` or `UNFIT`.
     """
+    signal.signal(signal.SIGTERM, _exit_unfit)
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
     case = Path(sys.argv[0]).resolve().parent
     record = Record(case / "record.txt")
@@ -518,6 +519,10 @@
     os._exit(result)
 
 
+def _exit_unfit(number, frame):
+    sys.exit(UNFIT)
+
+
 async def _play(play, record, folder, gateways, has_trouble):
     async with asyncio.timeout(110):
         return await play(record, folder, gateways, has_trouble)
