--- a/review/13/case.py
+++ b/review/13/case.py
@@ -20,6 +20,8 @@
 )
 
 CONFIG_S = 2.0
+# The cut ends within the 4.0 s that the site file has for two at once.
+PLAY_S = 3.5
 GATEWAYS = 4
 
 
@@ -91,13 +93,14 @@
 
     in_touch = [gateway for number, gateway in enumerate(gateways) if number not in cut]
     sent = {}
-    while record.now_s() < acknowledged_s + 4.0:
+    while record.now_s() < acknowledged_s + PLAY_S:
         for gateway in in_touch:
             request_id = f"r{len(sent)}"
             sent[request_id] = await ask(record, gateway, request_id, acknowledged_s)
         await asyncio.sleep(0.02)
     for link in links:
         link.heal()
+    record.write("healed")
     runs = {request_id for server in servers for request_id in server.runs}
     late = [each for each in runs if sent[each] > acknowledged_s + CONFIG_S]
     record.write(
