--- a/review/stage_3.py
+++ b/review/stage_3.py
@@ -72,16 +72,22 @@
             file.write(f"{self.now_s():8.3f} {text}\n")
 
 
+_TAKEN_PORTS = set()
+
+
 def free_port(host="127.0.0.1"):
-    """Return a port that is free for TCP and UDP now."""
+    """Return a port that is free for TCP and UDP now, another one at each call."""
     while True:
         port = random.randrange(15_000, 31_000)
+        if port in _TAKEN_PORTS:
+            continue
         with socket.socket() as stream, socket.socket(type=socket.SOCK_DGRAM) as datagrams:
             try:
                 stream.bind((host, port))
                 datagrams.bind((host, port))
             except OSError:
                 continue
+        _TAKEN_PORTS.add(port)
         return port
 
 
